--- /dev/null
+++ b/pkg/store/errors.go
@@ -0,0 +1,38 @@
+package store
+
+// Kind classifies an Error.
+type Kind uint8
+
+// Kinds of errors of this package.
+const (
+	// KindUnavailable means that no answer came; a write may have taken effect.
+	KindUnavailable Kind = iota + 1
+	// KindTooLarge means that the value is above the store's limit.
+	KindTooLarge
+	// KindFormat means that a stored value could not be read.
+	KindFormat
+)
+
+// Error is the error type of this package.
+type Error struct {
+	// Op is the operation that failed.
+	Op   string
+	Key  string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation, the key and the cause.
+func (e *Error) Error() string {
+	s := "store: " + e.Op
+	if e.Key != "" {
+		s += " " + e.Key
+	}
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/pkg/store/swap.go
@@ -0,0 +1,94 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+
+	"github.com/google/uuid"
+)
+
+// envelope is what Swap stores: the value with the id of the operation that
+// wrote it.
+type envelope struct {
+	Op    string          `json:"op"`
+	Value json.RawMessage `json:"value"`
+}
+
+// Swap writes a JSON value by compare-and-swap and resolves a lost answer: when
+// Put fails with KindUnavailable, the entry is read back, and the write counts
+// as done when it carries this operation's id. An error of kind
+// KindUnavailable means that the read failed too, so that the outcome is
+// unknown. Result.Current.Value is the plain value.
+func Swap(ctx context.Context, s Store, w Write) (Result, error) {
+	op := uuid.NewString()
+	raw, err := json.Marshal(envelope{Op: op, Value: w.Value})
+	if err != nil {
+		return Result{}, &Error{Op: "swap", Key: w.Key, Kind: KindFormat, Err: err}
+	}
+	plain := w.Value
+	w.Value = raw
+	res, err := s.Put(ctx, w)
+	if err != nil {
+		return readBack(ctx, s, w, op, err)
+	}
+	if res.Done {
+		res.Current.Value = plain
+		return res, nil
+	}
+	// The service's own client may have sent the write twice; then the second
+	// one finds the first.
+	return settle(res.Current, op)
+}
+
+func readBack(ctx context.Context, s Store, w Write, op string, cause error) (Result, error) {
+	e, err := s.Get(ctx, w.Key)
+	if err != nil {
+		return Result{}, &Error{Op: "swap", Key: w.Key, Kind: KindUnavailable, Err: cause}
+	}
+	if e.Revision == w.Expected {
+		// Not applied so far, but the lost request may still arrive.
+		return Result{}, &Error{Op: "swap", Key: w.Key, Kind: KindUnavailable, Err: cause}
+	}
+	return settle(e, op)
+}
+
+func settle(e Entry, op string) (Result, error) {
+	if e.Revision == 0 {
+		return Result{Current: e}, nil
+	}
+	env, err := open(e)
+	if err != nil {
+		return Result{}, err
+	}
+	e.Value = env.Value
+	return Result{Done: env.Op == op, Current: e}, nil
+}
+
+// Read gets a key that Swap wrote; Value is the plain value. The Revision is 0
+// when the key does not exist.
+func Read(ctx context.Context, s Store, key string) (Entry, error) {
+	e, err := s.Get(ctx, key)
+	if err != nil || e.Revision == 0 {
+		return e, err
+	}
+	return Plain(e)
+}
+
+// Plain returns e with the value that Swap was given, for entries that come
+// from List or Watch.
+func Plain(e Entry) (Entry, error) {
+	env, err := open(e)
+	if err != nil {
+		return Entry{}, err
+	}
+	e.Value = env.Value
+	return e, nil
+}
+
+func open(e Entry) (envelope, error) {
+	var env envelope
+	if err := json.Unmarshal(e.Value, &env); err != nil {
+		return envelope{}, &Error{Op: "read", Key: e.Key, Kind: KindFormat, Err: err}
+	}
+	return env, nil
+}
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Fails when a file is not gofumpt-clean, or when revive or go vet report.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bash scripts/tools.sh
+bad=$(git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$' | xargs -r .bin/gofumpt -l)
+if [ -n "$bad" ]; then
+  echo "not gofumpt-clean:" "$bad"
+  exit 1
+fi
+.bin/revive -config revive.toml -set_exit_status -exclude ./internal/proto/... ./...
+(cd standin && ../.bin/revive -config ../revive.toml -set_exit_status ./...)
+go vet ./... ./standin/...
