--- /dev/null
+++ b/internal/evlog/evlog.go
@@ -0,0 +1,51 @@
+package evlog
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/rs/zerolog"
+)
+
+// Event is an entry of the catalogue of events.
+type Event struct {
+	Number int
+	// Name is the log message, in snake case.
+	Name    string
+	Level   zerolog.Level
+	Meaning string
+	// Action tells operators what to do.
+	Action string
+}
+
+var catalogue []Event
+
+func register(e Event) Event {
+	catalogue = append(catalogue, e)
+	return e
+}
+
+// Events returns all events in the order of their numbers.
+func Events() []Event {
+	out := slices.Clone(catalogue)
+	slices.SortFunc(out, func(a, b Event) int { return cmp.Compare(a.Number, b.Number) })
+	return out
+}
+
+// At starts a log line for e with its number, level and name. The caller adds
+// fields and calls Send.
+func At(l zerolog.Logger, e Event) *zerolog.Event {
+	return l.WithLevel(e.Level).Int("event", e.Number).Str("name", e.Name)
+}
+
+// Markdown returns the page docs/events.md.
+func Markdown() string {
+	var b strings.Builder
+	b.WriteString("# Events\n\nEach log line of the daemon carries one of these numbers in its field `event`. This page is generated from `internal/evlog` by `make generate`.\n\n| number | name | level | meaning | what to do |\n|---|---|---|---|---|\n")
+	for _, e := range Events() {
+		fmt.Fprintf(&b, "| %d | `%s` | %s | %s | %s |\n", e.Number, e.Name, e.Level, e.Meaning, e.Action)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/evlog/gen/main.go
@@ -0,0 +1,16 @@
+// Command gen writes docs/events.md from the table of events.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"chervilspan.example/internal/evlog"
+)
+
+func main() {
+	if err := os.WriteFile("docs/events.md", []byte(evlog.Markdown()), 0o644); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/pkg/rendez/rendez_test.go
@@ -0,0 +1,64 @@
+package rendez
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func vms(n int) []string {
+	out := make([]string, n)
+	for i := range out {
+		out[i] = fmt.Sprintf("vm-%d", i)
+	}
+	return out
+}
+
+// TestRankStable guards against a choice that depends on the order of the
+// list, or that moves keys of members that stay.
+func TestRankStable(t *testing.T) {
+	is := is.New(t)
+	all := vms(9)
+	shuffled := slices.Clone(all)
+	slices.Reverse(shuffled)
+	for i := range 200 {
+		key := fmt.Sprintf("k%d", i)
+		before := Rank(key, all)
+		is.Equal(before, Rank(key, shuffled))
+		gone := before[3]
+		rest := slices.DeleteFunc(slices.Clone(all), func(m string) bool { return m == gone })
+		want := slices.DeleteFunc(slices.Clone(before), func(m string) bool { return m == gone })
+		is.Equal(Rank(key, rest), want)
+	}
+}
+
+// TestFirstSpread guards against a hash that gives most keys to few members.
+func TestFirstSpread(t *testing.T) {
+	is := is.New(t)
+	count := map[string]int{}
+	for i := range 9000 {
+		m, ok := First(fmt.Sprintf("k%d", i), vms(9))
+		is.True(ok)
+		count[m]++
+	}
+	for m, n := range count {
+		if n < 800 || n > 1200 {
+			t.Errorf("%s has %d of 9000 keys", m, n)
+		}
+	}
+	_, ok := First("k", []string(nil))
+	is.True(!ok)
+}
+
+func BenchmarkRank(b *testing.B) {
+	for _, n := range []int{9, 48, 480} {
+		b.Run(fmt.Sprintf("vms=%d", n), func(b *testing.B) {
+			all := vms(n)
+			for b.Loop() {
+				Rank("group/one", all)
+			}
+		})
+	}
+}
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -8,3 +8,4 @@
   --go_out=. --go_opt=module=chervilspan.example \
   --go-grpc_out=. --go-grpc_opt=module=chervilspan.example \
   proto/*.proto
+go run ./internal/evlog/gen
