--- a/pkg/store/errors.go
+++ b/pkg/store/errors.go
@@ -9,6 +9,9 @@
 	KindUnavailable Kind = iota + 1
 	// KindTooLarge means that the value is above the store's limit.
 	KindTooLarge
+	// KindLeaseEnded means that the lease of a write has ended; nothing was
+	// written.
+	KindLeaseEnded
 	// KindFormat means that a stored value could not be read.
 	KindFormat
 )
--- /dev/null
+++ b/standin/fleet/certs.go
@@ -0,0 +1,82 @@
+package fleet
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// authority signs the certificates of one run.
+type authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	file string
+	n    int64
+}
+
+// CertLifetime is the validity of the certificates of a run.
+const CertLifetime = 24 * time.Hour
+
+func newAuthority(dir string) (*authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, err
+	}
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "fleet authority"},
+		NotBefore: time.Now().Add(-time.Minute), NotAfter: time.Now().Add(CertLifetime),
+		IsCA: true, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	if err != nil {
+		return nil, err
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		return nil, err
+	}
+	a := &authority{cert: cert, key: key, file: filepath.Join(dir, "ca.pem"), n: 1}
+	return a, writePEM(a.file, "CERTIFICATE", der)
+}
+
+// issue writes a certificate for loopback that serves both ends of a
+// connection, and returns the names of its files.
+func (a *authority) issue(dir, name string) (certFile, keyFile string, err error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return "", "", err
+	}
+	a.n++
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(a.n), Subject: pkix.Name{CommonName: name},
+		NotBefore: time.Now().Add(-time.Minute), NotAfter: time.Now().Add(CertLifetime),
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		return "", "", err
+	}
+	raw, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return "", "", err
+	}
+	certFile, keyFile = filepath.Join(dir, name+".pem"), filepath.Join(dir, name+".key")
+	if err := writePEM(certFile, "CERTIFICATE", der); err != nil {
+		return "", "", err
+	}
+	return certFile, keyFile, writePEM(keyFile, "PRIVATE KEY", raw)
+}
+
+func writePEM(file, kind string, der []byte) error {
+	return os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)
+}
--- /dev/null
+++ b/standin/fleet/layout.go
@@ -0,0 +1,73 @@
+package fleet
+
+import (
+	"time"
+
+	"chervilspan.example/pkg/ident"
+)
+
+// Place is an availability zone with the number of daemons in it.
+type Place struct {
+	Zone    ident.Zone
+	Region  ident.Region
+	Daemons int
+}
+
+// Layout describes a deployment.
+type Layout struct {
+	Places []Place
+	// Groups of databases, each with one database in each place.
+	Groups      []ident.Group
+	Slots       uint32
+	Connections uint32
+	// ConnectCost is the time that a new connection to a target takes.
+	ConnectCost time.Duration
+	// ServiceTime is the time that a target spends on a statement.
+	ServiceTime time.Duration
+	// Lag is added to the replication of each entry.
+	Lag        time.Duration
+	Workspaces []ident.Workspace
+	Rate       float64
+	Burst      uint32
+}
+
+// Workshop is the deployment of a workshop with two regions: 3 database groups
+// of 3 databases, 5 slots and 30 connections, 10 ms for a new connection.
+func Workshop() Layout {
+	return Layout{
+		Places: []Place{
+			{"bogota-norte", "andina", 2},
+			{"bogota-sur", "andina", 2},
+			{"barranquilla", "caribe", 2},
+		},
+		Groups: []ident.Group{"taller-1", "taller-2", "taller-3"},
+		Slots:  5, Connections: 30,
+		ConnectCost: 10 * time.Millisecond, ServiceTime: time.Millisecond, Lag: 50 * time.Millisecond,
+		Workspaces: names("taller-ws-", 8), Rate: 50, Burst: 50,
+	}
+}
+
+// Association is the deployment of an association with two regions: 3 database
+// groups of 3 databases, 3 slots and 50 connections, 30 ms for a new
+// connection.
+func Association() Layout {
+	return Layout{
+		Places: []Place{
+			{"zagreb", "kontinentalna", 2},
+			{"osijek", "kontinentalna", 2},
+			{"split", "jadran", 2},
+		},
+		Groups: []ident.Group{"ledger-1", "ledger-2", "ledger-3"},
+		Slots:  3, Connections: 50,
+		ConnectCost: 30 * time.Millisecond, ServiceTime: time.Millisecond, Lag: 50 * time.Millisecond,
+		Workspaces: names("ledger-ws-", 8), Rate: 50, Burst: 50,
+	}
+}
+
+func names(prefix string, n int) []ident.Workspace {
+	out := make([]ident.Workspace, n)
+	for i := range out {
+		out[i] = ident.Workspace(prefix + string(rune('a'+i)))
+	}
+	return out
+}
--- /dev/null
+++ b/standin/fleet/proc.go
@@ -0,0 +1,82 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Proc is a process of the fleet. Its output goes to a log file in the fleet's
+// folder.
+type Proc struct {
+	Name string
+	Log  string
+	cmd  *exec.Cmd
+	done chan struct{}
+	once sync.Once
+}
+
+func start(dir, name, bin string, args ...string) (*Proc, error) {
+	p := &Proc{Name: name, Log: filepath.Join(dir, name+".log"), done: make(chan struct{})}
+	log, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = log.Close() }()
+	p.cmd = exec.Command(bin, args...)
+	p.cmd.Stdout, p.cmd.Stderr = log, log
+	// The processes end with their parent, also when it is killed.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", name, err)
+	}
+	go func() {
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+// Signal sends a signal to the process.
+func (p *Proc) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
+
+// Kill ends the process at once and waits until it is gone.
+func (p *Proc) Kill() {
+	p.once.Do(func() { _ = p.cmd.Process.Kill() })
+	<-p.done
+}
+
+// Exited reports whether the process is gone.
+func (p *Proc) Exited() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// WaitExit waits up to d for the process to end, and reports whether it did.
+func (p *Proc) WaitExit(d time.Duration) bool {
+	select {
+	case <-p.done:
+		return true
+	case <-time.After(d):
+		return false
+	}
+}
+
+// freeAddress returns a loopback address whose port was free a moment ago.
+func freeAddress() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String(), nil
+}
