Add the strict catalogue reader, deltas, keys and access checks

Operators edit one JSON document, so the daemon needs a reader that names every fault with its path and line, rules between versions, deltas for the way between VMs, and the decision who may use a route.

--- /dev/null
+++ b/pkg/access/errors.go
@@ -0,0 +1,44 @@
+package access
+
+// Kind classifies an Error.
+type Kind uint8
+
+// Kinds of errors of this package.
+const (
+	// KindRoute means that the catalogue has no such route.
+	KindRoute Kind = iota + 1
+	// KindKey means that the key is missing, wrong, withdrawn or not in its
+	// time. The message doesn't tell these apart.
+	KindKey
+	// KindForbidden means that the workspace may not use the route.
+	KindForbidden
+	// KindNotReady means that there is no catalogue yet.
+	KindNotReady
+	// KindCutOff means that the catalogue's age is above its bound.
+	KindCutOff
+)
+
+// Error is the error type of this package.
+type Error struct {
+	// Op is the operation that failed.
+	Op   string
+	Kind Kind
+	// Text is the message for the caller; it never has a key in it.
+	Text string
+}
+
+// Error returns the message; a refusal here means that nothing has run.
+func (e *Error) Error() string { return e.Text + ": not run" }
+
+// SQLState returns the code of the PostgreSQL error message.
+func (e *Error) SQLState() string {
+	switch e.Kind {
+	case KindRoute:
+		return "3D000"
+	case KindForbidden:
+		return "28000"
+	case KindNotReady, KindCutOff:
+		return "57P03"
+	}
+	return "28P01"
+}
--- /dev/null
+++ b/pkg/catal/errors.go
@@ -0,0 +1,76 @@
+package catal
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Kind classifies an Error.
+type Kind uint8
+
+// Kinds of errors of this package.
+const (
+	// KindSyntax means that the text is not JSON.
+	KindSyntax Kind = iota + 1
+	// KindInvalid means that the document breaks rules; Problems lists them.
+	KindInvalid
+	// KindBase means that a delta does not belong to the given base version.
+	KindBase
+	// KindHash means that a document does not have the stated hash.
+	KindHash
+	// KindRandom means that the system's random source failed.
+	KindRandom
+)
+
+// Problem is one broken rule of a document.
+type Problem struct {
+	// Path is the JSON Pointer of the value.
+	Path string `json:"path"`
+	// Line of the value in the text, 0 when there is no text.
+	Line int `json:"line,omitempty"`
+	// Text says what is wrong.
+	Text string `json:"text"`
+	// Allowed says what would be right.
+	Allowed string `json:"allowed,omitempty"`
+}
+
+// String returns the problem as one line.
+func (p Problem) String() string {
+	var b strings.Builder
+	if p.Line > 0 {
+		fmt.Fprintf(&b, "line %d: ", p.Line)
+	}
+	if p.Path != "" {
+		b.WriteString(p.Path + ": ")
+	}
+	b.WriteString(p.Text)
+	if p.Allowed != "" {
+		b.WriteString("; allowed: " + p.Allowed)
+	}
+	return b.String()
+}
+
+// Error is the error type of this package.
+type Error struct {
+	// Op is the operation that failed.
+	Op   string
+	Kind Kind
+	// Problems has at least one entry for KindSyntax and KindInvalid.
+	Problems []Problem
+	Err      error
+}
+
+// Error returns the operation with all problems, one line each.
+func (e *Error) Error() string {
+	lines := make([]string, 0, len(e.Problems)+1)
+	for _, p := range e.Problems {
+		lines = append(lines, p.String())
+	}
+	if e.Err != nil {
+		lines = append(lines, e.Err.Error())
+	}
+	return "catalogue: " + e.Op + ": " + strings.Join(lines, "\n")
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
--- /dev/null
+++ b/pkg/catal/keys.go
@@ -0,0 +1,73 @@
+package catal
+
+import (
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"strings"
+	"time"
+
+	"chervilspan.example/pkg/ident"
+)
+
+const (
+	keyPrefix = "chv_"
+	// secretBytes makes guessing pointless without a slow hash.
+	secretBytes = 32
+)
+
+// NewKey makes a key with the given id. The text is for the caller only; the
+// Key, which has only its hash, goes into the catalogue. It returns an *Error
+// of kind KindInvalid for a wrong id and KindRandom when there is no
+// randomness.
+func NewKey(id string) (text string, k Key, err error) {
+	if err := ident.Check(id); err != nil {
+		return "", Key{}, &Error{Op: "new key", Kind: KindInvalid, Err: err}
+	}
+	secret := make([]byte, secretBytes)
+	if _, err := rand.Read(secret); err != nil {
+		return "", Key{}, &Error{Op: "new key", Kind: KindRandom, Err: err}
+	}
+	text = keyPrefix + id + "_" + hex.EncodeToString(secret)
+	return text, Key{SHA256: hashKey(text)}, nil
+}
+
+func hashKey(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:])
+}
+
+// KeyID returns the id in a key text; ok is false when the text does not have
+// the form chv_<id>_<secret>.
+func KeyID(text string) (id string, ok bool) {
+	rest, ok := strings.CutPrefix(text, keyPrefix)
+	if !ok {
+		return "", false
+	}
+	i := strings.LastIndexByte(rest, '_')
+	if i < 0 || len(rest)-i-1 != hex.EncodedLen(secretBytes) {
+		return "", false
+	}
+	id = rest[:i]
+	return id, ident.Check(id) == nil
+}
+
+// Matches reports whether text is the whole text of the key. The comparison
+// takes the same time for every text of the same length.
+func (k Key) Matches(text string) bool {
+	return subtle.ConstantTimeCompare([]byte(k.SHA256), []byte(hashKey(text))) == 1
+}
+
+// Usable reports whether the key is accepted at the given time.
+func (k Key) Usable(now time.Time) bool {
+	switch {
+	case k.Withdrawn:
+		return false
+	case !k.NotBefore.IsZero() && now.Before(k.NotBefore):
+		return false
+	case !k.Expires.IsZero() && !now.Before(k.Expires):
+		return false
+	}
+	return true
+}
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -9,3 +9,4 @@
   --go-grpc_out=. --go-grpc_opt=module=chervilspan.example \
   proto/*.proto
 go run ./internal/evlog/gen
+go run ./pkg/catal/gen
