--- a/internal/conf/types.go
+++ b/internal/conf/types.go
@@ -184,3 +184,38 @@
 // Max returns the time after which sessions in a transaction are cut, 60 s by
 // default.
 func (d Drain) Max() time.Duration { return millis(d.MaxMS, time.Minute) }
+
+// WithDefaults returns a copy in which zero fields have their defaults.
+func (s *Settings) WithDefaults() *Settings {
+	d := *s
+	ms := func(v time.Duration) uint32 { return uint32(v.Milliseconds()) }
+	d.Callers.MaxConnections = uint32(s.Callers.Connections())
+	d.Callers.MaxUnauthenticated = uint32(s.Callers.Unauthenticated())
+	d.Callers.HandshakeTimeoutMS = ms(s.Callers.HandshakeTimeout())
+	d.Callers.MaxMessageBytes = uint32(s.Callers.MessageBytes())
+	d.Peers.Advertise = s.Peers.AdvertiseAddress()
+	d.Targets.ConnectTimeoutMS = ms(s.Targets.ConnectTimeout())
+	d.Targets.IdleCloseMS = ms(s.Targets.IdleClose())
+	d.Limits.Policy = cmp.Or(s.Limits.Policy, PolicyAdaptive)
+	d.Limits.ShareLeaseMS = ms(s.Limits.ShareLease())
+	d.Limits.RateWaitMS = ms(s.Limits.RateWait())
+	d.Freshness.MaxStaleMS = ms(s.Freshness.MaxStale())
+	d.Failover.Policy = cmp.Or(s.Failover.Policy, PolicyAdaptive)
+	d.Failover.Watchers = uint32(s.Failover.WatcherCount())
+	d.Drain.NoticeMS = ms(s.Drain.Notice())
+	d.Drain.MaxMS = ms(s.Drain.Max())
+	d.Log.Level = cmp.Or(s.Log.Level, "info")
+	return &d
+}
+
+// Connections returns the greatest number of callers' connections, 10,000 by
+// default.
+func (c Callers) Connections() int { return int(cmp.Or(c.MaxConnections, 10_000)) }
+
+// Unauthenticated returns the greatest number of connections that have not
+// authenticated yet, 500 by default.
+func (c Callers) Unauthenticated() int { return int(cmp.Or(c.MaxUnauthenticated, 500)) }
+
+// MessageBytes returns the greatest size of a caller's message, 16 MiB by
+// default.
+func (c Callers) MessageBytes() int { return int(cmp.Or(c.MaxMessageBytes, 16<<20)) }
--- a/pkg/catal/delta.go
+++ b/pkg/catal/delta.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/strict"
 )
 
 // Delta is what turns one version into another. Entries are named by their
@@ -148,7 +149,7 @@
 			m = map[string]json.RawMessage{}
 			sections[parts[1]] = m
 		}
-		m[unescape(parts[2])] = raw
+		m[strict.Unescape(parts[2])] = raw
 	}
 	raw, err := json.Marshal(sections)
 	if err != nil {
--- a/pkg/catal/diff.go
+++ b/pkg/catal/diff.go
@@ -7,6 +7,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"chervilspan.example/pkg/strict"
 )
 
 // Change is one difference between two documents. Old is unset for what was
@@ -58,7 +60,7 @@
 	maps.Copy(all, is)
 	var out []Change
 	for _, name := range slices.Sorted(maps.Keys(all)) {
-		p := path + "/" + escape(name)
+		p := path + "/" + strict.Escape(name)
 		if path == "" {
 			p = name // entries are keyed by their path
 		}
--- a/pkg/catal/errors.go
+++ b/pkg/catal/errors.go
@@ -1,8 +1,9 @@
 package catal
 
 import (
-	"fmt"
 	"strings"
+
+	"chervilspan.example/pkg/strict"
 )
 
 // Kind classifies an Error.
@@ -23,32 +24,7 @@
 )
 
 // Problem is one broken rule of a document.
-type Problem struct {
-	// Path is the JSON Pointer of the value.
-	Path string `json:"path"`
-	// Line of the value in the text, 0 when there is no text.
-	Line int `json:"line,omitempty"`
-	// Text says what is wrong.
-	Text string `json:"text"`
-	// Allowed says what would be right.
-	Allowed string `json:"allowed,omitempty"`
-}
-
-// String returns the problem as one line.
-func (p Problem) String() string {
-	var b strings.Builder
-	if p.Line > 0 {
-		fmt.Fprintf(&b, "line %d: ", p.Line)
-	}
-	if p.Path != "" {
-		b.WriteString(p.Path + ": ")
-	}
-	b.WriteString(p.Text)
-	if p.Allowed != "" {
-		b.WriteString("; allowed: " + p.Allowed)
-	}
-	return b.String()
-}
+type Problem = strict.Problem
 
 // Error is the error type of this package.
 type Error struct {
--- a/pkg/catal/validate.go
+++ b/pkg/catal/validate.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/strict"
 )
 
 // Ranges of the limits in a document.
@@ -65,7 +66,9 @@
 	}
 }
 
-func at[K ~string](section string, id K) string { return "/" + section + "/" + escape(string(id)) }
+func at[K ~string](section string, id K) string {
+	return "/" + section + "/" + strict.Escape(string(id))
+}
 
 func (v *validator) add(path, text, allowed string) {
 	v.problems = append(v.problems, Problem{Path: path, Text: text, Allowed: allowed})
--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bash scripts/tools.sh
-bad=$(git ls-files -co --exclude-standard '*.go' | grep -v '\.pb\.go$' | xargs -r .bin/gofumpt -l)
+bad=$(find . -name '*.go' -not -name '*.pb.go' -print0 | xargs -0 -r .bin/gofumpt -l)
 if [ -n "$bad" ]; then
   echo "not gofumpt-clean:" "$bad"
   exit 1
