--- /dev/null
+++ b/standin/sqldb/types.go
@@ -0,0 +1,253 @@
+package sqldb
+
+import (
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgtype"
+	pgquery "github.com/pganalyze/pg_query_go/v6"
+	"google.golang.org/protobuf/reflect/protoreflect"
+)
+
+// oids maps the first word of a declared type to the type's OID.
+var oids = map[string]uint32{
+	"int": pgtype.Int4OID, "integer": pgtype.Int4OID, "int4": pgtype.Int4OID, "serial": pgtype.Int4OID,
+	"bigint": pgtype.Int8OID, "int8": pgtype.Int8OID, "bigserial": pgtype.Int8OID,
+	"smallint": pgtype.Int2OID, "int2": pgtype.Int2OID,
+	"bool": pgtype.BoolOID, "boolean": pgtype.BoolOID,
+	"real": pgtype.Float4OID, "float4": pgtype.Float4OID,
+	"float": pgtype.Float8OID, "float8": pgtype.Float8OID, "double": pgtype.Float8OID,
+	"numeric": pgtype.NumericOID, "decimal": pgtype.NumericOID,
+	"bytea": pgtype.ByteaOID, "blob": pgtype.ByteaOID,
+	"timestamptz": pgtype.TimestamptzOID, "timestamp": pgtype.TimestampOID, "date": pgtype.DateOID,
+}
+
+// oidOf returns the OID of a declared column type, text when it is unknown.
+func oidOf(decl string) uint32 {
+	low := strings.ToLower(strings.TrimSpace(decl))
+	if strings.HasPrefix(low, "timestamp with time zone") {
+		return pgtype.TimestamptzOID
+	}
+	if i := strings.IndexAny(low, " ("); i >= 0 {
+		low = low[:i]
+	}
+	if oid, ok := oids[low]; ok {
+		return oid
+	}
+	return pgtype.TextOID
+}
+
+func oidOfType(t *pgquery.TypeName) uint32 {
+	if t == nil || len(t.Names) == 0 {
+		return 0
+	}
+	return oidOf(t.Names[len(t.Names)-1].GetString_().GetSval())
+}
+
+// columns maps the names of a statement's columns to their types.
+type columns map[string]uint32
+
+// walk calls visit for every message below m, m included.
+func walk(m protoreflect.Message, visit func(any)) {
+	visit(m.Interface())
+	m.Range(func(f protoreflect.FieldDescriptor, v protoreflect.Value) bool {
+		switch {
+		case f.Message() == nil:
+		case f.IsList():
+			for i := range v.List().Len() {
+				walk(v.List().Get(i).Message(), visit)
+			}
+		default:
+			walk(v.Message(), visit)
+		}
+		return true
+	})
+}
+
+// tables returns the tables that a statement names.
+func tables(n *pgquery.Node) []string {
+	var out []string
+	walk(n.ProtoReflect(), func(m any) {
+		if r, ok := m.(*pgquery.RangeVar); ok {
+			out = append(out, r.Relname)
+		}
+	})
+	return out
+}
+
+func writesInside(n *pgquery.Node) bool {
+	found := false
+	walk(n.ProtoReflect(), func(m any) {
+		switch m.(type) {
+		case *pgquery.InsertStmt, *pgquery.UpdateStmt, *pgquery.DeleteStmt:
+			found = true
+		}
+	})
+	return found
+}
+
+// paramTypes returns the types of a statement's parameters as their use tells:
+// a cast, a comparison with a column, a column that they are stored in.
+// Others are text, as PostgreSQL has it.
+func paramTypes(n *pgquery.Node, cols columns) []uint32 {
+	found := map[int]uint32{}
+	most := 0
+	set := func(n *pgquery.Node, oid uint32) {
+		if p := int(n.GetParamRef().GetNumber()); p > 0 && found[p] == 0 {
+			found[p] = oid
+		}
+	}
+	walk(n.ProtoReflect(), func(m any) {
+		switch m := m.(type) {
+		case *pgquery.ParamRef:
+			most = max(most, int(m.Number))
+		case *pgquery.TypeCast:
+			set(m.Arg, oidOfType(m.TypeName))
+		case *pgquery.A_Expr:
+			comparison(m, cols, set)
+		case *pgquery.InsertStmt:
+			inserted(m, cols, set)
+		case *pgquery.ResTarget:
+			set(m.Val, cols[m.Name])
+		case *pgquery.SelectStmt:
+			set(m.LimitCount, pgtype.Int8OID)
+			set(m.LimitOffset, pgtype.Int8OID)
+		case *pgquery.FuncCall:
+			if funcName(m) == "pg_sleep" && len(m.Args) == 1 {
+				set(m.Args[0], pgtype.Float8OID)
+			}
+		}
+	})
+	out := make([]uint32, most)
+	for i := range out {
+		out[i] = found[i+1]
+		if out[i] == 0 {
+			out[i] = pgtype.TextOID
+		}
+	}
+	return out
+}
+
+func comparison(e *pgquery.A_Expr, cols columns, set func(*pgquery.Node, uint32)) {
+	if l := e.Rexpr.GetList(); l != nil {
+		for _, item := range l.Items {
+			set(item, resultType(e.Lexpr, cols, nil))
+		}
+		return
+	}
+	set(e.Rexpr, resultType(e.Lexpr, cols, nil))
+	set(e.Lexpr, resultType(e.Rexpr, cols, nil))
+}
+
+func inserted(s *pgquery.InsertStmt, cols columns, set func(*pgquery.Node, uint32)) {
+	for _, row := range s.SelectStmt.GetSelectStmt().GetValuesLists() {
+		for i, item := range row.GetList().GetItems() {
+			if i < len(s.Cols) {
+				set(item, cols[s.Cols[i].GetResTarget().GetName()])
+			}
+		}
+	}
+}
+
+// functions with a result type of their own.
+var functions = map[string]uint32{
+	"count": pgtype.Int8OID, "length": pgtype.Int8OID, "avg": pgtype.Float8OID, "total": pgtype.Float8OID,
+	"lower": pgtype.TextOID, "upper": pgtype.TextOID, "concat": pgtype.TextOID, "row_number": pgtype.Int8OID,
+}
+
+// resultType returns the type of an expression, 0 when it can't be told.
+func resultType(n *pgquery.Node, cols columns, params []uint32) uint32 {
+	switch {
+	case n.GetColumnRef() != nil:
+		f := n.GetColumnRef().Fields
+		return cols[f[len(f)-1].GetString_().GetSval()]
+	case n.GetTypeCast() != nil:
+		return oidOfType(n.GetTypeCast().TypeName)
+	case n.GetParamRef() != nil:
+		if i := int(n.GetParamRef().Number); i <= len(params) {
+			return params[i-1]
+		}
+	case n.GetBoolExpr() != nil, n.GetNullTest() != nil, n.GetBooleanTest() != nil:
+		return pgtype.BoolOID
+	case n.GetSubLink() != nil:
+		return sublinkType(n.GetSubLink(), cols, params)
+	case n.GetCoalesceExpr() != nil:
+		return firstType(n.GetCoalesceExpr().Args, cols, params)
+	case n.GetCaseExpr() != nil:
+		if when := n.GetCaseExpr().Args; len(when) > 0 {
+			return resultType(when[0].GetCaseWhen().GetResult(), cols, params)
+		}
+	case n.GetAExpr() != nil:
+		return operatorType(n.GetAExpr(), cols, params)
+	case n.GetFuncCall() != nil:
+		return callType(n.GetFuncCall(), cols, params)
+	}
+	if v, ok := constant(n); ok {
+		return valueType(v)
+	}
+	return 0
+}
+
+func valueType(v any) uint32 {
+	switch v := v.(type) {
+	case int64:
+		if v == int64(int32(v)) {
+			return pgtype.Int4OID
+		}
+		return pgtype.Int8OID
+	case float64:
+		return pgtype.Float8OID
+	case bool:
+		return pgtype.BoolOID
+	case []byte:
+		return pgtype.ByteaOID
+	}
+	return pgtype.TextOID
+}
+
+func sublinkType(s *pgquery.SubLink, cols columns, params []uint32) uint32 {
+	if s.SubLinkType != pgquery.SubLinkType_EXPR_SUBLINK {
+		return pgtype.BoolOID
+	}
+	if list := s.Subselect.GetSelectStmt().GetTargetList(); len(list) == 1 {
+		return resultType(list[0].GetResTarget().GetVal(), cols, params)
+	}
+	return 0
+}
+
+func firstType(args []*pgquery.Node, cols columns, params []uint32) uint32 {
+	for _, a := range args {
+		if oid := resultType(a, cols, params); oid != 0 {
+			return oid
+		}
+	}
+	return 0
+}
+
+func operatorType(e *pgquery.A_Expr, cols columns, params []uint32) uint32 {
+	switch operator(e) {
+	case "+", "-", "*", "/", "%":
+		l, r := resultType(e.Lexpr, cols, params), resultType(e.Rexpr, cols, params)
+		if l == pgtype.Float8OID || r == pgtype.Float8OID {
+			return pgtype.Float8OID
+		}
+		return pgtype.Int8OID
+	case "||":
+		return pgtype.TextOID
+	}
+	return pgtype.BoolOID
+}
+
+func callType(f *pgquery.FuncCall, cols columns, params []uint32) uint32 {
+	name := funcName(f)
+	if oid, ok := functions[name]; ok {
+		return oid
+	}
+	if len(f.Args) == 0 {
+		return 0
+	}
+	oid := resultType(f.Args[0], cols, params)
+	if name == "sum" && (oid == pgtype.Int4OID || oid == pgtype.Int2OID) {
+		return pgtype.Int8OID
+	}
+	return oid
+}
