Test the stand-in target: faults, divergence, restart and safety

Cause: the target's guarantees carry the daemon's tests. Change: tests over an in-memory network with synctest; a property test of elections, cuts, restarts and writes; a settable cost of a rebuild. Conclusion: no acknowledged write lost, no two primaries in one term.

--- a/standin/cmd/standin-target/main.go
+++ b/standin/cmd/standin-target/main.go
@@ -27,6 +27,7 @@
 	Connect     time.Duration `arg:"--connect" default:"10ms" help:"cost of a new connection"`
 	Service     time.Duration `arg:"--service" default:"0s" help:"service time of a statement"`
 	Lag         time.Duration `arg:"--lag" default:"0s" help:"time until a replica applies an entry"`
+	Rebuild     time.Duration `arg:"--rebuild" default:"0s" help:"time that a rebuild of diverged data takes"`
 	User        string        `arg:"--user" help:"user of the proxy; empty lets all in"`
 	Password    string        `arg:"--password,env:STANDIN_PASSWORD" help:"password of the proxy, of administrators and of replicas"`
 	DataDir     string        `arg:"--data-dir" help:"directory that keeps log and promises; empty means memory only"`
@@ -51,7 +52,7 @@
 	}
 	s, err := target.New(target.Config{
 		ID: ident.Target(a.ID), Listen: a.Listen, Members: members, Zone: ident.Zone(a.Zone),
-		Slots: a.Slots, Connections: a.Connections, ConnectCost: a.Connect, ServiceTime: a.Service, Lag: a.Lag,
+		Slots: a.Slots, Connections: a.Connections, ConnectCost: a.Connect, ServiceTime: a.Service, Lag: a.Lag, RebuildCost: a.Rebuild,
 		User: a.User, Password: a.Password, DataDir: a.DataDir,
 		Log: zerolog.New(os.Stderr).With().Timestamp().Logger(),
 	})
--- a/standin/target/config.go
+++ b/standin/target/config.go
@@ -49,6 +49,9 @@
 	// Lag is the time between the arrival of an entry at a replica and its
 	// application.
 	Lag time.Duration
+	// RebuildCost is what a rebuild of the data takes; reads are refused
+	// meanwhile.
+	RebuildCost time.Duration
 	// User and Password are the proxy's credentials. Without a password every
 	// connection is let in. Administration and replication use the same
 	// password.
--- a/standin/target/group.go
+++ b/standin/target/group.go
@@ -206,10 +206,10 @@
 	s.applied = ident.Position{}
 	s.once = map[string]repl.Once{}
 	s.dataMu.Unlock()
-	now := time.Now()
+	due := time.Now().Add(s.cfg.RebuildCost)
 	s.pending = s.pending[:0:0]
 	for _, e := range s.state.Log {
-		s.pending = append(s.pending, arrived{e, now})
+		s.pending = append(s.pending, arrived{e, due})
 	}
 	s.marks, s.freshAt = nil, time.Time{}
 	return err
--- /dev/null
+++ b/standin/target/group_test.go
@@ -0,0 +1,214 @@
+package target
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/matryer/is"
+
+	"chervilspan.example/pkg/ident"
+)
+
+// group runs f with an elected group of three targets.
+func group(t *testing.T, cfg Config, f func(is *is.I, c *cluster)) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3, cfg)
+		defer c.close()
+		is.NoErr(Elect(context.Background(), 1, c.all...))
+		conn := c.connect(c.all[0])
+		c.exec(conn, "CREATE TABLE t (id int PRIMARY KEY)")
+		closeConn(conn)
+		f(is, c)
+	})
+}
+
+// pass lets time pass, so that replication settles.
+func pass(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func count(conn *pgx.Conn) (n int64, err error) {
+	err = conn.QueryRow(context.Background(), "SELECT count(*) FROM t").Scan(&n)
+	return n, err
+}
+
+// TestFloor guards against a replica that serves a read although it has not
+// applied the session's write.
+func TestFloor(t *testing.T) {
+	group(t, Config{Lag: time.Second}, func(is *is.I, c *cluster) {
+		ctx := context.Background()
+		primary, replica := c.connect(c.all[0]), c.connect(c.all[1])
+		defer closeConn(primary, replica)
+		pass(2 * time.Second)
+		c.exec(primary, "INSERT INTO t VALUES (1)")
+		floor := primary.PgConn().ParameterStatus(positionVar)
+		is.Equal(floor, "1/3")
+		c.exec(replica, "SET chervil.floor = '"+floor+"'")
+		_, err := count(replica)
+		is.Equal(code(err), codeFloor)
+		_, err = replica.Exec(ctx, "INSERT INTO t VALUES (2)")
+		is.Equal(code(err), codeReadOnly)
+		pass(2 * time.Second)
+		n, err := count(replica)
+		is.NoErr(err)
+		is.Equal(n, int64(1))
+		is.Equal(replica.PgConn().ParameterStatus(positionVar), floor)
+	})
+}
+
+// TestMaxAge guards against a replica, or a primary that may have been
+// replaced, which serves data older than the caller accepts.
+func TestMaxAge(t *testing.T) {
+	group(t, Config{}, func(is *is.I, c *cluster) {
+		primary, replica := c.connect(c.all[0]), c.connect(c.all[1])
+		defer closeConn(primary, replica)
+		pass(time.Second)
+		for _, conn := range []*pgx.Conn{primary, replica} {
+			c.exec(conn, "SET chervil.max_age_ms = 500")
+			_, err := count(conn)
+			is.NoErr(err)
+		}
+		is.NoErr(c.all[0].Fault(FaultCut, "*"))
+		pass(time.Second)
+		for _, conn := range []*pgx.Conn{primary, replica} {
+			_, err := count(conn)
+			is.Equal(code(err), codeAge)
+			c.exec(conn, "SET chervil.max_age_ms = 0")
+			_, err = count(conn)
+			is.NoErr(err)
+		}
+	})
+}
+
+// TestQuorumNotification guards against a quorum position that counts entries
+// which no other member has, or that listeners never hear of.
+func TestQuorumNotification(t *testing.T) {
+	group(t, Config{}, func(is *is.I, c *cluster) {
+		ctx := context.Background()
+		conn, listener := c.connect(c.all[0]), c.connect(c.all[0])
+		defer closeConn(conn, listener)
+		pass(time.Second)
+		c.exec(listener, "LISTEN chervil_quorum")
+		n, err := listener.WaitForNotification(ctx)
+		is.NoErr(err)
+		is.Equal(n.Payload, "1/2")
+		is.NoErr(c.all[0].Fault(FaultCut, "*"))
+		c.exec(conn, "INSERT INTO t VALUES (1)")
+		pass(time.Second)
+		is.Equal(c.all[0].status().Quorum, ident.Position{Term: 1, Index: 2})
+		is.NoErr(c.all[0].Fault(FaultHeal, "a2"))
+		is.NoErr(c.all[0].Fault(FaultHeal, "*"))
+		n, err = listener.WaitForNotification(ctx)
+		is.NoErr(err)
+		is.Equal(n.Payload, "1/3")
+	})
+}
+
+// TestSuperseded guards against commits of a primary whose term was raised,
+// also of a transaction that was open at that moment.
+func TestSuperseded(t *testing.T) {
+	group(t, Config{}, func(is *is.I, c *cluster) {
+		ctx := context.Background()
+		conn, other := c.connect(c.all[0]), c.connect(c.all[0])
+		defer closeConn(conn, other)
+		tx, err := conn.Begin(ctx)
+		is.NoErr(err)
+		_, err = tx.Exec(ctx, "INSERT INTO t VALUES (1)")
+		is.NoErr(err)
+		var term int64
+		var role string
+		is.NoErr(other.QueryRow(ctx, "SELECT term, role FROM chervil_raise_term($1)", int64(2)).Scan(&term, &role))
+		is.Equal(term, int64(2))
+		is.Equal(role, "replica")
+		is.Equal(code(tx.Commit(ctx)), codeTerm)
+		_, err = other.Exec(ctx, "INSERT INTO t VALUES (2)")
+		is.Equal(code(err), codeTerm)
+		for _, text := range []string{"SELECT chervil_raise_term(2)", "SELECT chervil_promote(1, '')", "SELECT chervil_follow(1, 'a2', '10.0.0.2:5432')"} {
+			_, err = other.Exec(ctx, text)
+			is.Equal(code(err), codeTerm)
+		}
+		n, err := count(other)
+		is.NoErr(err)
+		is.Equal(n, int64(0))
+		_, err = other.Exec(ctx, "SELECT chervil_promote(2, 'a1=10.0.0.1:5432')")
+		is.NoErr(err)
+		_, err = other.Exec(ctx, "SELECT chervil_promote(2, 'a1=10.0.0.1:5432')")
+		is.Equal(code(err), codeTerm) // the term has been given away
+		c.exec(other, "INSERT INTO t VALUES (3)")
+	})
+}
+
+// TestDivergence guards against a former primary that keeps, or serves, rows
+// which the new primary never had.
+func TestDivergence(t *testing.T) {
+	group(t, Config{Lag: 300 * time.Millisecond, RebuildCost: 100 * time.Millisecond}, func(is *is.I, c *cluster) {
+		old, next := c.all[0], c.all[1]
+		pass(time.Second)
+		is.NoErr(old.Fault(FaultCut, "*"))
+		conn := c.connect(old)
+		defer closeConn(conn)
+		c.exec(conn, "INSERT INTO t VALUES (1)")
+		lost, err := ident.ParsePosition(conn.PgConn().ParameterStatus(positionVar))
+		is.NoErr(err)
+		is.NoErr(next.raise(2))
+		is.NoErr(c.all[2].raise(2))
+		_, err = next.promote(2, c.members())
+		is.NoErr(err)
+		writer := c.connect(next)
+		defer closeConn(writer)
+		c.exec(writer, "INSERT INTO t VALUES (2)")
+		is.True(old.has(lost))
+		is.NoErr(old.Fault(FaultHeal, "*"))
+		is.NoErr(old.follow(2, next.ID(), next.Addr()))
+		saw := false
+		for range 100 {
+			pass(10 * time.Millisecond)
+			if n, err := count(conn); code(err) == codeRebuild {
+				saw = true
+			} else if err != nil || saw && n != 1 {
+				t.Fatalf("%d rows, %v", n, err)
+			}
+		}
+		is.True(saw)
+		is.True(!old.has(lost))
+		var id int
+		is.NoErr(conn.QueryRow(context.Background(), "SELECT id FROM t").Scan(&id))
+		is.Equal(id, 2)
+		st := old.status()
+		is.Equal(st.Log, next.status().Log)
+		is.Equal(st.Match, ident.Term(2))
+		is.True(st.Contact >= 0 && st.Contact < time.Second)
+	})
+}
+
+// TestRestart guards against a target that forgets entries or its promise
+// when its process is killed.
+func TestRestart(t *testing.T) {
+	group(t, Config{DataDir: t.TempDir()}, func(is *is.I, c *cluster) {
+		conn := c.connect(c.all[0])
+		c.exec(conn, "INSERT INTO t VALUES (1)")
+		closeConn(conn)
+		pass(time.Second)
+		is.NoErr(c.all[2].raise(7))
+		for i, s := range c.all {
+			_ = s.Close()
+			c.all[i] = c.start(i)
+		}
+		is.True(c.all[2].raise(7) != nil)
+		conn = c.connect(c.all[0])
+		defer closeConn(conn)
+		c.exec(conn, "INSERT INTO t VALUES (2)") // the primary resumed its term
+		pass(time.Second)
+		is.Equal(c.all[0].status().Quorum, ident.Position{Term: 1, Index: 4})
+		replica := c.connect(c.all[1])
+		defer closeConn(replica)
+		n, err := count(replica)
+		is.NoErr(err)
+		is.Equal(n, int64(2))
+	})
+}
--- a/standin/target/mem_test.go
+++ b/standin/target/mem_test.go
@@ -11,6 +11,7 @@
 	"github.com/jackc/pgx/v5"
 
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/standin/repl"
 )
 
 // memNet is a network inside the process, which synctest can follow.
@@ -46,7 +47,7 @@
 	ours, theirs := net.Pipe()
 	select {
 	case l.conns <- theirs:
-		return ours, nil
+		return memConn{ours, memAddr(address)}, nil
 	case <-l.closed:
 		return nil, net.ErrClosed
 	case <-ctx.Done():
@@ -70,6 +71,14 @@
 
 func (l *memListener) Addr() net.Addr { return memAddr(l.address) }
 
+// memConn names its far end, which clients dial again for a cancel request.
+type memConn struct {
+	net.Conn
+	remote memAddr
+}
+
+func (c memConn) RemoteAddr() net.Addr { return c.remote }
+
 type memAddr string
 
 func (memAddr) Network() string  { return "mem" }
@@ -113,6 +122,15 @@
 	return s
 }
 
+// members are all targets, also those that an election does not reach.
+func (c *cluster) members() []repl.Member {
+	var out []repl.Member
+	for _, s := range c.all {
+		out = append(out, repl.Member{ID: s.ID(), Address: s.Addr()})
+	}
+	return out
+}
+
 func (c *cluster) close() {
 	for _, s := range c.all {
 		_ = s.Close()
--- /dev/null
+++ b/standin/target/safety_test.go
@@ -0,0 +1,229 @@
+package target
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/topo"
+	"chervilspan.example/standin/sqldb"
+)
+
+// TestMain fixes the seed of property tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+// safety is a run of elections, cuts, restarts and writes in any order.
+type safety struct {
+	t       *rapid.T
+	c       *cluster
+	term    ident.Term
+	next    int
+	open    map[int]ident.Position // written, not acknowledged
+	acked   map[int]ident.Position
+	ackedBy map[ident.Term]ident.Target
+}
+
+func (s *safety) pick(label string) *Server {
+	return s.c.all[rapid.IntRange(0, len(s.c.all)-1).Draw(s.t, label)]
+}
+
+func (s *safety) subset() []*Server {
+	var out []*Server
+	for i, srv := range s.c.all {
+		if rapid.IntRange(0, 3).Draw(s.t, fmt.Sprintf("reach %d", i)) > 0 {
+			out = append(out, srv)
+		}
+	}
+	return out
+}
+
+// elect does what a watcher does with the targets that it reaches.
+func (s *safety) elect(reach []*Server) {
+	s.term++
+	var promised []*Server
+	for _, srv := range reach {
+		if srv.raise(s.term) == nil {
+			promised = append(promised, srv)
+		}
+	}
+	if len(promised) <= len(s.c.all)/2 {
+		return
+	}
+	best := slices.MaxFunc(promised, func(a, b *Server) int {
+		if a.status().Log.Less(b.status().Log) {
+			return -1
+		}
+		return 1
+	})
+	if _, err := best.promote(s.term, s.c.members()); err != nil {
+		s.t.Fatalf("promote %s: %v", best.ID(), err)
+	}
+	for n, p := range s.acked {
+		if !best.has(p) {
+			s.t.Fatalf("the new primary %s lacks the acknowledged write %d at %v", best.ID(), n, p)
+		}
+	}
+	for _, srv := range reach {
+		if srv != best && rapid.IntRange(0, 3).Draw(s.t, "told") > 0 {
+			_ = srv.follow(s.term, best.ID(), best.Addr())
+		}
+	}
+}
+
+var insert = func() *sqldb.Statement {
+	list, err := sqldb.Parse("INSERT INTO t VALUES ($1)")
+	if err != nil {
+		panic(err)
+	}
+	return list[0]
+}()
+
+// write runs a transaction on a target, which may have been replaced.
+func (s *safety) write(srv *Server) {
+	s.next++
+	t := &txn{}
+	if srv.begin(context.Background(), t) != nil {
+		return
+	}
+	if _, err := srv.inTxn(insert, []any{int64(s.next)}, t, limits{}); err != nil {
+		s.t.Fatalf("write %d: %v", s.next, err)
+	}
+	if p, err := srv.commit(t); err == nil {
+		s.open[s.next] = p
+	}
+}
+
+// acknowledge takes the primaries' quorum positions as a proxy does.
+func (s *safety) acknowledge() {
+	for _, srv := range s.c.all {
+		srv.mu.Lock()
+		q := srv.primaryQuorum()
+		srv.mu.Unlock()
+		for n, p := range s.open {
+			if p.Term != q.Term || q.Less(p) {
+				continue
+			}
+			if by := s.ackedBy[p.Term]; by != "" && by != srv.ID() {
+				s.t.Fatalf("%s and %s acknowledge in term %d", by, srv.ID(), p.Term)
+			}
+			s.ackedBy[p.Term] = srv.ID()
+			s.acked[n] = p
+			delete(s.open, n)
+		}
+	}
+}
+
+func (s *safety) step() {
+	srv := s.pick("target")
+	switch rapid.IntRange(0, 9).Draw(s.t, "step") {
+	case 0, 1:
+		s.elect(s.subset())
+	case 2:
+		_ = srv.Fault(FaultCut, string(s.pick("peer").ID()))
+	case 3:
+		_ = srv.Fault(FaultHeal, "*")
+	case 4:
+		i := slices.Index(s.c.all, srv)
+		_ = srv.Close()
+		s.c.all[i] = s.c.start(i)
+	case 5:
+		pass(time.Duration(rapid.IntRange(1, 1000).Draw(s.t, "ms")) * time.Millisecond)
+	default:
+		s.write(srv)
+		pass(time.Duration(rapid.IntRange(0, 20).Draw(s.t, "ms")) * time.Millisecond)
+	}
+	s.acknowledge()
+}
+
+// settle heals everything and checks that all targets hold the same rows, each
+// acknowledged write among them.
+func (s *safety) settle() {
+	for _, srv := range s.c.all {
+		_ = srv.Fault(FaultHeal, "*")
+	}
+	for _, srv := range s.c.all {
+		s.term = max(s.term, srv.status().Term)
+	}
+	s.elect(s.c.all)
+	i := slices.IndexFunc(s.c.all, func(srv *Server) bool { return srv.status().Role == topo.RolePrimary })
+	primary := s.c.all[i]
+	for _, srv := range s.c.all {
+		if srv != primary {
+			_ = srv.follow(s.term, primary.ID(), primary.Addr())
+		}
+	}
+	pass(5 * time.Second)
+	query, err := sqldb.Parse("SELECT id FROM t ORDER BY id")
+	if err != nil {
+		s.t.Fatalf("%v", err)
+	}
+	want, _, err := primary.read(query[0], nil, limits{})
+	if err != nil {
+		s.t.Fatalf("read: %v", err)
+	}
+	for n, p := range s.acked {
+		if !slices.ContainsFunc(want.Rows, func(r []any) bool { return r[0] == int64(n) }) {
+			s.t.Fatalf("the acknowledged write %d at %v is lost", n, p)
+		}
+	}
+	for _, srv := range s.c.all {
+		got, at, err := srv.read(query[0], nil, limits{})
+		if err != nil || fmt.Sprint(got) != fmt.Sprint(want) {
+			s.t.Fatalf("%s at %v has %v, %v; the primary has %v", srv.ID(), at, got.Rows, err, want.Rows)
+		}
+	}
+}
+
+// TestSafety guards against the loss of an acknowledged write, and against two
+// primaries that acknowledge in one term, over elections, cuts between
+// targets and restarts in any order.
+func TestSafety(t *testing.T) {
+	dir := t.TempDir()
+	run := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		run++
+		var failure any
+		synctest.Test(t, func(*testing.T) {
+			// rapid fails by a panic, which must leave the bubble first.
+			defer func() { failure = recover() }()
+			checkSafety(rt, fmt.Sprintf("%s/%d", dir, run))
+		})
+		if failure != nil {
+			panic(failure)
+		}
+	})
+}
+
+func checkSafety(t *rapid.T, dir string) {
+	n := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "targets")
+	lag := time.Duration(rapid.IntRange(0, 50).Draw(t, "lag")) * time.Millisecond
+	c := newCluster(t, n, Config{Lag: lag, DataDir: dir})
+	defer c.close()
+	s := &safety{t: t, c: c, open: map[int]ident.Position{}, acked: map[int]ident.Position{}, ackedBy: map[ident.Term]ident.Target{}}
+	if err := Elect(context.Background(), 1, c.all...); err != nil {
+		t.Fatalf("%v", err)
+	}
+	s.term = 1
+	conn := c.connect(c.all[0])
+	c.exec(conn, "CREATE TABLE t (id int PRIMARY KEY)")
+	closeConn(conn)
+	pass(time.Second)
+	for range rapid.IntRange(5, 60).Draw(t, "steps") {
+		s.step()
+	}
+	s.settle()
+}
