--- a/standin/target/safety_test.go
+++ b/standin/target/safety_test.go
@@ -26,9 +26,16 @@
 	os.Exit(m.Run())
 }
 
+// bubble is a rapid.T whose failures can leave a synctest bubble.
+type bubble struct{ *rapid.T }
+
+type violation string
+
+func (bubble) Fatalf(format string, args ...any) { panic(violation(fmt.Sprintf(format, args...))) }
+
 // safety is a run of elections, cuts, restarts and writes in any order.
 type safety struct {
-	t       *rapid.T
+	t       bubble
 	c       *cluster
 	term    ident.Term
 	next    int
@@ -38,13 +45,13 @@
 }
 
 func (s *safety) pick(label string) *Server {
-	return s.c.all[rapid.IntRange(0, len(s.c.all)-1).Draw(s.t, label)]
+	return s.c.all[rapid.IntRange(0, len(s.c.all)-1).Draw(s.t.T, label)]
 }
 
 func (s *safety) subset() []*Server {
 	var out []*Server
 	for i, srv := range s.c.all {
-		if rapid.IntRange(0, 3).Draw(s.t, fmt.Sprintf("reach %d", i)) > 0 {
+		if rapid.IntRange(0, 3).Draw(s.t.T, fmt.Sprintf("reach %d", i)) > 0 {
 			out = append(out, srv)
 		}
 	}
@@ -78,7 +85,7 @@
 		}
 	}
 	for _, srv := range reach {
-		if srv != best && rapid.IntRange(0, 3).Draw(s.t, "told") > 0 {
+		if srv != best && rapid.IntRange(0, 3).Draw(s.t.T, "told") > 0 {
 			_ = srv.follow(s.term, best.ID(), best.Addr())
 		}
 	}
@@ -129,7 +136,7 @@
 
 func (s *safety) step() {
 	srv := s.pick("target")
-	switch rapid.IntRange(0, 9).Draw(s.t, "step") {
+	switch rapid.IntRange(0, 9).Draw(s.t.T, "step") {
 	case 0, 1:
 		s.elect(s.subset())
 	case 2:
@@ -141,10 +148,10 @@
 		_ = srv.Close()
 		s.c.all[i] = s.c.start(i)
 	case 5:
-		pass(time.Duration(rapid.IntRange(1, 1000).Draw(s.t, "ms")) * time.Millisecond)
+		pass(time.Duration(rapid.IntRange(1, 1000).Draw(s.t.T, "ms")) * time.Millisecond)
 	default:
 		s.write(srv)
-		pass(time.Duration(rapid.IntRange(0, 20).Draw(s.t, "ms")) * time.Millisecond)
+		pass(time.Duration(rapid.IntRange(0, 20).Draw(s.t.T, "ms")) * time.Millisecond)
 	}
 	s.acknowledge()
 }
@@ -198,19 +205,22 @@
 		run++
 		var failure any
 		synctest.Test(t, func(*testing.T) {
-			// rapid fails by a panic, which must leave the bubble first.
+			// A failure is a panic, which must leave the bubble first.
 			defer func() { failure = recover() }()
-			checkSafety(rt, fmt.Sprintf("%s/%d", dir, run))
+			checkSafety(bubble{rt}, fmt.Sprintf("%s/%d", dir, run))
 		})
+		if v, ok := failure.(violation); ok {
+			rt.Fatalf("%s", v)
+		}
 		if failure != nil {
 			panic(failure)
 		}
 	})
 }
 
-func checkSafety(t *rapid.T, dir string) {
-	n := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "targets")
-	lag := time.Duration(rapid.IntRange(0, 50).Draw(t, "lag")) * time.Millisecond
+func checkSafety(t bubble, dir string) {
+	n := rapid.SampledFrom([]int{3, 3, 5}).Draw(t.T, "targets")
+	lag := time.Duration(rapid.IntRange(0, 50).Draw(t.T, "lag")) * time.Millisecond
 	c := newCluster(t, n, Config{Lag: lag, DataDir: dir})
 	defer c.close()
 	s := &safety{t: t, c: c, open: map[int]ident.Position{}, acked: map[int]ident.Position{}, ackedBy: map[ident.Term]ident.Target{}}
@@ -222,7 +232,7 @@
 	c.exec(conn, "CREATE TABLE t (id int PRIMARY KEY)")
 	closeConn(conn)
 	pass(time.Second)
-	for range rapid.IntRange(5, 60).Draw(t, "steps") {
+	for range rapid.IntRange(5, 60).Draw(t.T, "steps") {
 		s.step()
 	}
 	s.settle()
