Count what a stand-in target does; type parameters of INSERT without columns

Cause: measurements need the share of reads on replicas and the requests per target; pgx could not send an integer to INSERT INTO t VALUES ($1). Change: standin_stats(); parameters take the table's columns in order; a test of pgx batches, which showed the fault. Conclusion: batches commit or roll back as one.

--- a/standin/sqldb/db.go
+++ b/standin/sqldb/db.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"database/sql"
-	"fmt"
 	"strings"
 	"sync"
 
@@ -19,7 +18,7 @@
 	conn *sql.Conn
 	// described is valid until the schema changes.
 	described map[*Statement]*Description
-	schema    map[string]columns
+	schema    map[string][]Column
 }
 
 // Result is what a statement returned: rows, or the number of rows changed.
@@ -192,7 +191,7 @@
 		return nil
 	}
 	rows, err := d.conn.QueryContext(context.Background(),
-		"SELECT m.name, p.name, p.type FROM sqlite_schema m, pragma_table_info(m.name) p WHERE m.type IN ('table', 'view')")
+		"SELECT m.name, p.name, p.type FROM sqlite_schema m, pragma_table_info(m.name) p WHERE m.type IN ('table', 'view') ORDER BY m.name, p.cid")
 	if err != nil {
 		return dataError("describe", err)
 	}
@@ -200,13 +199,10 @@
 	if err != nil {
 		return err
 	}
-	d.schema = map[string]columns{}
+	d.schema = map[string][]Column{}
 	for _, r := range list {
-		table := fmt.Sprint(r[0])
-		if d.schema[table] == nil {
-			d.schema[table] = columns{}
-		}
-		d.schema[table][fmt.Sprint(r[1])] = oidOf(fmt.Sprint(r[2]))
+		table := Text(r[0])
+		d.schema[table] = append(d.schema[table], Column{Name: Text(r[1]), OID: oidOf(Text(r[2]))})
 	}
 	return nil
 }
--- a/standin/sqldb/describe.go
+++ b/standin/sqldb/describe.go
@@ -33,11 +33,11 @@
 	}
 	cols := columns{}
 	for _, t := range tables(s.node) {
-		for name, oid := range d.schema[t] {
-			cols[name] = oid
+		for _, c := range d.schema[t] {
+			cols[c.Name] = c.OID
 		}
 	}
-	out := &Description{Params: paramTypes(s.node, cols)}
+	out := &Description{Params: paramTypes(s.node, cols, d.schema)}
 	if s.Rows && (s.Class == ClassRead || s.Class == ClassWrite) {
 		if err := d.describeRows(s, cols, out); err != nil {
 			return nil, err
--- a/standin/sqldb/sqldb_test.go
+++ b/standin/sqldb/sqldb_test.go
@@ -72,6 +72,7 @@
 		{"SELECT * FROM t WHERE id = $1", []uint32{i8}, []Column{{"id", i8}, {"qty", i4}, {"name", txt}, {"done", boo}, {"x", f8}}},
 		{"SELECT count(*), sum(qty), max(name) AS m FROM t", []uint32{}, []Column{{"count", i8}, {"sum", i8}, {"m", txt}}},
 		{"INSERT INTO t (id, qty, name) VALUES ($1, $2, $3) RETURNING id, qty + 1", []uint32{i8, i4, txt}, []Column{{"id", i8}, {"?column?", i8}}},
+		{"INSERT INTO t VALUES ($1, $2, $3, $4, $5)", []uint32{i8, i4, txt, boo, f8}, nil},
 		{"UPDATE t SET qty = $2, done = $3 WHERE id = $1", []uint32{i8, i4, boo}, nil},
 		{"SELECT name FROM t WHERE id IN ($1, $2) LIMIT $3", []uint32{i8, i8, i8}, []Column{{"name", txt}}},
 		{"SELECT $1::int8, EXISTS (SELECT 1 FROM t), coalesce(max(x), 0) FROM t", []uint32{i8}, []Column{{"int8", i8}, {"exists", boo}, {"coalesce", f8}}},
--- a/standin/sqldb/types.go
+++ b/standin/sqldb/types.go
@@ -1,6 +1,7 @@
 package sqldb
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/jackc/pgx/v5/pgtype"
@@ -88,7 +89,7 @@
 // paramTypes returns the types of a statement's parameters as their use tells:
 // a cast, a comparison with a column, a column that they are stored in.
 // Others are text, as PostgreSQL has it.
-func paramTypes(n *pgquery.Node, cols columns) []uint32 {
+func paramTypes(n *pgquery.Node, cols columns, schema map[string][]Column) []uint32 {
 	found := map[int]uint32{}
 	most := 0
 	set := func(n *pgquery.Node, oid uint32) {
@@ -105,7 +106,7 @@
 		case *pgquery.A_Expr:
 			comparison(m, cols, set)
 		case *pgquery.InsertStmt:
-			inserted(m, cols, set)
+			inserted(m, schema[m.GetRelation().GetRelname()], set)
 		case *pgquery.ResTarget:
 			set(m.Val, cols[m.Name])
 		case *pgquery.SelectStmt:
@@ -138,11 +139,26 @@
 	set(e.Lexpr, resultType(e.Rexpr, cols, nil))
 }
 
-func inserted(s *pgquery.InsertStmt, cols columns, set func(*pgquery.Node, uint32)) {
+// inserted gives the parameters of VALUES the types of the columns that they
+// are stored in; without a list of columns those are all, in order.
+func inserted(s *pgquery.InsertStmt, table []Column, set func(*pgquery.Node, uint32)) {
+	types := make([]uint32, 0, len(table))
+	for _, c := range table {
+		if len(s.Cols) == 0 {
+			types = append(types, c.OID)
+		}
+	}
+	for _, target := range s.Cols {
+		i := slices.IndexFunc(table, func(c Column) bool { return c.Name == target.GetResTarget().GetName() })
+		if i < 0 {
+			return // SQLite will name the column that is missing
+		}
+		types = append(types, table[i].OID)
+	}
 	for _, row := range s.SelectStmt.GetSelectStmt().GetValuesLists() {
 		for i, item := range row.GetList().GetItems() {
-			if i < len(s.Cols) {
-				set(item, cols[s.Cols[i].GetResTarget().GetName()])
+			if i < len(types) {
+				set(item, types[i])
 			}
 		}
 	}
--- a/standin/target/calls.go
+++ b/standin/target/calls.go
@@ -54,6 +54,8 @@
 		f = function{[]uint32{textOID, textOID, textOID}, one(name, textOID), callOnce}
 	case "pg_sleep":
 		f = function{[]uint32{floatOID}, one(name, textOID), callSleep}
+	case "standin_stats":
+		f = function{nil, statsColumns, callStats}
 	case "standin_pull":
 		f = function{[]uint32{textOID}, one(name, textOID), callPull}
 	case "standin_fault":
@@ -246,3 +248,16 @@
 	}
 	return []any{true}, nil
 }
+
+var statsColumns = []sqldb.Column{
+	{Name: "statements", OID: intOID},
+	{Name: "reads", OID: intOID},
+	{Name: "writes", OID: intOID},
+	{Name: "commits", OID: intOID},
+	{Name: "accepted", OID: intOID},
+}
+
+func callStats(_ context.Context, c *session, _ values) ([]any, error) {
+	s := c.srv.Stats()
+	return []any{s.Statements, s.Reads, s.Writes, s.Commits, s.Accepted}, nil
+}
--- a/standin/target/client_test.go
+++ b/standin/target/client_test.go
@@ -109,3 +109,30 @@
 		c.exec(other, "ROLLBACK")
 	})
 }
+
+// TestBatch guards against a pipeline that keeps the first statements of a
+// failed implicit transaction.
+func TestBatch(t *testing.T) {
+	single(t, Config{}, func(is *is.I, c *cluster, conn *pgx.Conn) {
+		ctx := context.Background()
+		c.exec(conn, "CREATE TABLE t (id int PRIMARY KEY)")
+		for _, test := range []struct {
+			ids  []int
+			code string
+			rows int64
+		}{{[]int{1, 1}, "23505", 0}, {[]int{1, 2}, "", 2}} {
+			var b pgx.Batch
+			for _, id := range test.ids {
+				b.Queue("INSERT INTO t VALUES ($1)", id)
+			}
+			is.Equal(code(conn.SendBatch(ctx, &b).Close()), test.code)
+			n, err := count(conn)
+			is.NoErr(err)
+			is.Equal(n, test.rows)
+		}
+		stats := c.all[0].Stats()
+		is.Equal(stats.Commits, int64(2))
+		is.Equal(stats.Reads, int64(2))
+		is.Equal(stats.Statements, int64(7)) // one of them failed
+	})
+}
--- a/standin/target/doc.go
+++ b/standin/target/doc.go
@@ -12,6 +12,9 @@
 //
 //	SELECT standin_fault('freeze', 1)
 //
+// SELECT * FROM standin_stats() counts statements, reads, writes, commits and
+// accepted connections.
+//
 // # Usage
 //
 //	a, err := target.New(target.Config{ID: "a1"})
--- a/standin/target/exec.go
+++ b/standin/target/exec.go
@@ -104,6 +104,7 @@
 		return err
 	}
 	if !p.IsZero() {
+		c.srv.stats.commits.Add(1)
 		c.position = p
 		c.dropped = c.srv.faults.takeDrop()
 	}
@@ -115,6 +116,7 @@
 // so that the holder's next statements are not held up by waiting ones.
 func (c *session) statement(ctx context.Context, st *sqldb.Statement, args []any) (*result, error) {
 	write := st.Class == sqldb.ClassWrite
+	c.srv.stats.statements.Add(1)
 	if write && c.readOnly {
 		return nil, refuse(codeReadOnly, "cannot execute a write in a read-only transaction")
 	}
@@ -136,6 +138,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if write {
+		c.srv.stats.writes.Add(1)
+	} else {
+		c.srv.stats.reads.Add(1)
+	}
 	tag := st.Tag
 	if st.Counted {
 		tag += " " + strconv.FormatInt(r.Affected, 10)
--- a/standin/target/group_test.go
+++ b/standin/target/group_test.go
@@ -125,7 +125,6 @@
 		is.NoErr(other.QueryRow(ctx, "SELECT term, role FROM chervil_raise_term($1)", int64(2)).Scan(&term, &role))
 		is.Equal(term, int64(2))
 		is.Equal(role, "replica")
-		is.Equal(code(tx.Commit(ctx)), codeTerm)
 		_, err = other.Exec(ctx, "INSERT INTO t VALUES (2)")
 		is.Equal(code(err), codeTerm)
 		for _, text := range []string{"SELECT chervil_raise_term(2)", "SELECT chervil_promote(1, '')", "SELECT chervil_follow(1, 'a2', '10.0.0.2:5432')"} {
@@ -138,8 +137,12 @@
 		_, err = other.Exec(ctx, "SELECT chervil_promote(2, 'a1=10.0.0.1:5432')")
 		is.NoErr(err)
 		_, err = other.Exec(ctx, "SELECT chervil_promote(2, 'a1=10.0.0.1:5432')")
-		is.Equal(code(err), codeTerm) // the term has been given away
-		c.exec(other, "INSERT INTO t VALUES (3)")
+		is.Equal(code(err), codeTerm)             // the term has been given away
+		c.exec(other, "INSERT INTO t VALUES (3)") // the open transaction is not in the way
+		is.Equal(code(tx.Commit(ctx)), codeTerm)
+		n, err = count(other)
+		is.NoErr(err)
+		is.Equal(n, int64(1))
 	})
 }
 
--- a/standin/target/server.go
+++ b/standin/target/server.go
@@ -22,6 +22,7 @@
 	disk   *disk
 	slots  slots
 	faults faults
+	stats  counters
 	ctx    context.Context
 	stop   context.CancelFunc
 	wg     sync.WaitGroup
@@ -202,6 +203,9 @@
 		}
 	}
 	c.counted = n < limit
+	if c.counted {
+		s.stats.accepted.Add(1)
+	}
 	return c.counted
 }
 
