--- /dev/null
+++ b/pkg/sessn/choice.go
@@ -0,0 +1,153 @@
+package sessn
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/retry"
+	"chervilspan.example/pkg/topo"
+)
+
+const (
+	// statusLife is how long a status says something about a target; a VM that
+	// has stopped watching a group keeps its last status for ever.
+	statusLife = 5 * time.Second
+	// heardLife is how long a cached position below the floor keeps reads from
+	// a replica. Replicas lag by some 50 ms, so later the replica has probably
+	// caught up, and a refusal by the target costs one retry.
+	heardLife = 50 * time.Millisecond
+	// failedLife is how long a target that could not be reached is tried last.
+	failedLife = time.Second
+)
+
+// Place is where a VM is.
+type Place struct {
+	Zone   ident.Zone
+	Region ident.Region
+}
+
+// Load is what a VM knows of its own traffic to a target.
+type Load struct {
+	// Outstanding is the number of statements that run there for this VM.
+	Outstanding int
+	// Heard is when the target last reported its position to this VM.
+	Heard time.Time
+	// Since is when the target returned after a failure, zero when it did not
+	// fail.
+	Since time.Time
+}
+
+// Read describes a read that needs a target.
+type Read struct {
+	Group  topo.Group
+	Floor  ident.Position
+	MaxAge time.Duration
+	Place  Place
+	// Region returns the region of a zone.
+	Region func(ident.Zone) ident.Region
+	Load   func(ident.Target) Load
+	// Random returns numbers in [0, 1).
+	Random func() float64
+	Now    time.Time
+}
+
+// Works reports whether a target may get new work: it is not leaving, not being
+// rebuilt, and not known to be in a term below the group's.
+func Works(g *topo.Group, t topo.Target, now time.Time) bool {
+	if t.Config.Leaving {
+		return false
+	}
+	if t.Seen.IsZero() || now.Sub(t.Seen) > statusLife {
+		return true
+	}
+	return !t.Status.Leaving && t.Status.Role != topo.RoleRebuild && t.Status.Term >= g.Term
+}
+
+// tiers of candidates, best first.
+const (
+	tierZone = iota
+	tierRegion
+	tierFar
+	tierPrimary
+	// tierBehind has replicas that were behind the floor a moment ago.
+	tierBehind
+	tierFailed
+	tiers
+)
+
+// Candidates returns the targets that may run the read in the order in which
+// they are to be tried: replicas of the same zone, of the same region, of other
+// regions, then the primary. Within a group of equals the first is the less
+// busy of two random ones (Mitzenmacher, "The Power of Two Choices in
+// Randomized Load Balancing", 2001). It is empty when no target may get work.
+func Candidates(r Read) []ident.Target {
+	var lists [tiers][]topo.Target
+	for _, t := range r.Group.Targets {
+		if Works(&r.Group, t, r.Now) {
+			i := r.tier(t)
+			lists[i] = append(lists[i], t)
+		}
+	}
+	out := make([]ident.Target, 0, len(r.Group.Targets))
+	for _, l := range lists {
+		r.order(l)
+		for _, t := range l {
+			out = append(out, t.ID)
+		}
+	}
+	return out
+}
+
+func (r *Read) tier(t topo.Target) int {
+	switch {
+	case !t.Failed.IsZero() && r.Now.Sub(t.Failed) < failedLife:
+		return tierFailed
+	case t.ID == r.Group.Primary:
+		return tierPrimary
+	case r.behind(t):
+		return tierBehind
+	case t.Config.Zone == r.Place.Zone:
+		return tierZone
+	case r.Region(t.Config.Zone) == r.Place.Region:
+		return tierRegion
+	}
+	return tierFar
+}
+
+// behind reports whether the target lacked the floor a moment ago.
+func (r *Read) behind(t topo.Target) bool {
+	if !t.Applied.Less(r.Floor) {
+		return false
+	}
+	heard := r.Load(t.ID).Heard
+	if t.Seen.After(heard) {
+		heard = t.Seen
+	}
+	return !heard.IsZero() && r.Now.Sub(heard) < heardLife
+}
+
+// order puts the less busy of two random targets first and the rest in the
+// order of their load. A target that has just returned is passed over as the
+// first with a probability that shrinks during its slow start.
+func (r *Read) order(l []topo.Target) {
+	if len(l) < 2 {
+		return
+	}
+	for i := len(l) - 1; i > 0; i-- {
+		j := int(r.Random() * float64(i+1))
+		l[i], l[j] = l[j], l[i]
+	}
+	if r.busier(l[0], l[1]) > 0 {
+		l[0], l[1] = l[1], l[0]
+	}
+	if r.Random() >= retry.SlowStart(r.Load(l[0].ID).Since, r.Now) {
+		l[0], l[1] = l[1], l[0]
+	}
+	slices.SortStableFunc(l[1:], r.busier)
+}
+
+func (r *Read) busier(a, b topo.Target) int {
+	return cmp.Compare(r.Load(a.ID).Outstanding, r.Load(b.ID).Outstanding)
+}
--- /dev/null
+++ b/pkg/stmt/class.go
@@ -0,0 +1,181 @@
+package stmt
+
+import (
+	"strings"
+
+	pg "github.com/pganalyze/pg_query_go/v6"
+)
+
+// Classify returns the classification of a query text without a cache. A text
+// that the parser refuses is one write.
+func Classify(sql string) *Query {
+	tree, err := pg.Parse(sql)
+	if err != nil {
+		return &Query{Statements: []Info{{}}}
+	}
+	q := &Query{Statements: make([]Info, 0, len(tree.Stmts))}
+	for _, s := range tree.Stmts {
+		q.Statements = append(q.Statements, classify(s.Stmt))
+	}
+	return q
+}
+
+func unsupported(reason string) Info { return Info{Kind: KindUnsupported, Reason: reason} }
+
+func classify(n *pg.Node) Info {
+	switch s := n.GetNode().(type) {
+	case *pg.Node_TransactionStmt:
+		return transaction(s.TransactionStmt)
+	case *pg.Node_VariableSetStmt:
+		return set(s.VariableSetStmt)
+	case *pg.Node_VariableShowStmt:
+		return show(s.VariableShowStmt)
+	case *pg.Node_DeallocateStmt:
+		return Info{Kind: KindDeallocate, ReadOnly: true, Name: s.DeallocateStmt.Name, Tag: deallocateTag(s.DeallocateStmt)}
+	case *pg.Node_DiscardStmt:
+		return discard(s.DiscardStmt)
+	case *pg.Node_ListenStmt, *pg.Node_UnlistenStmt:
+		return unsupported("LISTEN needs a session of its own")
+	case *pg.Node_PrepareStmt, *pg.Node_ExecuteStmt:
+		return unsupported("PREPARE and EXECUTE in SQL are not pooled; prepare through the protocol")
+	case *pg.Node_CopyStmt:
+		return unsupported("COPY is not supported; use INSERT or SELECT")
+	case *pg.Node_LoadStmt:
+		return unsupported("LOAD changes the session")
+	}
+	return walk(n)
+}
+
+func transaction(s *pg.TransactionStmt) Info {
+	if s.Chain {
+		return unsupported("AND CHAIN is not supported")
+	}
+	switch s.Kind {
+	case pg.TransactionStmtKind_TRANS_STMT_BEGIN, pg.TransactionStmtKind_TRANS_STMT_START:
+		a := access(s.Options)
+		return Info{Kind: KindBegin, Access: a, ReadOnly: a == AccessReadOnly, Tag: "BEGIN"}
+	case pg.TransactionStmtKind_TRANS_STMT_COMMIT:
+		return Info{Kind: KindCommit, ReadOnly: true, Tag: "COMMIT"}
+	case pg.TransactionStmtKind_TRANS_STMT_ROLLBACK:
+		return Info{Kind: KindRollback, ReadOnly: true, Tag: "ROLLBACK"}
+	case pg.TransactionStmtKind_TRANS_STMT_ROLLBACK_TO:
+		return Info{Kind: KindRollbackTo, ReadOnly: true}
+	case pg.TransactionStmtKind_TRANS_STMT_SAVEPOINT, pg.TransactionStmtKind_TRANS_STMT_RELEASE:
+		return Info{ReadOnly: true}
+	}
+	return unsupported("two-phase commit outlives the session")
+}
+
+// access returns the last access mode among the options, which is the one that
+// PostgreSQL applies.
+func access(options []*pg.Node) Access {
+	a := AccessDefault
+	for _, o := range options {
+		if d := o.GetDefElem(); d.GetDefname() == "transaction_read_only" {
+			a = AccessReadWrite
+			if d.GetArg().GetAConst().GetIval().GetIval() != 0 {
+				a = AccessReadOnly
+			}
+		}
+	}
+	return a
+}
+
+func discard(s *pg.DiscardStmt) Info {
+	if s.Target == pg.DiscardMode_DISCARD_ALL {
+		return Info{Kind: KindDiscardAll, ReadOnly: true, Tag: "DISCARD ALL"}
+	}
+	tags := map[pg.DiscardMode]string{
+		pg.DiscardMode_DISCARD_PLANS:     "DISCARD PLANS",
+		pg.DiscardMode_DISCARD_SEQUENCES: "DISCARD SEQUENCES",
+		pg.DiscardMode_DISCARD_TEMP:      "DISCARD TEMP",
+	}
+	return Info{Kind: KindIgnored, ReadOnly: true, Tag: tags[s.Target]}
+}
+
+func deallocateTag(s *pg.DeallocateStmt) string {
+	if s.Name == "" {
+		return "DEALLOCATE ALL"
+	}
+	return "DEALLOCATE"
+}
+
+// Names of the variables that the proxy keeps for a session.
+const (
+	VarPosition       = "chervil.position"
+	VarIdempotencyKey = "chervil.idempotency_key"
+	VarApplication    = "application_name"
+)
+
+// settled holds ordinary variables whose usual values are the targets' own, so
+// that drivers may set them when they connect.
+var settled = map[string][]string{
+	"client_encoding":             {"utf8", "utf-8", "unicode"},
+	"standard_conforming_strings": {"on", "true", "1"},
+	"extra_float_digits":          {"1", "2", "3"},
+	"datestyle":                   {"iso", "iso, mdy"},
+}
+
+func set(s *pg.VariableSetStmt) Info {
+	name := strings.ToLower(s.Name)
+	reset := s.Kind == pg.VariableSetKind_VAR_RESET || s.Kind == pg.VariableSetKind_VAR_SET_DEFAULT
+	switch {
+	case s.Kind == pg.VariableSetKind_VAR_RESET_ALL:
+		return Info{Kind: KindSet, ReadOnly: true, Tag: "RESET"}
+	case s.Kind == pg.VariableSetKind_VAR_SET_MULTI && strings.EqualFold(name, "transaction"):
+		return Info{ReadOnly: true}
+	case name == VarIdempotencyKey, name == VarApplication:
+		return kept(s, name, reset)
+	case strings.HasPrefix(name, "chervil."):
+		return unsupported("the variable " + name + " can't be set by callers")
+	case name == "role", name == "session_authorization":
+		return unsupported("the user of a target connection can't be changed")
+	case s.IsLocal && !reset:
+		// SET LOCAL ends with the transaction, so pooling can carry it.
+		return Info{ReadOnly: true}
+	case reset:
+		return Info{Kind: KindIgnored, ReadOnly: true, Tag: "RESET"}
+	}
+	value := strings.ToLower(values(s.Args))
+	for _, v := range settled[name] {
+		if v == value {
+			return Info{Kind: KindIgnored, ReadOnly: true, Tag: "SET"}
+		}
+	}
+	return unsupported("SET " + name + " for a session is not pooled; use SET LOCAL in a transaction")
+}
+
+func kept(s *pg.VariableSetStmt, name string, reset bool) Info {
+	if s.IsLocal {
+		return unsupported("SET LOCAL " + name + " is not supported; use SET")
+	}
+	if reset {
+		return Info{Kind: KindSet, ReadOnly: true, Name: name, Tag: "RESET"}
+	}
+	return Info{Kind: KindSet, ReadOnly: true, Name: name, Value: values(s.Args), Tag: "SET"}
+}
+
+// values returns the arguments of SET as text.
+func values(args []*pg.Node) string {
+	var parts []string
+	for _, a := range args {
+		c := a.GetAConst()
+		switch v := c.GetVal().(type) {
+		case *pg.A_Const_Sval:
+			parts = append(parts, v.Sval.Sval)
+		case *pg.A_Const_Fval:
+			parts = append(parts, v.Fval.Fval)
+		case *pg.A_Const_Ival:
+			parts = append(parts, itoa(v.Ival.Ival))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
+func show(s *pg.VariableShowStmt) Info {
+	name := strings.ToLower(s.Name)
+	if name == VarApplication || strings.HasPrefix(name, "chervil.") {
+		return Info{Kind: KindShow, ReadOnly: true, Name: name, Tag: "SHOW"}
+	}
+	return Info{ReadOnly: true}
+}
