--- /dev/null
+++ b/internal/conns/config.go
@@ -0,0 +1,70 @@
+package conns
+
+import (
+	"cmp"
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/uber-go/tally/v4"
+
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/topo"
+)
+
+// Groups is the shared table of database groups; *topo.Table implements it.
+type Groups interface {
+	Group(ident.Group) (topo.Group, bool)
+	Apply(ident.Group, ident.Target, ident.Position)
+	Fail(ident.Group, ident.Target, time.Time)
+}
+
+// Config has the settings of Pools. Groups is required.
+type Config struct {
+	// User and Password are the proxy's own credentials at the targets.
+	User     string
+	Password string
+	// Database is used where a route names none; empty stands for User.
+	Database string
+	// TLS, unless nil, is used towards targets.
+	TLS    *tls.Config
+	Groups Groups
+	// Suspect, unless nil, is told about a primary that could not be reached.
+	Suspect func(ident.Group)
+	// Limit returns the number of connections this VM may keep to a target;
+	// nil stands for all that the target accepts. One is always allowed.
+	Limit func(topo.Target) int
+	// ConnectTimeout bounds opening a connection; 0 stands for 1 s.
+	ConnectTimeout time.Duration
+	// IdleClose is the time after which an unused connection is closed; 0
+	// stands for 30 s.
+	IdleClose time.Duration
+	// Statements bounds the prepared statements of a connection; 0 stands for
+	// 256.
+	Statements int
+	// Dial opens network connections; nil stands for a net.Dialer.
+	Dial  func(ctx context.Context, network, address string) (net.Conn, error)
+	Log   zerolog.Logger
+	Scope tally.Scope
+}
+
+func (c Config) withDefaults() Config {
+	c.ConnectTimeout = cmp.Or(c.ConnectTimeout, time.Second)
+	c.IdleClose = cmp.Or(c.IdleClose, 30*time.Second)
+	c.Statements = cmp.Or(c.Statements, 256)
+	if c.Dial == nil {
+		c.Dial = (&net.Dialer{}).DialContext
+	}
+	if c.Limit == nil {
+		c.Limit = func(t topo.Target) int { return int(max(t.Config.Connections, t.Status.Connections)) }
+	}
+	if c.Suspect == nil {
+		c.Suspect = func(ident.Group) {}
+	}
+	if c.Scope == nil {
+		c.Scope = tally.NoopScope
+	}
+	return c
+}
--- /dev/null
+++ b/internal/conns/pools.go
@@ -0,0 +1,190 @@
+package conns
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/alitto/pond/v2"
+
+	"chervilspan.example/internal/evlog"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/retry"
+	"chervilspan.example/pkg/sessn"
+	"chervilspan.example/pkg/topo"
+)
+
+// Pools has the connections to all targets. Its methods may be called from
+// several goroutines.
+type Pools struct {
+	cfg  Config
+	work pond.Pool
+	ctx  context.Context
+	stop context.CancelFunc
+
+	mu     sync.Mutex
+	pools  map[ident.Target]*pool
+	quorum map[ident.Group]*quorum
+}
+
+// sweepEvery is how often unused connections are looked for.
+const sweepEvery = 5 * time.Second
+
+// New returns Pools without connections. Close ends its background work.
+func New(cfg Config) *Pools {
+	ctx, stop := context.WithCancel(context.Background())
+	p := &Pools{
+		cfg: cfg.withDefaults(), work: pond.NewPool(0), ctx: ctx, stop: stop,
+		pools: map[ident.Target]*pool{}, quorum: map[ident.Group]*quorum{},
+	}
+	_ = p.work.Go(p.sweep)
+	return p
+}
+
+// Close closes all idle connections and ends the background work.
+func (p *Pools) Close() {
+	p.stop()
+	for _, l := range p.all() {
+		l.retire()
+	}
+	p.work.StopAndWait()
+}
+
+func (p *Pools) all() []*pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Collect(maps.Values(p.pools))
+}
+
+func (p *Pools) sweep() {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case now := <-tick.C:
+			for _, l := range p.all() {
+				l.sweep(now.Add(-p.cfg.IdleClose))
+			}
+		case <-p.ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *Pools) pool(g ident.Group, t ident.Target) *pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := p.pools[t]
+	if l == nil {
+		l = &pool{p: p, group: g, target: t}
+		p.pools[t] = l
+	}
+	return l
+}
+
+// Get returns a connection to a target for one transaction; Put gives it back.
+// Each error is NotRun.
+func (p *Pools) Get(ctx context.Context, group ident.Group, target ident.Target, database string) (*Conn, error) {
+	if p.ctx.Err() != nil {
+		return nil, &Error{Op: "get", Target: target, Kind: KindClosed, Outcome: retry.NotRun}
+	}
+	row, term, err := p.row(group, target)
+	if err != nil {
+		return nil, err
+	}
+	l := p.pool(group, target)
+	c, err := l.get(ctx, row, term, database)
+	if Is(err, KindConnect) && ctx.Err() == nil && !answered(err) {
+		// A new connection failed, so the target can be judged at once.
+		p.failed(l)
+	}
+	return c, err
+}
+
+func (p *Pools) row(group ident.Group, target ident.Target) (topo.Target, ident.Term, error) {
+	g, ok := p.cfg.Groups.Group(group)
+	if !ok {
+		return topo.Target{}, 0, &Error{Op: "get", Target: target, Kind: KindUnknown, Outcome: retry.NotRun}
+	}
+	row, ok := g.Target(target)
+	if !ok {
+		return topo.Target{}, 0, &Error{Op: "get", Target: target, Kind: KindUnknown, Outcome: retry.NotRun}
+	}
+	return row, g.Term, nil
+}
+
+// Put gives a connection back. It is kept when another transaction may use it,
+// else closed. A connection that failed makes the target be probed.
+func (p *Pools) Put(c *Conn) {
+	row, term, err := p.row(c.group, c.target)
+	if err != nil {
+		c.Taint()
+	}
+	broken := c.broken != nil
+	if broken && !c.heard {
+		// A silent connection says that the others of its time may be too.
+		c.pool.retire()
+	}
+	c.pool.put(c, row, term, time.Now())
+	if broken {
+		p.judge(c.pool, row, c.database)
+	}
+}
+
+// judge probes a target by a new connection, once at a time.
+func (p *Pools) judge(l *pool, row topo.Target, database string) {
+	l.mu.Lock()
+	busy := l.probing
+	l.probing = true
+	l.mu.Unlock()
+	if busy {
+		return
+	}
+	_ = p.work.Go(func() {
+		defer func() {
+			l.mu.Lock()
+			l.probing = false
+			l.mu.Unlock()
+		}()
+		ctx, cancel := context.WithTimeout(p.ctx, p.cfg.ConnectTimeout)
+		defer cancel()
+		c, err := p.connect(ctx, l, row, database)
+		if err == nil {
+			c.close()
+			return
+		}
+		if !answered(err) && p.ctx.Err() == nil {
+			p.failed(l)
+		}
+	})
+}
+
+// failed notes that a new connection to the target failed.
+func (p *Pools) failed(l *pool) {
+	l.retire()
+	l.mu.Lock()
+	news := !l.failed
+	l.failed = true
+	l.mu.Unlock()
+	now := time.Now()
+	p.cfg.Groups.Fail(l.group, l.target, now)
+	if news {
+		evlog.At(p.cfg.Log, evlog.TargetFailed).Str("group", string(l.group)).Str("target", string(l.target)).Send()
+		p.cfg.Scope.Tagged(map[string]string{"target": string(l.target)}).Counter("target_failures").Inc(1)
+	}
+	if g, ok := p.cfg.Groups.Group(l.group); ok && g.Primary == l.target {
+		p.cfg.Suspect(l.group)
+	}
+}
+
+// Load returns what this VM knows of its traffic to a target.
+func (p *Pools) Load(g ident.Group, t ident.Target) sessn.Load { return p.pool(g, t).load() }
+
+// Budget returns the retry budget of a target.
+func (p *Pools) Budget(g ident.Group, t ident.Target) *retry.Budget { return &p.pool(g, t).budget }
+
+// Size returns how many connections to a target are open, and how many of them
+// are idle.
+func (p *Pools) Size(g ident.Group, t ident.Target) (open, idle int) { return p.pool(g, t).size() }
--- a/pkg/stmt/class.go
+++ b/pkg/stmt/class.go
@@ -1,6 +1,7 @@
 package stmt
 
 import (
+	"slices"
 	"strings"
 
 	pg "github.com/pganalyze/pg_query_go/v6"
@@ -136,11 +137,8 @@
 	case reset:
 		return Info{Kind: KindIgnored, ReadOnly: true, Tag: "RESET"}
 	}
-	value := strings.ToLower(values(s.Args))
-	for _, v := range settled[name] {
-		if v == value {
-			return Info{Kind: KindIgnored, ReadOnly: true, Tag: "SET"}
-		}
+	if Settled(name, values(s.Args)) {
+		return Info{Kind: KindIgnored, ReadOnly: true, Tag: "SET"}
 	}
 	return unsupported("SET " + name + " for a session is not pooled; use SET LOCAL in a transaction")
 }
@@ -179,3 +177,9 @@
 	}
 	return Info{ReadOnly: true}
 }
+
+// Settled reports whether an ordinary variable has the value at every target
+// that a caller wants to set, so that setting it changes nothing.
+func Settled(name, value string) bool {
+	return slices.Contains(settled[strings.ToLower(name)], strings.ToLower(value))
+}
