--- a/internal/wire/once.go
+++ b/internal/wire/once.go
@@ -1,7 +1,6 @@
 package wire
 
 import (
-	"context"
 	"errors"
 	"strings"
 
