Test connections and the callers' side under a paused clock

The tests of both packages ran in real time or not at all. Targets and callers are now connected in memory, so that synctest governs deadlines, idle closing and the wait for the quorum. The keyed write records the command tag of the work for repetitions, and a transaction that changed nothing waits for no position.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -42,8 +42,10 @@
 	// floor and maxAge are the values set on the connection.
 	floor  ident.Position
 	maxAge time.Duration
-	// position is the last one that the target reported.
+	// position is the last one that the target reported, and reported whether
+	// that was since Expect.
 	position ident.Position
+	reported bool
 	stmts    *simplelru.LRU[string, bool]
 	surplus  []string
 
@@ -76,6 +78,13 @@
 // Position returns the position that the target reported last.
 func (c *Conn) Position() ident.Position { return c.position }
 
+// Expect forgets that a position was reported.
+func (c *Conn) Expect() { c.reported = false }
+
+// Reported reports whether the target reported a position since Expect. A
+// target reports one with each commit that changed something (A5).
+func (c *Conn) Reported() bool { return c.reported }
+
 // Term returns the group's term when the connection was opened.
 func (c *Conn) Term() ident.Term { return c.term }
 
@@ -235,7 +244,7 @@
 	if err != nil {
 		return
 	}
-	c.position = p
+	c.position, c.reported = p, true
 	c.pool.hear(c, p)
 }
 
--- /dev/null
+++ b/internal/conns/conns_test.go
@@ -0,0 +1,338 @@
+package conns
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+
+	"chervilspan.example/internal/wiretest"
+	"chervilspan.example/pkg/catal"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/retry"
+	"chervilspan.example/pkg/topo"
+)
+
+// rig has pools in front of one scripted target on in-memory connections, so
+// that a test's clock governs all time.
+type rig struct {
+	table  topo.Table
+	target *wiretest.Target
+	pools  *Pools
+
+	mu       sync.Mutex
+	down     bool
+	dials    int
+	suspects int
+}
+
+func newRig(change ...func(*Config)) *rig {
+	r := &rig{target: wiretest.New("a")}
+	r.table.Configure(&catal.Catalogue{Groups: map[ident.Group]catal.Group{"g": {Targets: map[ident.Target]catal.Target{
+		"a": {Address: "10.0.0.1:5432", Connections: 2},
+	}}}})
+	r.table.Learn(topo.Hint{Group: "g", Term: 1, Primary: "a"})
+	cfg := Config{User: "proxy", Groups: &r.table, Dial: r.dial, Suspect: func(ident.Group) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.suspects++
+	}}
+	for _, f := range change {
+		f(&cfg)
+	}
+	r.pools = New(cfg)
+	return r
+}
+
+func (r *rig) dial(context.Context, string, string) (net.Conn, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down {
+		return nil, errors.New("no route to host")
+	}
+	r.dials++
+	ours, theirs := net.Pipe()
+	go r.target.ServeConn(theirs)
+	return ours, nil
+}
+
+func (r *rig) setDown(down bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.down = down
+}
+
+func (r *rig) get(t *testing.T) *Conn {
+	t.Helper()
+	c, err := r.pools.Get(t.Context(), "g", "a", "db")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// bubble runs a test with a paused clock.
+func bubble(t *testing.T, f func(t *testing.T, is *is.I, r *rig), change ...func(*Config)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(change...)
+		f(t, is.New(t), r)
+		r.target.Cut()
+		r.pools.Close()
+		synctest.Wait()
+	})
+}
+
+// TestReuse guards against a connection that two transactions share, and
+// against one that is opened although another is idle.
+func TestReuse(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, r *rig) {
+		c := r.get(t)
+		v, err := c.Exec("SELECT 1")
+		is.NoErr(err)
+		is.Equal(string(v), "1")
+		d := r.get(t)
+		is.True(c != d)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err = r.pools.Get(ctx, "g", "a", "db")
+		is.True(Is(err, KindLimit)) // two are allowed
+		is.Equal(retry.Of(err), retry.NotRun)
+		r.pools.Put(c)
+		is.Equal(r.get(t), c)
+		r.pools.Put(c)
+		r.pools.Put(d)
+		open, idle := r.pools.Size("g", "a")
+		is.Equal([2]int{open, idle}, [2]int{2, 2})
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		open, _ = r.pools.Size("g", "a")
+		is.Equal(open, 0) // closed after 30 s without use
+	})
+}
+
+// TestWaiting guards against a caller that waits for a connection for ever
+// although one came free.
+func TestWaiting(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, r *rig) {
+		c := r.get(t)
+		got := make(chan *Conn)
+		go func() {
+			d, _ := r.pools.Get(t.Context(), "g", "a", "other")
+			got <- d
+		}()
+		synctest.Wait()
+		r.pools.Put(c)
+		d := <-got
+		is.True(d != c) // another database needs another connection
+		r.pools.Put(d)
+	}, func(c *Config) { c.Limit = func(topo.Target) int { return 1 } })
+}
+
+// TestDiscard guards against the reuse of a connection on which an answer is
+// outstanding or a transaction open, whose deadline passed, that was sent a
+// cancel request, or that is of an earlier term.
+func TestDiscard(t *testing.T) {
+	for name, spoil := range map[string]func(r *rig, c *Conn){
+		"outstanding answer": func(_ *rig, c *Conn) {
+			c.Send(&pgproto3.Query{String: "SELECT 1"})
+			_ = c.Flush()
+		},
+		"unsynced messages": func(_ *rig, c *Conn) {
+			c.Send(&pgproto3.Parse{Query: "SELECT 1"})
+			c.Send(&pgproto3.Flush{})
+			_ = c.Flush()
+			_, _ = c.Receive()
+		},
+		"open transaction": func(_ *rig, c *Conn) { _, _ = c.Exec("BEGIN") },
+		"passed deadline": func(r *rig, c *Conn) {
+			r.target.Handle = func(*wiretest.Call) wiretest.Reply { return wiretest.Reply{Silent: true} }
+			c.SetDeadline(time.Now().Add(time.Second))
+			_, _ = c.Exec("SELECT 1")
+		},
+		"cancel request": func(_ *rig, c *Conn) { c.BeginCancel()() },
+		"new term":       func(r *rig, _ *Conn) { r.table.Learn(topo.Hint{Group: "g", Term: 2, Primary: "a"}) },
+		"taint":          func(_ *rig, c *Conn) { c.Taint() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, is *is.I, r *rig) {
+				c := r.get(t)
+				spoil(r, c)
+				r.pools.Put(c)
+				synctest.Wait()
+				_, idle := r.pools.Size("g", "a")
+				is.Equal(idle, 0)
+				is.True(r.get(t) != c)
+			})
+		})
+	}
+}
+
+// TestIdleTerm guards against an idle connection of a former term that serves
+// after a promotion.
+func TestIdleTerm(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, r *rig) {
+		c := r.get(t)
+		r.pools.Put(c)
+		r.table.Learn(topo.Hint{Group: "g", Term: 2, Primary: "a"})
+		is.True(r.get(t) != c)
+	})
+}
+
+// TestJudge guards against a target that is judged failed because one of its
+// connections went silent, and against one that is not although new
+// connections fail too.
+func TestJudge(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, r *rig) {
+		r.target.Handle = func(*wiretest.Call) wiretest.Reply { return wiretest.Reply{Silent: true} }
+		other := r.get(t)
+		fail := func() {
+			c := r.get(t)
+			if other != nil {
+				r.pools.Put(other)
+				other = nil
+			}
+			c.Start(ident.Position{}, 0)
+			c.SetDeadline(time.Now().Add(time.Second))
+			_, err := c.Exec("SELECT 1")
+			is.Equal(retry.Of(err), retry.Unknown)
+			r.pools.Put(c)
+			synctest.Wait()
+		}
+		failed := func() bool {
+			g, _ := r.table.Group("g")
+			return !g.Targets[0].Failed.IsZero()
+		}
+		fail()
+		is.True(!failed())
+		is.Equal(r.suspects, 0)
+		_, idle := r.pools.Size("g", "a")
+		is.Equal(idle, 0) // the other connection may be silent too
+		c := r.get(t)
+		r.setDown(true)
+		c.Start(ident.Position{}, 0)
+		c.SetDeadline(time.Now().Add(time.Second))
+		_, _ = c.Exec("SELECT 1")
+		r.pools.Put(c)
+		synctest.Wait()
+		is.True(failed())
+		is.Equal(r.suspects, 1)
+	})
+}
+
+// TestFloor guards against a read that runs on a target behind the floor, and
+// against a floor that is set again for each statement.
+func TestFloor(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, r *rig) {
+		c := r.get(t)
+		ask := func(floor ident.Position) error {
+			c.Start(floor, 0)
+			_, err := c.Exec("SELECT 1")
+			return err
+		}
+		is.NoErr(ask(ident.Position{Term: 1, Index: 1}))
+		is.True(ask(ident.Position{Term: 1, Index: 5}) != nil) // refused by the target
+		is.Equal(len(r.target.Log()), 1)
+		r.target.SetApplied(ident.Position{Term: 1, Index: 9})
+		is.NoErr(ask(ident.Position{Term: 1, Index: 5}))
+		is.NoErr(ask(ident.Position{Term: 1, Index: 7}))
+		is.Equal(c.floor, ident.Position{Term: 1, Index: 9}) // covers later sessions
+		is.NoErr(ask(ident.Position{Term: 1, Index: 8}))
+		is.Equal(c.Position(), ident.Position{Term: 1, Index: 9})
+		g, _ := r.table.Group("g")
+		is.Equal(g.Targets[0].Applied, ident.Position{Term: 1, Index: 9})
+	})
+}
+
+// TestStatements guards against prepared statements that pile up on a
+// connection, and against one that is thought to be there but is not.
+func TestStatements(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, r *rig) {
+		c := r.get(t)
+		prepare := func(name string) {
+			c.Prepare(name)
+			c.Send(&pgproto3.Parse{Name: name, Query: "SELECT 1"})
+			c.Send(&pgproto3.Sync{})
+			is.NoErr(c.Flush())
+			for {
+				m, err := c.Receive()
+				is.NoErr(err)
+				if _, ok := m.(*pgproto3.ReadyForQuery); ok {
+					return
+				}
+			}
+		}
+		for _, name := range []string{"s1", "s2", "s3"} {
+			prepare(name)
+		}
+		is.True(!c.Prepared("s1"))
+		is.True(c.Prepared("s3"))
+		c.Start(ident.Position{}, 0)
+		v, err := c.Exec("SELECT 1") // hides the answer to the Close of s1
+		is.NoErr(err)
+		is.Equal(string(v), "1")
+		prepare("s1") // would fail if the target still had it
+		c.Forget("s3")
+		is.True(!c.Prepared("s3"))
+	}, func(c *Config) { c.Statements = 2 })
+}
+
+// TestWait guards against a commit that is acknowledged before a majority has
+// it, and against the quorum of a later term that is taken for its own.
+func TestWait(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, r *rig) {
+		pos := ident.Position{Term: 1, Index: 5}
+		r.target.HoldQuorum()
+		done := make(chan error, 1)
+		wait := func() {
+			ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+			defer cancel()
+			done <- r.pools.Wait(ctx, "g", pos)
+		}
+		go wait()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.Equal(len(done), 0)
+		r.target.SetQuorum(pos)
+		is.NoErr(<-done)
+
+		pos.Index = 6
+		go wait()
+		is.True(Is(<-done, KindDeadline))
+		r.target.SetQuorum(ident.Position{Term: 2, Index: 9})
+		go wait()
+		is.True(Is(<-done, KindSuperseded))
+	})
+}
+
+// TestWaitPromotion guards against a wait that goes on until the deadline
+// although the primary was replaced.
+func TestWaitPromotion(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, r *rig) {
+		r.target.HoldQuorum()
+		done := make(chan error, 1)
+		go func() { done <- r.pools.Wait(t.Context(), "g", ident.Position{Term: 1, Index: 5}) }()
+		time.Sleep(time.Second)
+		r.table.Learn(topo.Hint{Group: "g", Term: 2, Primary: "a"})
+		is.True(Is(<-done, KindSuperseded))
+	})
+}
+
+// TestWaitReconnect guards against a quorum listener that stays with a
+// connection that was cut.
+func TestWaitReconnect(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, r *rig) {
+		r.target.HoldQuorum()
+		done := make(chan error, 1)
+		go func() { done <- r.pools.Wait(t.Context(), "g", ident.Position{Term: 1, Index: 5}) }()
+		time.Sleep(100 * time.Millisecond)
+		r.target.Cut()
+		r.target.SetQuorum(ident.Position{Term: 1, Index: 5})
+		is.NoErr(<-done)
+	})
+}
--- a/internal/conns/pools.go
+++ b/internal/conns/pools.go
@@ -21,8 +21,11 @@
 type Pools struct {
 	cfg  Config
 	work pond.Pool
-	ctx  context.Context
-	stop context.CancelFunc
+	// tasks counts the background work. The pool's own stop waits through a
+	// pool that is global to the process, which tests with a paused clock can't.
+	tasks sync.WaitGroup
+	ctx   context.Context
+	stop  context.CancelFunc
 
 	mu     sync.Mutex
 	pools  map[ident.Target]*pool
@@ -39,17 +42,44 @@
 		cfg: cfg.withDefaults(), work: pond.NewPool(0), ctx: ctx, stop: stop,
 		pools: map[ident.Target]*pool{}, quorum: map[ident.Group]*quorum{},
 	}
-	_ = p.work.Go(p.sweep)
+	p.background(p.sweep)
 	return p
 }
 
+// background runs f on the worker pool; it reports false when the work has
+// been ended.
+func (p *Pools) background(f func()) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.ctx.Err() != nil {
+		return false
+	}
+	p.tasks.Add(1)
+	task := func() {
+		defer p.tasks.Done()
+		f()
+	}
+	if p.work.Go(task) != nil {
+		p.tasks.Done()
+		return false
+	}
+	return true
+}
+
+// end makes background start nothing more.
+func (p *Pools) end() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stop()
+}
+
 // Close closes all idle connections and ends the background work.
 func (p *Pools) Close() {
-	p.stop()
+	p.end()
 	for _, l := range p.all() {
 		l.retire()
 	}
-	p.work.StopAndWait()
+	p.tasks.Wait()
 }
 
 func (p *Pools) all() []*pool {
@@ -142,7 +172,7 @@
 	if busy {
 		return
 	}
-	_ = p.work.Go(func() {
+	p.background(func() {
 		defer func() {
 			l.mu.Lock()
 			l.probing = false
--- a/internal/conns/quorum.go
+++ b/internal/conns/quorum.go
@@ -69,7 +69,7 @@
 	q.wanted = time.Now()
 	if !q.running {
 		q.running = true
-		_ = p.work.Go(func() { p.listen(group, q) })
+		p.background(func() { p.listen(group, q) })
 	}
 	q.mu.Unlock()
 	defer func() {
--- a/internal/wire/cancel.go
+++ b/internal/wire/cancel.go
@@ -24,11 +24,14 @@
 	ctx, done := context.WithCancel(s.srv.ctx)
 	finish := c.BeginCancel()
 	s.mu.Unlock()
-	_ = s.srv.work.Go(func() {
+	task := func() {
 		defer done()
 		defer finish()
 		_ = s.srv.cfg.Pools.Cancel(ctx, c)
-	})
+	}
+	if !s.srv.background(task) {
+		task()
+	}
 }
 
 // setRunning makes cancel requests go to the connection. It reports false when
--- a/internal/wire/execute.go
+++ b/internal/wire/execute.go
@@ -297,9 +297,6 @@
 	if g.Ack == catal.AckPrimary {
 		return nil
 	}
-	if pos.IsZero() {
-		return lost("confirm", "the target reported no position of the commit", retry.Unknown, nil)
-	}
 	err := s.srv.cfg.Pools.Wait(ctx, s.grant.Group, pos)
 	if err == nil {
 		return nil
--- a/internal/wire/once.go
+++ b/internal/wire/once.go
@@ -48,14 +48,16 @@
 		_, _ = c.Exec("ROLLBACK")
 		return s.judge(u, tx, a)
 	}
-	if _, err := c.Exec("COMMIT"); err != nil {
+	// The second call replaces the tag that a repetition will be answered with.
+	if _, err := c.Exec(onceCall(s.key, u.fingerprint(), a.last) + "; COMMIT"); err != nil {
 		return s.commitFailed(err)
 	}
 	return nil
 }
 
-// keyTag is recorded with a key and is the answer to a repetition.
-const keyTag = "INSERT 0 1"
+// keyTag is recorded with a key until the tag of the work is known. A transaction
+// with more than one statement keeps it.
+const keyTag = "DO"
 
 func onceCall(key, fingerprint, tag string) string {
 	return "SELECT chervil_once(" + quote(key) + ", " + quote(fingerprint) + ", " + quote(tag) + ")"
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -38,6 +38,8 @@
 	// commits and rollbacks count the transactions that ended by statement.
 	commits   int
 	rollbacks int
+	// last is the last command tag.
+	last string
 }
 
 // committed reports whether the transaction that has just ended was committed,
@@ -145,6 +147,7 @@
 }
 
 func (a *answer) tag(tag string) {
+	a.last = tag
 	switch tag {
 	case "COMMIT":
 		a.commits++
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -25,8 +25,11 @@
 	classes stmt.Cache
 	meter   *meter
 	work    pond.Pool
-	ctx     context.Context
-	stop    context.CancelFunc
+	// tasks counts the background work. The pool's own stop waits through a
+	// pool that is global to the process, which tests with a paused clock can't.
+	tasks sync.WaitGroup
+	ctx   context.Context
+	stop  context.CancelFunc
 
 	// logins counts connections that have not logged in.
 	logins atomic.Int64
@@ -49,7 +52,7 @@
 		sessions: map[uint32]*session{}, handshakes: map[net.Conn]bool{}, empty: make(chan struct{}),
 	}
 	s.meter = newMeter(s.cfg.Scope)
-	_ = s.work.Go(s.sweep)
+	s.background(s.sweep)
 	return s
 }
 
@@ -238,13 +241,40 @@
 	return cut
 }
 
+// background runs f on the worker pool; it reports false when the work has
+// been ended.
+func (s *Server) background(f func()) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx.Err() != nil {
+		return false
+	}
+	s.tasks.Add(1)
+	task := func() {
+		defer s.tasks.Done()
+		f()
+	}
+	if s.work.Go(task) != nil {
+		s.tasks.Done()
+		return false
+	}
+	return true
+}
+
+// end makes background start nothing more.
+func (s *Server) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stop()
+}
+
 // Close ends the background work and cuts off all sessions.
 func (s *Server) Close() {
-	s.stop()
+	s.end()
 	for _, sess := range s.all() {
 		_ = sess.conn.Close()
 	}
-	s.work.StopAndWait()
+	s.tasks.Wait()
 }
 
 // Cancel cancels what the session with this cancel key runs, and reports
--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -98,6 +98,7 @@
 // connection failed.
 func (s *session) exchange(u *unit, tx *txn) (answer, *miss) {
 	u.parsed, u.failed = 0, false
+	tx.conn.Expect()
 	steps := s.send(tx.conn, u)
 	if err := tx.conn.Flush(); err != nil {
 		return answer{}, s.broken(u, tx, err)
@@ -190,8 +191,8 @@
 
 // ended takes back the connection of a transaction that has ended.
 func (s *session) ended(ctx context.Context, u *unit, tx *txn, committed bool) *miss {
-	pos := tx.conn.Position()
-	wrote := tx.wrote && committed
+	// A transaction that changed nothing has no position to wait for.
+	pos, wrote := tx.conn.Position(), tx.wrote && committed && tx.conn.Reported()
 	s.give(tx)
 	s.tx = nil
 	clear(s.portals)
--- a/internal/wiretest/client.go
+++ b/internal/wiretest/client.go
@@ -18,13 +18,15 @@
 
 // client is a target's side of one connection.
 type client struct {
-	t         *Target
-	id        int
-	net       net.Conn
-	be        *pgproto3.Backend
-	out       sync.Mutex
-	status    byte
-	wrote     bool
+	t      *Target
+	id     int
+	net    net.Conn
+	be     *pgproto3.Backend
+	out    sync.Mutex
+	status byte
+	wrote  bool
+	// once has the idempotency keys of the open transaction with their tags.
+	once      map[string]string
 	floor     ident.Position
 	stmts     map[string]string
 	portals   map[string]portal
@@ -56,7 +58,7 @@
 func (c *client) ready() {
 	if c.status == 'I' && c.wrote {
 		c.wrote = false
-		c.t.commit()
+		c.t.commit(c)
 	}
 	c.send(&pgproto3.ParameterStatus{Name: "chervil.position", Value: c.t.Applied().String()}, &pgproto3.ReadyForQuery{TxStatus: c.status})
 }
@@ -236,7 +238,10 @@
 		c.send(&pgproto3.DataRow{Values: [][]byte{[]byte(term), []byte(index)}})
 		return Reply{Tag: "SELECT 1"}, true
 	case strings.Contains(sql, "chervil_once"):
-		return Rows(c.t.once(sql)), true
+		if tag := c.t.once(c, sql); tag != "" {
+			return Rows(tag), true
+		}
+		return Reply{Tag: "SELECT 1"}, true
 	}
 	return Reply{}, false
 }
@@ -246,6 +251,6 @@
 		c.status = 'I'
 		return Reply{Tag: "COMMIT"}
 	}
-	c.status, c.wrote = 'I', false
+	c.status, c.wrote, c.once = 'I', false, nil
 	return Reply{Tag: "ROLLBACK"}
 }
--- a/internal/wiretest/target.go
+++ b/internal/wiretest/target.go
@@ -1,6 +1,7 @@
 package wiretest
 
 import (
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -200,8 +201,10 @@
 }
 
 // commit advances the position after a write.
-func (t *Target) commit() {
+func (t *Target) commit(c *client) {
 	t.mu.Lock()
+	maps.Copy(t.keys, c.once)
+	c.once = nil
 	t.applied.Index++
 	p, manual := t.applied, t.manual
 	t.mu.Unlock()
@@ -210,8 +213,8 @@
 	}
 }
 
-// once is chervil_once; a key counts as committed at once.
-func (t *Target) once(sql string) string {
+// once is chervil_once without the comparison of fingerprints.
+func (t *Target) once(c *client, sql string) string {
 	args := strings.Split(sql, "'")
 	const key, tag = 1, 5
 	t.mu.Lock()
@@ -219,6 +222,10 @@
 	if old, ok := t.keys[args[key]]; ok {
 		return old
 	}
-	t.keys[args[key]] = args[tag]
+	if c.once == nil {
+		c.once = map[string]string{}
+	}
+	c.once[args[key]] = args[tag]
+	c.wrote = true
 	return ""
 }
