--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -81,10 +81,9 @@
 func bubble(t *testing.T, f func(t *testing.T, is *is.I, r *rig), change ...func(*Config)) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(change...)
+		defer r.pools.Close()
+		defer r.target.Cut()
 		f(t, is.New(t), r)
-		r.target.Cut()
-		r.pools.Close()
-		synctest.Wait()
 	})
 }
 
--- a/internal/wire/execute.go
+++ b/internal/wire/execute.go
@@ -144,14 +144,17 @@
 	for {
 		target, e := p.next(ctx)
 		if e != nil {
-			return e
+			return p.final(e)
 		}
 		m := s.attempt(ctx, u, target, &p)
 		if m == nil {
 			return nil
 		}
+		if m.err.Outcome == retry.Unknown {
+			p.unknown = m.err
+		}
 		if !m.again || s.out.sent || s.out.err != nil || !p.pay(ctx, m) {
-			return m.err
+			return p.final(m.err)
 		}
 		s.out.drop()
 		p.last = m
@@ -179,6 +182,17 @@
 	target ident.Target
 	tried  bool
 	last   *miss
+	// unknown is the error of an attempt of unknown outcome.
+	unknown *Error
+}
+
+// final returns the error of the whole unit. After an attempt of unknown
+// outcome a later one that was not run does not make the unit not run.
+func (p *plan) final(e *Error) *Error {
+	if p.unknown != nil && e.Outcome == retry.NotRun {
+		return p.unknown
+	}
+	return e
 }
 
 // waits spreads the attempts of a unit that waits for a target, such as a new
--- a/internal/wire/kit_test.go
+++ b/internal/wire/kit_test.go
@@ -146,12 +146,14 @@
 func bubble(t *testing.T, f func(t *testing.T, is *is.I, k *kit), change ...func(*Config)) {
 	synctest.Test(t, func(t *testing.T) {
 		k := newKit(t, change...)
+		defer k.pools.Close()
+		defer func() {
+			for _, tg := range k.targets {
+				tg.Cut()
+			}
+		}()
+		defer k.srv.Close()
 		f(t, is.New(t), k)
-		k.srv.Close()
-		for _, tg := range k.targets {
-			tg.Cut()
-		}
-		k.pools.Close()
 	})
 }
 
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -89,11 +89,7 @@
 		s.reject(c, fatal("login", codeQueue, "too many connections are logging in", nil))
 		return
 	}
-	if !s.track(c, true) {
-		s.logins.Add(-1)
-		s.reject(c, errDraining())
-		return
-	}
+	s.track(c, true)
 	sess, err := s.login(c)
 	s.track(c, false)
 	s.logins.Add(-1)
@@ -106,26 +102,28 @@
 
 // reject answers a connection whose startup message is not read.
 func (s *Server) reject(c net.Conn, e *Error) {
-	_ = c.SetDeadline(time.Now().Add(time.Second))
+	_ = c.SetDeadline(time.Now().Add(lingerTime))
 	if b, err := e.response().Encode(nil); err == nil {
 		_, _ = c.Write(b)
 	}
+	linger(c)
 }
 
-// track notes a connection that has not logged in; it reports false when the
-// server drains.
-func (s *Server) track(c net.Conn, on bool) bool {
+// track notes whether a connection is logging in.
+func (s *Server) track(c net.Conn, on bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !on {
-		delete(s.handshakes, c)
-		return true
-	}
-	if s.draining {
-		return false
+	if on {
+		s.handshakes[c] = true
+		return
 	}
-	s.handshakes[c] = true
-	return true
+	delete(s.handshakes, c)
+}
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
 }
 
 func errDraining() *Error {
@@ -220,12 +218,8 @@
 func (s *Server) Drain(ctx context.Context) (cut int) {
 	s.mu.Lock()
 	s.draining = true
-	waiting := slices.Collect(maps.Keys(s.handshakes))
 	s.checkEmpty()
 	s.mu.Unlock()
-	for _, c := range waiting {
-		_ = c.Close()
-	}
 	for _, sess := range s.all() {
 		sess.end(errDraining(), false)
 	}
@@ -271,12 +265,23 @@
 // Close ends the background work and cuts off all sessions.
 func (s *Server) Close() {
 	s.end()
+	s.closeHandshakes()
 	for _, sess := range s.all() {
 		_ = sess.conn.Close()
 	}
 	s.tasks.Wait()
 }
 
+// closeHandshakes closes the connections that have not logged in.
+func (s *Server) closeHandshakes() {
+	s.mu.Lock()
+	list := slices.Collect(maps.Keys(s.handshakes))
+	s.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
+
 // Cancel cancels what the session with this cancel key runs, and reports
 // whether there is such a session on this VM.
 func (s *Server) Cancel(processID uint32, secret []byte) bool {
