--- /dev/null
+++ b/pkg/quota/holdings.go
@@ -0,0 +1,106 @@
+package quota
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Held is a slice that the VM holds and may use from Ready on.
+type Held struct {
+	Slice Slice
+	Ready time.Time
+}
+
+// Holdings tracks the slices of one VM and the lease that they depend on. The
+// zero Holdings has none.
+type Holdings struct {
+	lifetime time.Duration
+	deadline time.Time
+	held     map[Slice]time.Time
+	leaving  map[Slice]bool
+}
+
+// SetLifetime sets the lifetime of permits; 0 stands for DefaultLifetime.
+func (h *Holdings) SetLifetime(d time.Duration) { h.lifetime = d }
+
+// Deadline is the time from which no slice may be used.
+func (h *Holdings) Deadline() time.Time { return h.deadline }
+
+// Renewed notes that a grant or renewal of the lease, sent at the given time,
+// succeeded. The lease counts from the sending, as the store may have handled
+// it at any moment after.
+func (h *Holdings) Renewed(sent time.Time, ttl time.Duration) {
+	if d := sent.Add(ttl); d.After(h.deadline) {
+		h.deadline = d
+	}
+}
+
+// Lapsed forgets everything: the lease has ended, or its deadline has passed.
+func (h *Holdings) Lapsed() {
+	h.deadline = time.Time{}
+	h.held, h.leaving = nil, nil
+}
+
+// Claimed notes that the slice's key is known, at now, to be this VM's. The
+// slice may be used one lifetime later, when all permits and grants of the
+// former holder have ended.
+func (h *Holdings) Claimed(s Slice, now time.Time) {
+	if h.held == nil {
+		h.held = map[Slice]time.Time{}
+	}
+	h.held[s] = now.Add(cmp.Or(h.lifetime, DefaultLifetime))
+}
+
+// Stop ends the use of a slice, before its key is deleted.
+func (h *Holdings) Stop(s Slice) {
+	if _, ok := h.held[s]; !ok {
+		return
+	}
+	delete(h.held, s)
+	if h.leaving == nil {
+		h.leaving = map[Slice]bool{}
+	}
+	h.leaving[s] = true
+}
+
+// Released notes that the key of a stopped slice is known to be gone or to be
+// another VM's.
+func (h *Holdings) Released(s Slice) { delete(h.leaving, s) }
+
+// Plan compares the holdings with the slices that this VM is preferred for. It
+// returns the slices to claim, those to stop and release, both in order.
+func (h *Holdings) Plan(wanted []Slice) (claim, release []Slice) {
+	want := make(map[Slice]bool, len(wanted))
+	for _, s := range wanted {
+		want[s] = true
+		if _, ok := h.held[s]; !ok && !h.leaving[s] {
+			claim = append(claim, s)
+		}
+	}
+	for s := range h.held {
+		if !want[s] {
+			release = append(release, s)
+		}
+	}
+	for s := range h.leaving {
+		release = append(release, s)
+	}
+	slices.SortFunc(claim, compareSlices)
+	slices.SortFunc(release, compareSlices)
+	return claim, release
+}
+
+// Held returns the slices in use, in order.
+func (h *Holdings) Held() []Held {
+	out := make([]Held, 0, len(h.held))
+	for s, ready := range h.held {
+		out = append(out, Held{s, ready})
+	}
+	slices.SortFunc(out, func(a, b Held) int { return compareSlices(a.Slice, b.Slice) })
+	return out
+}
+
+func compareSlices(a, b Slice) int {
+	return cmp.Or(cmp.Compare(a.Shard, b.Shard), cmp.Compare(a.Index, b.Index))
+}
