--- /dev/null
+++ b/pkg/gate/lot.go
@@ -0,0 +1,78 @@
+package gate
+
+import "time"
+
+// gateWait is how long a VM waits for a gate's answer before it uses the
+// fallback. It is above the round trip between regions.
+const gateWait = 250 * time.Millisecond
+
+// Lot is what one VM may use of a target's slots. The zero Lot knows no gate and
+// uses the fallback.
+type Lot struct {
+	slots, live int
+	loan        Loan
+	until       time.Time
+	// unanswered is when the first demand was sent that no loan has answered.
+	unanswered time.Time
+	gate       bool
+}
+
+// Configure sets the target's slots and the number of live VMs.
+func (l *Lot) Configure(slots, live int) { l.slots, l.live = slots, live }
+
+// Fallback is the part that the VM uses without a gate: slots / live VMs, at
+// least 1.
+func (l *Lot) Fallback() int { return max(1, l.slots/max(1, l.live)) }
+
+// Sent notes that a demand was sent to the gate.
+func (l *Lot) Sent(now time.Time) {
+	l.gate = true
+	if l.unanswered.IsZero() {
+		l.unanswered = now
+	}
+}
+
+// Take notes a loan, which counts from the sending of the demand that it
+// answers. Loans that are older than the known one are ignored.
+func (l *Lot) Take(loan Loan, sent time.Time) {
+	if loan.Sequence <= l.loan.Sequence {
+		return
+	}
+	l.loan, l.until, l.unanswered = loan, sent.Add(Lifetime), time.Time{}
+}
+
+// Lost notes that the gate can't be reached or has changed. A loan stays usable
+// until it ends; the next gate waits for that.
+func (l *Lot) Lost() {
+	l.gate = false
+	l.unanswered = time.Time{}
+	l.loan.Sequence = 0
+}
+
+// Confirmed is the sequence to send with a demand.
+func (l *Lot) Confirmed() Sequence { return l.loan.Sequence }
+
+// Limit returns how many statements may run at once: the loan, nothing while a
+// new gate's answer is awaited, and the fallback without a gate.
+func (l *Lot) Limit(now time.Time) int {
+	switch {
+	case now.Before(l.until):
+		return l.loan.Slots
+	case l.gate && (l.unanswered.IsZero() || now.Sub(l.unanswered) < gateWait):
+		return 0
+	}
+	return l.Fallback()
+}
+
+// FallbackAt returns when Limit turns from nothing to the fallback if no loan
+// arrives; zero when it does not.
+func (l *Lot) FallbackAt() time.Time {
+	if !l.gate || l.unanswered.IsZero() {
+		return time.Time{}
+	}
+	at := l.unanswered.Add(gateWait)
+	if at.Before(l.until) {
+		return l.until
+	}
+	return at
+}
--- a/pkg/quota/fleet_test.go
+++ b/pkg/quota/fleet_test.go
@@ -76,7 +76,7 @@
 				}
 				s.limit = Limit{Rate: float64(rapid.IntRange(1, 200).Draw(t, "rate")), Burst: uint32(rapid.IntRange(1, 60).Draw(t, "burst"))}
 				edits = append(edits, edit{s.now, s.limit})
-				s.spread(func(i int) time.Duration { return time.Duration(rapid.IntRange(0, 9).Draw(t, "after")) * time.Second })
+				s.spread(func(int) time.Duration { return time.Duration(rapid.IntRange(0, 9).Draw(t, "after")) * time.Second })
 			},
 			"": func(t *rapid.T) {
 				if e := excess(s.admitted, func(at time.Time) Limit { return inForce(edits, at) }); e > slack {
