Add the control connection to targets

Cause: the failover decision needs A1 to A4 and A9 of a target. Change: internal/dbctl implements elect.Database over the PostgreSQL protocol. A call without an answer closes the connection. Floor gathers the positions of a majority; databases that rebuild their log do not count. No figures: no speed was at issue; the tests run on in-memory connections.

--- /dev/null
+++ b/internal/dbctl/client_test.go
@@ -0,0 +1,224 @@
+package dbctl
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/matryer/is"
+
+	"chervilspan.example/pkg/elect"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/topo"
+)
+
+// server answers simple queries on in-memory connections.
+type server struct {
+	conns  int
+	closed int
+	silent bool
+	reply  func(sql string) []pgproto3.BackendMessage
+	heard  []string
+}
+
+func (s *server) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	s.conns++
+	go s.serve(far)
+	return near, nil
+}
+
+func (s *server) serve(c net.Conn) {
+	defer func() { s.closed++ }()
+	defer func() { _ = c.Close() }()
+	b := pgproto3.NewBackend(c, c)
+	if _, err := b.ReceiveStartupMessage(); err != nil {
+		return
+	}
+	b.Send(&pgproto3.AuthenticationOk{})
+	b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	if b.Flush() != nil {
+		return
+	}
+	for {
+		m, err := b.Receive()
+		if err != nil {
+			return
+		}
+		q, ok := m.(*pgproto3.Query)
+		if !ok {
+			return
+		}
+		s.heard = append(s.heard, q.String)
+		if s.silent {
+			continue
+		}
+		for _, r := range s.reply(q.String) {
+			b.Send(r)
+		}
+		b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+		if b.Flush() != nil {
+			return
+		}
+	}
+}
+
+func row(columns, values []string) []pgproto3.BackendMessage {
+	var d pgproto3.RowDescription
+	var r pgproto3.DataRow
+	for i, c := range columns {
+		d.Fields = append(d.Fields, pgproto3.FieldDescription{Name: []byte(c), DataTypeOID: 25})
+		r.Values = append(r.Values, []byte(values[i]))
+	}
+	return []pgproto3.BackendMessage{&d, &r, &pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}}
+}
+
+var columns = []string{"target", "term", "role", "log_term", "log_index", "match_term", "quorum_term", "quorum_index", "primary", "contact_ms", "slots", "connections", "leaving"}
+
+func statusRow(target, term, role, logTerm string) []pgproto3.BackendMessage {
+	return row(columns, []string{target, term, role, logTerm, "17", "3", "3", "16", "a", "12", "5", "30", "f"})
+}
+
+func client(s *server) *Client {
+	return New(Config{Target: "a", Address: "127.0.0.1:5432", User: "chervild", Dial: s.dial})
+}
+
+// TestCalls guards against statements that are not those of the assumptions,
+// and against a status that is read wrongly.
+func TestCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &server{reply: func(sql string) []pgproto3.BackendMessage {
+			switch sql {
+			case "SELECT chervil_has('3/16')":
+				return row([]string{"chervil_has"}, []string{"t"})
+			case "SELECT chervil_has('3/18')":
+				return row([]string{"chervil_has"}, []string{"f"})
+			}
+			return statusRow("a", "3", "primary", "3")
+		}}
+		c := client(s)
+		defer c.Close()
+		ctx := t.Context()
+		st, err := c.Status(ctx)
+		is.NoErr(err)
+		is.Equal(st, topo.Status{
+			Target: "a", Term: 3, Role: topo.RolePrimary, Log: ident.Position{Term: 3, Index: 17}, Match: 3,
+			Quorum: ident.Position{Term: 3, Index: 16}, Primary: "a", Contact: 12 * time.Millisecond, Slots: 5, Connections: 30,
+		})
+		_, err = c.RaiseTerm(ctx, 4)
+		is.NoErr(err)
+		is.NoErr(c.Promote(ctx, 4, []elect.Member{{ID: "a", Address: "h:1"}, {ID: "b", Address: "h:2"}}))
+		is.NoErr(c.Follow(ctx, 4, "b", "h:2"))
+		has, err := c.Has(ctx, ident.Position{Term: 3, Index: 16})
+		is.True(err == nil && has)
+		has, err = c.Has(ctx, ident.Position{Term: 3, Index: 18})
+		is.True(err == nil && !has)
+		is.Equal(s.heard[:4], []string{
+			"SELECT * FROM chervil_status()", "SELECT * FROM chervil_raise_term(4)",
+			"SELECT chervil_promote(4, 'a=h:1,b=h:2')", "SELECT chervil_follow(4, 'b', 'h:2')",
+		})
+		is.Equal(s.conns, 1)
+	})
+}
+
+// TestAnswers guards against refusals that count as lost answers or the other
+// way round, and against a status taken from another target.
+func TestAnswers(t *testing.T) {
+	refuse := func(code string) []pgproto3.BackendMessage {
+		return []pgproto3.BackendMessage{&pgproto3.ErrorResponse{Severity: "ERROR", Code: code, Message: "no"}}
+	}
+	for _, c := range []struct {
+		reply   []pgproto3.BackendMessage
+		kind    Kind
+		outcome elect.Outcome
+	}{
+		{refuse("CV002"), KindSuperseded, elect.OutcomeRefused},
+		{refuse("CV004"), KindRebuild, elect.OutcomeRefused},
+		{refuse("42501"), KindRefused, elect.OutcomeRefused},
+		{statusRow("b", "3", "primary", "3"), KindProtocol, elect.OutcomeLost},
+		{statusRow("a", "x", "primary", "3"), KindProtocol, elect.OutcomeLost},
+		{statusRow("a", "3", "chief", "3"), KindProtocol, elect.OutcomeLost},
+		{row(columns[:3], []string{"a", "3", "replica"}), KindProtocol, elect.OutcomeLost},
+		{nil, KindProtocol, elect.OutcomeLost},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			cl := client(&server{reply: func(string) []pgproto3.BackendMessage { return c.reply }})
+			defer cl.Close()
+			_, err := cl.Status(t.Context())
+			var e *Error
+			is.True(errors.As(err, &e))
+			is.Equal(e.Kind, c.kind)
+			is.Equal(elect.OutcomeOf(err), c.outcome)
+		})
+	}
+}
+
+// TestDeposed guards against a primary that has promised a higher term and is
+// taken for the primary of that term.
+func TestDeposed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := client(&server{reply: func(string) []pgproto3.BackendMessage { return statusRow("a", "4", "primary", "3") }})
+		defer c.Close()
+		s, err := c.Status(t.Context())
+		is.NoErr(err)
+		is.Equal(s.Role, topo.RoleReplica)
+	})
+}
+
+// TestSilent guards against a call that waits for ever on a silent connection,
+// and against a late answer that reaches the next call.
+func TestSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &server{silent: true, reply: func(string) []pgproto3.BackendMessage { return statusRow("a", "3", "replica", "3") }}
+		c := client(s)
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		start := time.Now()
+		_, err := c.Status(ctx)
+		var e *Error
+		is.True(errors.As(err, &e))
+		is.Equal(e.Kind, KindLost)
+		is.Equal(time.Since(start), 300*time.Millisecond) // virtual time
+		synctest.Wait()
+		is.Equal(s.closed, 1)
+		s.silent = false
+		_, err = c.Status(t.Context())
+		is.NoErr(err)
+		is.Equal(s.conns, 2)
+		c.Close()
+		_, err = c.Status(t.Context())
+		is.True(errors.As(err, &e) && e.Kind == KindClosed)
+	})
+}
+
+// TestFloor guards against a floor that a minority answered, and against one
+// that counts a database which rebuilds its log.
+func TestFloor(t *testing.T) {
+	is := is.New(t)
+	at := func(term ident.Term, index uint64, r topo.Role) topo.Status {
+		return topo.Status{Log: ident.Position{Term: term, Index: index}, Role: r}
+	}
+	f := NewFloor(3)
+	f.Add(at(2, 9, topo.RoleReplica), nil)
+	_, done, _ := f.Result()
+	is.True(!done)
+	f.Add(at(9, 9, topo.RoleRebuild), nil)
+	f.Add(at(3, 4, topo.RolePrimary), nil)
+	p, done, err := f.Result()
+	is.True(done && err == nil)
+	is.Equal(p, ident.Position{Term: 3, Index: 4})
+	f = NewFloor(3)
+	f.Add(topo.Status{}, errors.New("gone"))
+	f.Add(at(2, 9, topo.RoleRebuild), nil)
+	_, done, err = f.Result()
+	var e *Error
+	is.True(done && errors.As(err, &e) && e.Kind == KindNoMajority)
+}
--- /dev/null
+++ b/internal/dbctl/doc.go
@@ -0,0 +1,20 @@
+// Package dbctl controls a target over the PostgreSQL protocol: it implements
+// elect.Database with the functions that docs/design.md lists as A1 to A4 and
+// A9, and logs in with the proxy's own credentials.
+//
+// A Client has at most one connection, which it opens when a call needs it.
+// Calls on one Client run one after another. A call that gets no answer in
+// time, or an answer that it can't read, closes the connection, so that a late
+// answer reaches nobody; the next call opens a new one.
+//
+// # Usage
+//
+//	c := dbctl.New(dbctl.Config{Target: "ledger-a", Address: "10.0.0.7:5432", User: "chervild", Password: secret})
+//	defer c.Close()
+//	s, err := c.Status(ctx)
+//	if elect.OutcomeOf(err) == elect.OutcomeRefused {
+//		// the target answered with an error; errors.As finds a *dbctl.Error
+//	}
+//
+// Floor reads the positions of a whole group at once.
+package dbctl
