Serve an order flow from end to end as separate processes

chervild connects the wire server, the connections to targets and the watchers; the catalogue is read from the store by polling and nothing is limited yet. make demo starts the store's stand-in, three stand-in targets and six daemons in three zones on loopback, places orders with an unchanged pgx client over TLS, reads them through the other daemons, tries a wrong key, kills the primary and counts the rows.

--- /dev/null
+++ b/standin/fleet/fleet.go
@@ -0,0 +1,223 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"chervilspan.example/pkg/catal"
+	"chervilspan.example/pkg/ident"
+)
+
+// Proxy is the user of the daemons at the targets.
+const Proxy = "proxy"
+
+const (
+	proxyPassword = "proxy-secret"
+	startTimeout  = 10 * time.Second
+	stopTimeout   = 5 * time.Second
+)
+
+// Config says where the programs are and what is started.
+type Config struct {
+	// Bin is the folder with the programs.
+	Bin    string
+	Layout Layout
+	// Adjust, unless nil, changes the settings of each daemon before they are
+	// written.
+	Adjust func(*Daemon)
+}
+
+// Target is a stand-in database.
+type Target struct {
+	ID      ident.Target
+	Group   ident.Group
+	Zone    ident.Zone
+	Address string
+	DataDir string
+	proc    *Proc
+}
+
+// Fleet is a deployment on loopback.
+type Fleet struct {
+	Dir       string
+	Store     string
+	StoreCtl  string
+	Targets   []*Target
+	Daemons   []*Daemon
+	Catalogue catal.Catalogue
+	// Keys has a key text for each workspace.
+	Keys map[ident.Workspace]string
+
+	cfg   Config
+	ca    *authority
+	store *Proc
+}
+
+// New prepares a deployment: addresses, certificates, settings and keys.
+func New(cfg Config) (*Fleet, error) {
+	dir, err := os.MkdirTemp("", "chervilspan-")
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{Dir: dir, cfg: cfg, Keys: map[ident.Workspace]string{}}
+	if err := f.prepare(); err != nil {
+		_ = os.RemoveAll(dir)
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) prepare() (err error) {
+	if f.ca, err = newAuthority(f.Dir); err != nil {
+		return err
+	}
+	if f.Store, err = freeAddress(); err != nil {
+		return err
+	}
+	if f.StoreCtl, err = freeAddress(); err != nil {
+		return err
+	}
+	if err := os.WriteFile(f.passwordFile(), []byte(proxyPassword+"\n"), 0o600); err != nil {
+		return err
+	}
+	if err := f.prepareTargets(); err != nil {
+		return err
+	}
+	if err := f.prepareDaemons(); err != nil {
+		return err
+	}
+	return f.prepareCatalogue()
+}
+
+func (f *Fleet) passwordFile() string { return filepath.Join(f.Dir, "target-password") }
+
+func (f *Fleet) prepareTargets() error {
+	for _, g := range f.cfg.Layout.Groups {
+		for i, p := range f.cfg.Layout.Places {
+			addr, err := freeAddress()
+			if err != nil {
+				return err
+			}
+			id := ident.Target(fmt.Sprintf("%s-%c", g, 'a'+i))
+			f.Targets = append(f.Targets, &Target{
+				ID: id, Group: g, Zone: p.Zone, Address: addr, DataDir: filepath.Join(f.Dir, string(id)),
+			})
+		}
+	}
+	return nil
+}
+
+// Start starts all processes and waits until they listen.
+func (f *Fleet) Start(ctx context.Context) error {
+	var err error
+	f.store, err = start(f.Dir, "store", f.program("standin-store"), "--listen", f.Store, "--control", f.StoreCtl)
+	if err != nil {
+		return err
+	}
+	for _, t := range f.Targets {
+		if err := f.StartTarget(t); err != nil {
+			return err
+		}
+	}
+	for _, d := range f.Daemons {
+		if err := f.StartDaemon(d); err != nil {
+			return err
+		}
+	}
+	return f.waitListening(ctx)
+}
+
+func (f *Fleet) program(name string) string { return filepath.Join(f.cfg.Bin, name) }
+
+// StartTarget starts the process of a target, which keeps the log of an
+// earlier run.
+func (f *Fleet) StartTarget(t *Target) (err error) {
+	var members []string
+	for _, m := range f.Targets {
+		if m.Group == t.Group {
+			members = append(members, string(m.ID)+"="+m.Address)
+		}
+	}
+	l := f.cfg.Layout
+	t.proc, err = start(f.Dir, string(t.ID), f.program("standin-target"),
+		"--id", string(t.ID), "--listen", t.Address, "--members", strings.Join(members, ","), "--zone", string(t.Zone),
+		"--slots", fmt.Sprint(l.Slots), "--connections", fmt.Sprint(l.Connections),
+		"--connect", l.ConnectCost.String(), "--service", l.ServiceTime.String(), "--lag", l.Lag.String(),
+		"--user", Proxy, "--password", proxyPassword, "--data-dir", t.DataDir)
+	return err
+}
+
+// Proc returns the process of a target.
+func (t *Target) Proc() *Proc { return t.proc }
+
+func (f *Fleet) waitListening(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	list := []string{f.Store}
+	for _, t := range f.Targets {
+		list = append(list, t.Address)
+	}
+	for _, d := range f.Daemons {
+		list = append(list, d.Callers)
+	}
+	for _, a := range list {
+		if err := waitFor(ctx, "listener at "+a, func() error {
+			c, err := net.Dial("tcp", a)
+			if err == nil {
+				_ = c.Close()
+			}
+			return err
+		}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// waitFor tries until check succeeds or ctx ends.
+func waitFor(ctx context.Context, what string, check func() error) error {
+	for {
+		err := check()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("waited for %s: %w", what, err)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// Stop ends all processes that the fleet started and removes its folder.
+func (f *Fleet) Stop() error {
+	var slow []error
+	for _, d := range f.Daemons {
+		if d.proc != nil && !d.proc.Exited() {
+			_ = d.proc.Signal(syscall.SIGTERM)
+		}
+	}
+	for _, d := range f.Daemons {
+		if d.proc != nil && !d.proc.WaitExit(stopTimeout) {
+			d.proc.Kill()
+			slow = append(slow, fmt.Errorf("%s did not stop within %s", d.proc.Name, stopTimeout))
+		}
+	}
+	for _, t := range f.Targets {
+		if t.proc != nil {
+			_ = t.proc.Signal(syscall.SIGCONT)
+			t.proc.Kill()
+		}
+	}
+	if f.store != nil {
+		f.store.Kill()
+	}
+	return errors.Join(append(slow, os.RemoveAll(f.Dir))...)
+}
--- /dev/null
+++ b/standin/fleet/query.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"chervilspan.example/internal/strpc"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/store"
+)
+
+// adminUser is the user by which a stand-in target takes administration.
+const adminUser = "standin_admin"
+
+// Admin opens an administrator's connection to a target, past all daemons.
+func (t *Target) Admin(ctx context.Context) (*pgx.Conn, error) {
+	return pgx.Connect(ctx, fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable&default_query_exec_mode=simple_protocol", adminUser, proxyPassword, t.Address, t.Group))
+}
+
+// Primary returns the target of a group that says that it is the primary, of
+// the highest term.
+func (f *Fleet) Primary(ctx context.Context, g ident.Group) (*Target, error) {
+	var best *Target
+	var bestTerm int64
+	for _, t := range f.Targets {
+		if t.Group != g {
+			continue
+		}
+		term, role, err := t.role(ctx)
+		if err == nil && role == "primary" && term >= bestTerm {
+			best, bestTerm = t, term
+		}
+	}
+	if best == nil {
+		return nil, fmt.Errorf("group %s has no primary", g)
+	}
+	return best, nil
+}
+
+func (t *Target) role(ctx context.Context) (term int64, role string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	c, err := t.Admin(ctx)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = c.Close(ctx) }()
+	rows, err := c.Query(ctx, "SELECT * FROM chervil_status()")
+	if err != nil {
+		return 0, "", err
+	}
+	status, err := pgx.CollectExactlyOneRow(rows, pgx.RowToMap)
+	if err != nil {
+		return 0, "", err
+	}
+	term, _ = status["term"].(int64)
+	role, _ = status["role"].(string)
+	return term, role, nil
+}
+
+// Publish puts the catalogue into the store.
+func (f *Fleet) Publish(ctx context.Context) error {
+	c, err := strpc.Dial(f.Store, nil, nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	f.Catalogue.Version++
+	raw, err := json.Marshal(&f.Catalogue)
+	if err != nil {
+		return err
+	}
+	e, err := store.Read(ctx, c, "catalogue")
+	if err != nil {
+		return err
+	}
+	_, err = store.Swap(ctx, c, store.Write{Key: "catalogue", Value: raw, Expected: e.Revision})
+	return err
+}
