--- /dev/null
+++ b/internal/conf/gen/main_test.go
@@ -0,0 +1,18 @@
+package main
+
+import (
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestPage guards against a schema page that differs from the settings.
+func TestPage(t *testing.T) {
+	is := is.New(t)
+	want, err := schema()
+	is.NoErr(err)
+	page, err := os.ReadFile("../../../" + Page)
+	is.NoErr(err)
+	is.Equal(string(page), string(want)) // run make generate
+}
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -10,3 +10,5 @@
   proto/*.proto
 go run ./internal/evlog/gen
 go run ./pkg/catal/gen
+go run ./internal/conf/gen
+go run ./pkg/catal/gen
