Add the load generator and its ledger

Cause: guarantees and costs must be measured over the daemon and without it. Change: standin/load (seeded open-loop arrivals, histograms by workspace and class, a ledger checked against the rows, a staleness check of reads), standin/memnet, standin/cmd/chervilbench with run and target.

--- /dev/null
+++ b/standin/cmd/chervilbench/main.go
@@ -0,0 +1,147 @@
+// Command chervilbench sends load to daemons or targets, and measures the
+// objectives of section 15 of the design.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"chervilspan.example/standin/load"
+	"chervilspan.example/standin/target"
+)
+
+// loadArgs are what run and target share.
+type loadArgs struct {
+	Targets    []string      `arg:"--targets,required" help:"addresses of the group's targets: the table of orders is created there, and read back at the end"`
+	User       string        `arg:"--user" default:"proxy" help:"user at the targets"`
+	Password   string        `arg:"--password,env:STANDIN_PASSWORD" help:"password at the targets"`
+	Rate       float64       `arg:"--rate" default:"100" help:"statements a second"`
+	Duration   time.Duration `arg:"--duration" default:"10s"`
+	WriteShare float64       `arg:"--write-share" default:"0.1" help:"share of statements that write"`
+	Zipf       float64       `arg:"--zipf" default:"1.1" help:"exponent of the workspaces' weights"`
+	Sessions   int           `arg:"--sessions" default:"4" help:"connections of each workspace"`
+	Seed       uint64        `arg:"--seed" default:"1"`
+}
+
+type runArgs struct {
+	loadArgs
+	Addresses  []string      `arg:"--addresses,required" help:"addresses of daemons"`
+	Workspaces []string      `arg:"--workspaces,required" help:"name:key of each workspace"`
+	Route      string        `arg:"--route,required" help:"route that sessions connect to"`
+	RoamEvery  int           `arg:"--roam-every" help:"statements after which a session moves to the next daemon"`
+	Idempotent bool          `arg:"--idempotent" help:"give orders idempotency keys"`
+	Deadline   time.Duration `arg:"--deadline" default:"5s" help:"deadline of a statement"`
+}
+
+type targetArgs struct {
+	loadArgs
+	Workspaces int    `arg:"--workspaces" default:"8" help:"number of workspaces"`
+	Elect      string `arg:"--elect" help:"id=host:port,...: make the first one the primary of these before the run"`
+}
+
+type args struct {
+	Run    *runArgs    `arg:"subcommand:run" help:"send load to daemons"`
+	Target *targetArgs `arg:"subcommand:target" help:"send load straight to the primary of a group"`
+}
+
+// Description is shown by --help.
+func (args) Description() string {
+	return "Open-loop load generator of chervilspan. Prints one JSON object; exits with 1 when an order contradicts its outcome."
+}
+
+func main() {
+	var a args
+	p := arg.MustParse(&a)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	var ok bool
+	var err error
+	switch {
+	case a.Run != nil:
+		ok, err = run(ctx, *a.Run)
+	case a.Target != nil:
+		ok, err = straight(ctx, *a.Target)
+	default:
+		p.Fail("a subcommand is needed")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	if !ok {
+		os.Exit(1)
+	}
+}
+
+func (a loadArgs) access() load.Access {
+	return load.Access{Addresses: a.Targets, User: a.User, Password: a.Password}
+}
+
+func (a loadArgs) config() load.Config {
+	return load.Config{
+		Seed: a.Seed, Rate: a.Rate, Duration: a.Duration, WriteShare: a.WriteShare, Zipf: a.Zipf, Sessions: a.Sessions,
+	}
+}
+
+func run(ctx context.Context, a runArgs) (bool, error) {
+	cfg := a.config()
+	cfg.Addresses, cfg.Route = a.Addresses, a.Route
+	cfg.RoamEvery, cfg.Idempotent, cfg.Deadline = a.RoamEvery, a.Idempotent, a.Deadline
+	for _, w := range a.Workspaces {
+		name, key, _ := strings.Cut(w, ":")
+		cfg.Workspaces = append(cfg.Workspaces, load.Workspace{Name: name, Key: key})
+	}
+	return send(ctx, a.access(), cfg)
+}
+
+// straight sends to the primary as the proxy's user, so that the cost of the
+// proxy shows in the comparison.
+func straight(ctx context.Context, a targetArgs) (bool, error) {
+	cfg := a.config()
+	members, err := target.ParseMembers(a.Elect)
+	if err != nil {
+		return false, err
+	}
+	if len(members) > 0 {
+		if err := a.access().Elect(ctx, members); err != nil {
+			return false, err
+		}
+	}
+	primary, err := a.access().PrimaryAddress(ctx)
+	if err != nil {
+		return false, err
+	}
+	cfg.Addresses, cfg.Route, cfg.User = []string{primary}, "orders", a.User
+	for i := range a.Workspaces {
+		cfg.Workspaces = append(cfg.Workspaces, load.Workspace{Name: fmt.Sprintf("w%d", i+1), Key: a.Password})
+	}
+	return send(ctx, a.access(), cfg)
+}
+
+func send(ctx context.Context, access load.Access, cfg load.Config) (bool, error) {
+	if err := load.Prepare(ctx, access); err != nil {
+		return false, err
+	}
+	report, err := load.Run(ctx, cfg)
+	if err != nil {
+		return false, err
+	}
+	verdict, err := load.Verify(ctx, access, report.Ledger)
+	if err != nil {
+		return false, err
+	}
+	out := struct {
+		*load.Report
+		Verdict load.Verdict `json:"verdict"`
+	}{report, verdict}
+	ok := verdict.Sound() && report.Stale == 0 && report.Wrong == 0
+	return ok, json.NewEncoder(os.Stdout).Encode(out)
+}
--- /dev/null
+++ b/standin/load/ledger.go
@@ -0,0 +1,134 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+// Outcome of a statement, as its caller was told.
+type Outcome uint8
+
+// Outcomes of a statement.
+const (
+	OutcomeDone Outcome = iota
+	OutcomeNotRun
+	OutcomeUnknown
+)
+
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeDone:
+		return "done"
+	case OutcomeNotRun:
+		return "not_run"
+	}
+	return "unknown"
+}
+
+// Order is a write of the ledger.
+type Order struct {
+	ID      string
+	Session int64
+	Seq     int64
+	Outcome Outcome
+}
+
+// Ledger has all writes of a run. The zero Ledger is empty; its methods may be
+// called from several goroutines.
+type Ledger struct {
+	mu     sync.Mutex
+	orders []Order
+}
+
+func (l *Ledger) add(o Order) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.orders = append(l.orders, o)
+}
+
+// Orders returns all writes.
+func (l *Ledger) Orders() []Order {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Order(nil), l.orders...)
+}
+
+// Verdict is what the comparison of the ledger with the rows gave. A run is
+// sound when all but the first two are 0.
+type Verdict struct {
+	Orders int `json:"orders"`
+	// UnknownPresent counts unknown orders that took effect.
+	UnknownPresent int `json:"unknown_present"`
+	// Lost are done but absent.
+	Lost int `json:"lost"`
+	// Duplicated are there more than once.
+	Duplicated int `json:"duplicated"`
+	// Ghost are there although they were said not to have run.
+	Ghost int `json:"ghost"`
+	// Foreign rows belong to no order of the ledger.
+	Foreign int `json:"foreign"`
+}
+
+// Sound reports whether no order contradicts its outcome.
+func (v Verdict) Sound() bool {
+	return v.Lost == 0 && v.Duplicated == 0 && v.Ghost == 0 && v.Foreign == 0
+}
+
+// compare checks orders against the number of rows of each id.
+func compare(orders []Order, rows map[string]int) Verdict {
+	v := Verdict{Orders: len(orders)}
+	known := make(map[string]bool, len(orders))
+	for _, o := range orders {
+		known[o.ID] = true
+		n := rows[o.ID]
+		switch {
+		case n > 1:
+			v.Duplicated++
+		case o.Outcome == OutcomeDone && n == 0:
+			v.Lost++
+		case o.Outcome == OutcomeNotRun && n == 1:
+			v.Ghost++
+		case o.Outcome == OutcomeUnknown && n == 1:
+			v.UnknownPresent++
+		}
+	}
+	for id := range rows {
+		if !known[id] {
+			v.Foreign++
+		}
+	}
+	return v
+}
+
+// classify returns the outcome that an error stands for, and a short reason:
+// the SQLSTATE, or what the connection did. A server's message says whether
+// the statement ran; a broken connection leaves that open unless nothing was
+// sent.
+func classify(err error) (Outcome, string) {
+	var p *pgconn.PgError
+	var u *unsent
+	refused := errors.As(err, &p)
+	switch {
+	case err == nil:
+		return OutcomeDone, ""
+	case errors.As(err, &u) && refused:
+		return OutcomeNotRun, p.Code
+	case errors.As(err, &u):
+		return OutcomeNotRun, "not_sent"
+	case refused:
+		if p.Code == "08007" || !strings.HasSuffix(p.Message, "not run") {
+			return OutcomeUnknown, p.Code
+		}
+		return OutcomeNotRun, p.Code
+	case pgconn.SafeToRetry(err):
+		return OutcomeNotRun, "not_sent"
+	case pgconn.Timeout(err), errors.Is(err, context.DeadlineExceeded):
+		return OutcomeUnknown, "timeout"
+	}
+	return OutcomeUnknown, "broken"
+}
--- /dev/null
+++ b/standin/load/record.go
@@ -0,0 +1,178 @@
+package load
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// maxMicros is the greatest latency that histograms hold.
+const maxMicros = 120_000_000
+
+// Latency has quantiles in milliseconds.
+type Latency struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Counts of statements by outcome.
+type Counts struct {
+	Sent    int `json:"sent"`
+	Done    int `json:"done"`
+	NotRun  int `json:"not_run"`
+	Unknown int `json:"unknown"`
+	// Codes counts errors by SQLSTATE or reason.
+	Codes map[string]int `json:"codes,omitempty"`
+}
+
+// Report is what a run gave.
+type Report struct {
+	Seed    uint64  `json:"seed"`
+	Seconds float64 `json:"seconds"`
+	Total   Counts  `json:"total"`
+	// Workspaces by name.
+	Workspaces map[string]Counts `json:"workspaces"`
+	// Latency of done statements by workspace and class, as "name/class", and
+	// of all as "/class".
+	Latency map[string]Latency `json:"latency"`
+	// Stale counts reads that missed an acknowledged order of their session,
+	// Wrong those that answered another question.
+	Stale int `json:"stale"`
+	Wrong int `json:"wrong"`
+	// Gap is the longest time without a write that was done, in milliseconds.
+	Gap float64 `json:"gap_ms"`
+	// Connects is the number of connections that were opened.
+	Connects int `json:"connects"`
+
+	Ledger *Ledger `json:"-"`
+}
+
+type series struct {
+	workspace int
+	class     Class
+}
+
+// recorder collects results of all sessions.
+type recorder struct {
+	cfg   Config
+	start time.Time
+
+	mu       sync.Mutex
+	ledger   Ledger
+	counts   []Counts
+	hist     map[series]*hdrhistogram.Histogram
+	written  []time.Duration
+	stale    int
+	wrong    int
+	connects int
+}
+
+func newRecorder(cfg Config) *recorder {
+	return &recorder{cfg: cfg, counts: make([]Counts, len(cfg.Workspaces)), hist: map[series]*hdrhistogram.Histogram{}}
+}
+
+// done takes the result of an arrival, whose latency counts from the time it
+// was meant to be sent.
+func (r *recorder) done(a Arrival, o Outcome, reason string) {
+	now := time.Since(r.start)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := &r.counts[a.Workspace]
+	c.Sent++
+	if reason != "" {
+		if c.Codes == nil {
+			c.Codes = map[string]int{}
+		}
+		c.Codes[reason]++
+	}
+	switch o {
+	case OutcomeNotRun:
+		c.NotRun++
+		return
+	case OutcomeUnknown:
+		c.Unknown++
+		return
+	}
+	c.Done++
+	if a.Class == ClassWrite {
+		r.written = append(r.written, now)
+	}
+	s := series{a.Workspace, a.Class}
+	if r.hist[s] == nil {
+		r.hist[s] = hdrhistogram.New(1, maxMicros, 3)
+	}
+	_ = r.hist[s].RecordValue(min(max((now-a.At).Microseconds(), 1), maxMicros))
+}
+
+func (r *recorder) add(field *int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	*field++
+}
+
+func (r *recorder) report(took time.Duration) *Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := &Report{
+		Seed: r.cfg.Seed, Seconds: took.Seconds(), Workspaces: map[string]Counts{}, Latency: map[string]Latency{},
+		Stale: r.stale, Wrong: r.wrong, Connects: r.connects, Ledger: &r.ledger, Total: Counts{Codes: map[string]int{}},
+	}
+	for i, c := range r.counts {
+		out.Workspaces[r.cfg.Workspaces[i].Name] = c
+		out.Total.Sent += c.Sent
+		out.Total.Done += c.Done
+		out.Total.NotRun += c.NotRun
+		out.Total.Unknown += c.Unknown
+		for code, n := range c.Codes {
+			out.Total.Codes[code] += n
+		}
+	}
+	var all [classes]*hdrhistogram.Histogram
+	for i := range all {
+		all[i] = hdrhistogram.New(1, maxMicros, 3)
+	}
+	for s, h := range r.hist {
+		out.Latency[r.cfg.Workspaces[s.workspace].Name+"/"+s.class.String()] = latencyOf(h)
+		all[s.class].Merge(h)
+	}
+	for i, h := range all {
+		out.Latency["/"+Class(i).String()] = latencyOf(h)
+	}
+	out.Gap = longestGap(r.written, r.cfg.Duration)
+	return out
+}
+
+func latencyOf(h *hdrhistogram.Histogram) Latency {
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return Latency{h.TotalCount(), ms(h.ValueAtQuantile(50)), ms(h.ValueAtQuantile(99)), ms(h.Max())}
+}
+
+// longestGap returns the longest time between consecutive moments from 0 to
+// end, in milliseconds.
+func longestGap(moments []time.Duration, end time.Duration) float64 {
+	slices.Sort(moments)
+	last, gap := time.Duration(0), time.Duration(0)
+	for _, m := range moments {
+		gap = max(gap, m-last)
+		last = m
+	}
+	return float64(max(gap, end-last).Microseconds()) / 1000
+}
+
+// Worst returns the workspace with the lowest share of statements done, and
+// that share. Names break ties.
+func (r *Report) Worst() (name string, share float64) {
+	share = 2
+	for _, n := range slices.Sorted(maps.Keys(r.Workspaces)) {
+		c := r.Workspaces[n]
+		if c.Sent > 0 && float64(c.Done)/float64(c.Sent) < share {
+			name, share = n, float64(c.Done)/float64(c.Sent)
+		}
+	}
+	return name, share
+}
--- a/standin/target/mem_test.go
+++ b/standin/target/mem_test.go
@@ -4,90 +4,20 @@
 	"context"
 	"fmt"
 	"net"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
 
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/standin/memnet"
 	"chervilspan.example/standin/repl"
 )
 
-// memNet is a network inside the process, which synctest can follow.
-type memNet struct {
-	mu    sync.Mutex
-	hosts map[string]*memListener
-}
-
-type memListener struct {
-	address string
-	conns   chan net.Conn
-	closed  chan struct{}
-	once    sync.Once
-}
-
-func newMemNet() *memNet { return &memNet{hosts: map[string]*memListener{}} }
-
-func (n *memNet) listen(address string) *memListener {
-	l := &memListener{address: address, conns: make(chan net.Conn), closed: make(chan struct{})}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.hosts[address] = l
-	return l
-}
-
-func (n *memNet) dial(ctx context.Context, _, address string) (net.Conn, error) {
-	n.mu.Lock()
-	l := n.hosts[address]
-	n.mu.Unlock()
-	if l == nil {
-		return nil, fmt.Errorf("no listener at %s", address)
-	}
-	ours, theirs := net.Pipe()
-	select {
-	case l.conns <- theirs:
-		return memConn{ours, memAddr(address)}, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	case <-ctx.Done():
-		return nil, ctx.Err()
-	}
-}
-
-func (l *memListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *memListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return nil
-}
-
-func (l *memListener) Addr() net.Addr { return memAddr(l.address) }
-
-// memConn names its far end, which clients dial again for a cancel request.
-type memConn struct {
-	net.Conn
-	remote memAddr
-}
-
-func (c memConn) RemoteAddr() net.Addr { return c.remote }
-
-type memAddr string
-
-func (memAddr) Network() string  { return "mem" }
-func (a memAddr) String() string { return string(a) }
-
-// cluster is a group of servers on a memNet.
+// cluster is a group of servers on a memnet.
 type cluster struct {
 	t   failer
-	net *memNet
+	net *memnet.Net
 	all []*Server
 	cfg Config
 }
@@ -99,7 +29,7 @@
 }
 
 func newCluster(t failer, n int, cfg Config) *cluster {
-	c := &cluster{t: t, net: newMemNet(), cfg: cfg}
+	c := &cluster{t: t, net: &memnet.Net{}, cfg: cfg}
 	for i := range n {
 		c.all = append(c.all, c.start(i))
 	}
@@ -110,8 +40,8 @@
 	c.t.Helper()
 	cfg := c.cfg
 	cfg.ID = ident.Target(fmt.Sprintf("a%d", i+1))
-	cfg.Listener = c.net.listen(fmt.Sprintf("10.0.0.%d:5432", i+1))
-	cfg.Dial = c.net.dial
+	cfg.Listener = c.net.Listen(fmt.Sprintf("10.0.0.%d:5432", i+1))
+	cfg.Dial = c.net.Dial
 	if cfg.DataDir != "" {
 		cfg.DataDir += "/" + string(cfg.ID)
 	}
@@ -161,7 +91,7 @@
 		return nil, err
 	}
 	cfg.Host, cfg.Port, cfg.User, cfg.Password, cfg.Database = host, 5432, user, c.cfg.Password, "db"
-	cfg.DialFunc = c.net.dial
+	cfg.DialFunc = c.net.Dial
 	cfg.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
 	cfg.Fallbacks = nil
 	return pgx.ConnectConfig(context.Background(), cfg)
