--- /dev/null
+++ b/pkg/fresh/decide.go
@@ -0,0 +1,86 @@
+package fresh
+
+import (
+	"time"
+
+	"chervilspan.example/pkg/ident"
+)
+
+// Reason says why keyed routes are served or not.
+type Reason uint8
+
+// Reasons of a Decision.
+const (
+	// ReasonNone means that there is no catalogue.
+	ReasonNone Reason = iota
+	// ReasonFresh means that the proof is younger than MaxStale.
+	ReasonFresh
+	// ReasonStoreDown means that the store is down for all zones.
+	ReasonStoreDown
+	// ReasonGrace means that the VM is cut off and CutOffServe is not over.
+	ReasonGrace
+	// ReasonCutOff means that a newer version may be in force elsewhere.
+	ReasonCutOff
+)
+
+// String returns the reason in lower case.
+func (r Reason) String() string {
+	return [...]string{"no_catalogue", "fresh", "store_down", "grace", "cut_off"}[r]
+}
+
+// Decision tells whether keyed routes are served.
+type Decision struct {
+	Serve  bool
+	Reason Reason
+	// Age of the latest proof, or Never.
+	Age time.Duration
+	// Missing are the zones that were not heard from within MaxStale.
+	Missing []ident.Zone
+}
+
+// CutOff reports whether the VM is cut off, in grace or not.
+func (d Decision) CutOff() bool { return d.Reason == ReasonGrace || d.Reason == ReasonCutOff }
+
+// Decide applies the cut-off rule. CutOffServe counts from the last call that
+// found the VM not cut off.
+func (s *State) Decide(now time.Time) Decision {
+	if s.version == 0 {
+		return Decision{Age: Never}
+	}
+	d := Decision{Age: age(s.current.at, now)}
+	down := s.storeDown(now, &d)
+	switch {
+	case d.Age >= 0 && d.Age <= s.cfg.MaxStale:
+		d.Reason = ReasonFresh
+		s.served = now
+	case down:
+		d.Reason = ReasonStoreDown
+		s.served = now
+	case s.cfg.CutOffServe > 0 && !s.served.IsZero() && now.Sub(s.served) <= s.cfg.CutOffServe:
+		d.Reason = ReasonGrace
+	default:
+		d.Reason = ReasonCutOff
+	}
+	d.Serve = d.Reason != ReasonCutOff
+	return d
+}
+
+// storeDown reports whether the store is down for all zones, so that nobody
+// can accept an edit.
+func (s *State) storeDown(now time.Time, d *Decision) bool {
+	down := s.known <= s.version
+	for _, id := range s.names {
+		z := s.zone(id)
+		if id == s.cfg.Zone {
+			z.heard = now
+		}
+		if z.heard.IsZero() || now.Sub(z.heard) > s.cfg.MaxStale {
+			down = false
+			d.Missing = append(d.Missing, id)
+		}
+		if !z.store.IsZero() && z.heard.Sub(z.store) <= s.cfg.MaxStale/2 {
+			down = false
+		}
+	}
+	return down
+}
--- /dev/null
+++ b/pkg/fresh/fresh_test.go
@@ -0,0 +1,182 @@
+package fresh
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"chervilspan.example/pkg/ident"
+)
+
+var (
+	start = time.Unix(1e9, 0)
+	zones = []ident.Zone{"z1", "z2"}
+)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func state(v ident.Version) *State {
+	s := New(Config{Zone: "z1"})
+	s.Apply(v, zones)
+	return s
+}
+
+// TestDecide guards against keyed routes that are served although a newer
+// version may be in force elsewhere, and against refusals during an outage of
+// the store that everyone sees.
+func TestDecide(t *testing.T) {
+	heard := func(ms int, r Report) func(*State) {
+		return func(s *State) { s.Answer(r, "z2", at(ms), at(ms)) }
+	}
+	for _, test := range []struct {
+		name  string
+		now   int
+		steps []func(*State)
+		want  Reason
+	}{
+		{"nothing heard", 0, nil, ReasonCutOff},
+		{"store answered", 5000, []func(*State){func(s *State) { s.Proof(3, at(0), at(400)) }}, ReasonFresh},
+		{"too long ago", 5001, []func(*State){func(s *State) { s.Proof(3, at(0), at(400)) }}, ReasonCutOff},
+		{"store has a newer version", 100, []func(*State){func(s *State) { s.Proof(4, at(0), at(50)) }}, ReasonCutOff},
+		{"stale answer of the store", 100, []func(*State){func(s *State) { s.Proof(2, at(0), at(50)) }}, ReasonCutOff},
+		{"peer has a proof", 4000, []func(*State){heard(0, Report{Version: 3, ConfirmedVersion: 3, Confirmed: time.Second})}, ReasonFresh},
+		{"proof of the peer is older", 4001, []func(*State){heard(0, Report{Version: 3, ConfirmedVersion: 3, Confirmed: time.Second, Zones: []ZoneAge{{"z2", 0, 0}}})}, ReasonCutOff},
+		{"all zones without the store", 100, []func(*State){heard(0, Report{Version: 3, Confirmed: Never, Zones: []ZoneAge{{"z2", 0, 2501 * time.Millisecond}}})}, ReasonStoreDown},
+		{"a zone with the store", 100, []func(*State){heard(0, Report{Version: 3, Confirmed: Never, Zones: []ZoneAge{{"z2", 0, 2400 * time.Millisecond}}})}, ReasonCutOff},
+		{"the zone had the store when it was last heard", 4900, []func(*State){heard(0, Report{Version: 3, Confirmed: Never, Zones: []ZoneAge{{"z2", 0, 2 * time.Second}}})}, ReasonCutOff},
+		{"a zone not heard", 5001, []func(*State){heard(0, Report{Version: 3, Confirmed: Never, Zones: []ZoneAge{{"z2", 0, Never}}})}, ReasonCutOff},
+		{"a newer version heard of", 100, []func(*State){heard(0, Report{Version: 3, Known: 4, Confirmed: Never, Zones: []ZoneAge{{"z2", 0, Never}}})}, ReasonCutOff},
+		{"a request of the zone alone", 100, []func(*State){func(s *State) {
+			s.Request(Report{Version: 3, ConfirmedVersion: 3, Confirmed: 0, Zones: []ZoneAge{{"z2", 0, Never}}}, at(0))
+		}}, ReasonCutOff},
+		{"contact with the store in a request", 100, []func(*State){
+			heard(0, Report{Version: 3, Confirmed: Never}),
+			func(s *State) { s.Request(Report{Version: 3, Zones: []ZoneAge{{"z2", 0, 0}}}, at(50)) },
+		}, ReasonCutOff},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := state(3)
+			for _, step := range test.steps {
+				step(s)
+			}
+			d := s.Decide(at(test.now))
+			is.Equal(d.Reason.String(), test.want.String())
+			is.Equal(d.Serve, test.want != ReasonCutOff)
+		})
+	}
+	is.New(t).Equal(New(Config{}).Decide(start).Serve, false)
+}
+
+// TestTransit guards against a proof that grows younger on its way through
+// slow peers.
+func TestTransit(t *testing.T) {
+	is := is.New(t)
+	a, b := state(3), state(3)
+	a.Proof(3, at(0), at(1000))
+	b.Answer(a.Report(at(1500)), "z1", at(1400), at(4000))
+	is.Equal(b.Decide(at(4000)).Age, 4100*time.Millisecond)
+}
+
+// TestAhead guards against a VM that stays cut off after it applied the version
+// which the store had confirmed.
+func TestAhead(t *testing.T) {
+	is := is.New(t)
+	s := state(3)
+	s.Proof(4, at(0), at(10))
+	is.True(s.Apply(4, zones))
+	is.Equal(s.Decide(at(100)).Reason, ReasonFresh)
+}
+
+// TestGrace guards against a grace that does not end, or that starts anew with
+// each statement.
+func TestGrace(t *testing.T) {
+	is := is.New(t)
+	s := New(Config{Zone: "z1", CutOffServe: 3 * time.Second})
+	s.Apply(3, zones)
+	is.Equal(s.Decide(at(0)).Reason, ReasonCutOff)
+	s.Proof(3, at(0), at(0))
+	is.Equal(s.Decide(at(5000)).Reason, ReasonFresh)
+	is.Equal(s.Decide(at(7000)).Reason, ReasonGrace)
+	is.Equal(s.Decide(at(8000)).Reason, ReasonGrace)
+	is.Equal(s.Decide(at(8001)).Reason, ReasonCutOff)
+}
+
+// TestNeverLower guards against a version that is replaced by a lower one, in
+// whatever order versions, proofs and reports arrive, and against a proof that
+// is taken for a version above it.
+func TestNeverLower(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New(Config{Zone: "z1"})
+		store := ident.Version(0) // the store's version grows with the steps
+		type sample struct {
+			version ident.Version
+			at      time.Time
+		}
+		var samples []sample
+		for i := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now := at(i * 100)
+			if rapid.Bool().Draw(t, "edit") {
+				store++
+			}
+			samples = append(samples, sample{store, now})
+			old := samples[rapid.IntRange(0, len(samples)-1).Draw(t, "which")]
+			before := s.Version()
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				s.Apply(old.version, zones)
+			case 1:
+				s.Proof(old.version, old.at, now)
+			case 2:
+				s.Answer(Report{Version: old.version, ConfirmedVersion: old.version, Confirmed: now.Sub(old.at)}, "z2", now, now)
+			}
+			if s.Version() < before {
+				t.Fatalf("version %d after %d", s.Version(), before)
+			}
+			if d := s.Decide(now); d.Reason == ReasonFresh {
+				moment := now.Add(-d.Age)
+				for _, m := range samples {
+					if !m.at.After(moment) && m.version > s.Version() {
+						t.Fatalf("version %d is taken for current at %v, when the store had %d", s.Version(), moment, m.version)
+					}
+				}
+			}
+		}
+	})
+}
+
+// TestBoot guards against a VM that serves an old version after a restart.
+func TestBoot(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		store int // -1: no answer
+		peers []ident.Version
+		have  ident.Version
+		want  bool
+	}{
+		{"nothing", -1, nil, 0, false},
+		{"store", 4, nil, 4, true},
+		{"store without a catalogue", 0, nil, 0, false},
+		{"stale store", 3, []ident.Version{4}, 3, false},
+		{"one of three peers", -1, []ident.Version{4}, 4, false},
+		{"two of three peers", -1, []ident.Version{4, 3}, 4, true},
+		{"the higher one is not there yet", -1, []ident.Version{4, 3}, 3, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := Boot{Peers: 3}
+			if test.store >= 0 {
+				b.Store(ident.Version(test.store))
+			}
+			for i, v := range test.peers {
+				b.Peer(string(rune('a'+i)), v)
+			}
+			is.New(t).Equal(b.Ready(test.have), test.want)
+		})
+	}
+	b := Boot{Peers: 3}
+	b.Peer("a", 4)
+	b.Peer("a", 4)
+	is.New(t).True(!b.Ready(4)) // the same peer counts once
+}
--- a/pkg/member/events.go
+++ b/pkg/member/events.go
@@ -122,23 +122,27 @@
 	if len(n.queue) == 0 {
 		return nil
 	}
-	vms := make([]ident.VM, 0, len(n.queue))
-	for vm := range n.queue {
-		vms = append(vms, vm)
+	type row struct {
+		vm   ident.VM
+		sent int
 	}
-	slices.SortFunc(vms, func(a, b ident.VM) int {
-		return cmp.Or(cmp.Compare(n.queue[a], n.queue[b]), cmp.Compare(a, b))
+	rows := make([]row, 0, len(n.queue))
+	for vm, sent := range n.queue {
+		rows = append(rows, row{vm, sent})
+	}
+	slices.SortFunc(rows, func(a, b row) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.vm, b.vm))
 	})
 	limit := n.spread()
+	most := min(n.cfg.MaxEvents, max(minEvents, len(rows)/4))
 	var out []Info
-	most := min(n.cfg.MaxEvents, max(minEvents, len(vms)/4))
-	for _, vm := range vms[:min(len(vms), most)] {
-		if i, ok := n.Lookup(vm); ok {
+	for _, r := range rows[:min(len(rows), most)] {
+		if i, ok := n.Lookup(r.vm); ok {
 			out = append(out, i)
 		}
-		n.queue[vm]++
-		if n.queue[vm] >= limit {
-			delete(n.queue, vm)
+		n.queue[r.vm]++
+		if n.queue[r.vm] >= limit {
+			delete(n.queue, r.vm)
 		}
 	}
 	return out
