Leave mutual TLS to internal/peer

internal/certs and internal/peer both built a configuration for mutual TLS with reload. The one of internal/peer also checks the server's address, so it stays, with its test TestMutualTLS; internal/certs keeps certificates towards callers, targets and the store. TestReload now also refuses an authority that the client does not trust.

--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -6,7 +6,7 @@
 //	if err != nil {
 //		return err
 //	}
-//	server := pair.Mutual() // between VMs: TLS 1.3, both ends show a certificate
+//	server := pair.Server() // for callers
 //	...
 //	err = pair.Reload() // keeps the former certificates when it fails
 package certs
@@ -28,8 +28,6 @@
 	KindFile Kind = iota + 1
 	// KindFormat means that a file does not hold what it should.
 	KindFormat
-	// KindPeer means that the other end's certificate was refused.
-	KindPeer
 )
 
 // Error is the error type of this package.
@@ -120,38 +118,3 @@
 	}
 	return cfg
 }
-
-// Mutual returns a configuration for both ends of the connections between VMs:
-// TLS 1.3, and each end checks the other's certificate against the authorities
-// in force at the handshake.
-func (p *Pair) Mutual() *tls.Config {
-	return &tls.Config{
-		MinVersion:           tls.VersionTLS13,
-		GetCertificate:       func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return p.certificate() },
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return p.certificate() },
-		ClientAuth:           tls.RequireAnyClientCert,
-		// The library would fix the authorities when the configuration is
-		// made; VerifyConnection checks against those loaded last, for both
-		// ends. It runs on resumed connections too.
-		InsecureSkipVerify: true,
-		VerifyConnection:   p.verify,
-	}
-}
-
-func (p *Pair) verify(cs tls.ConnectionState) error {
-	if len(cs.PeerCertificates) == 0 {
-		return &Error{Op: "verify", Kind: KindPeer, Err: errors.New("the other end showed no certificate")}
-	}
-	rest := x509.NewCertPool()
-	for _, c := range cs.PeerCertificates[1:] {
-		rest.AddCert(c)
-	}
-	_, err := cs.PeerCertificates[0].Verify(x509.VerifyOptions{
-		Roots: p.current.Load().roots, Intermediates: rest,
-		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	})
-	if err != nil {
-		return &Error{Op: "verify", Kind: KindPeer, Err: err}
-	}
-	return nil
-}
--- a/internal/certs/certs_test.go
+++ b/internal/certs/certs_test.go
@@ -28,7 +28,7 @@
 	tmpl := &x509.Certificate{
 		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name},
 		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		IsCA: true, BasicConstraintsValid: true,
+		IsCA: true, DNSNames: []string{"localhost"}, BasicConstraintsValid: true,
 		KeyUsage:    x509.KeyUsageCertSign | x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
 	}
@@ -67,22 +67,11 @@
 	return errors.Join(<-done, err)
 }
 
-// TestMutual guards against a peer service that lets in a VM whose certificate
-// comes from another authority, or that shows none.
-func TestMutual(t *testing.T) {
-	is := is.New(t)
-	ours, err := Load(selfSigned(t, "ours"))
-	is.NoErr(err)
-	other, err := Load(selfSigned(t, "other"))
-	is.NoErr(err)
-	is.NoErr(handshake(t, ours.Mutual(), ours.Mutual()))
-	is.True(handshake(t, ours.Mutual(), other.Mutual()) != nil)
-	bare := ours.Mutual()
-	bare.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return &tls.Certificate{}, nil }
-	is.True(handshake(t, ours.Mutual(), bare) != nil)
-	old := ours.Mutual()
-	old.MinVersion, old.MaxVersion = tls.VersionTLS12, tls.VersionTLS12
-	is.True(handshake(t, ours.Mutual(), old) != nil)
+// client returns a client's configuration that expects the test certificate.
+func client(p *Pair) *tls.Config {
+	cfg := p.Client()
+	cfg.ServerName = "localhost"
+	return cfg
 }
 
 // TestReload guards against a reload that needs new configurations, and against
@@ -92,10 +81,10 @@
 	f := selfSigned(t, "first")
 	p, err := Load(f)
 	is.NoErr(err)
-	server := p.Mutual()
+	server := p.Server()
 	is.NoErr(os.WriteFile(f.CA, []byte("none"), 0o600))
 	is.True(p.Reload() != nil)
-	is.NoErr(handshake(t, server, p.Mutual()))
+	is.NoErr(handshake(t, server, client(p)))
 	next := selfSigned(t, "second")
 	for from, to := range map[string]string{next.Cert: f.Cert, next.Key: f.Key} {
 		raw, err := os.ReadFile(from)
@@ -105,5 +94,8 @@
 	is.NoErr(p.Reload())
 	second, err := Load(next)
 	is.NoErr(err)
-	is.NoErr(handshake(t, server, second.Mutual()))
+	is.NoErr(handshake(t, server, client(second)))
+	other, err := Load(selfSigned(t, "other"))
+	is.NoErr(err)
+	is.True(handshake(t, server, client(other)) != nil) // an authority that the client does not trust
 }
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -282,6 +282,10 @@
 	}
 }
 
+// VMNumber returns the number of the VM that gave out a cancel key with this
+// process id.
+func VMNumber(processID uint32) uint32 { return processID >> sessionBits }
+
 // Cancel cancels what the session with this cancel key runs, and reports
 // whether there is such a session on this VM.
 func (s *Server) Cancel(processID uint32, secret []byte) bool {
@@ -297,7 +301,7 @@
 
 // handleCancel serves a cancel request of a caller.
 func (s *Server) handleCancel(m *pgproto3.CancelRequest) {
-	if m.ProcessID>>sessionBits != s.cfg.Number {
+	if VMNumber(m.ProcessID) != s.cfg.Number {
 		if s.cfg.Cancel != nil {
 			ctx, stop := context.WithTimeout(s.ctx, s.cfg.HandshakeTimeout)
 			defer stop()
