Let the load generator use TLS and give quantiles over workspaces

Cause: daemons take callers over TLS, and isolation is judged over all other workspaces. Change: load.Config.TLS, Report.Quantile, a bound on what a silent target costs Prepare and Verify.

--- a/standin/load/config.go
+++ b/standin/load/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"crypto/tls"
 	"math"
 	"time"
 )
@@ -44,6 +45,8 @@
 	// Idempotent gives each order an idempotency key, and repeats it under the
 	// same key when its outcome is unknown.
 	Idempotent bool
+	// TLS, unless nil, is used for connections to Addresses.
+	TLS *tls.Config
 
 	dialer dialer
 }
--- a/standin/load/elect.go
+++ b/standin/load/elect.go
@@ -43,7 +43,7 @@
 
 // ask runs a query of one value on a connection of its own.
 func (a Access) ask(ctx context.Context, address string, into any, text string, args ...any) error {
-	conn, err := a.dialer.open(ctx, address, a.User, a.Password, "orders", "")
+	conn, err := a.open(ctx, address)
 	if err != nil {
 		return targetError("ask "+address, err)
 	}
--- a/standin/load/record.go
+++ b/standin/load/record.go
@@ -50,6 +50,20 @@
 	Connects int `json:"connects"`
 
 	Ledger *Ledger `json:"-"`
+
+	hist map[string]*hdrhistogram.Histogram
+}
+
+// Quantile returns a quantile, 0 to 100, of the latency in milliseconds over
+// both classes of the workspaces that pick accepts.
+func (r *Report) Quantile(q float64, pick func(workspace string) bool) float64 {
+	sum := hdrhistogram.New(1, maxMicros, 3)
+	for name, h := range r.hist {
+		if pick(name) {
+			sum.Merge(h)
+		}
+	}
+	return float64(sum.ValueAtQuantile(q)) / 1000
 }
 
 type series struct {
@@ -136,7 +150,12 @@
 	for i := range all {
 		all[i] = hdrhistogram.New(1, maxMicros, 3)
 	}
+	out.hist = map[string]*hdrhistogram.Histogram{}
+	for _, w := range r.cfg.Workspaces {
+		out.hist[w.Name] = hdrhistogram.New(1, maxMicros, 3)
+	}
 	for s, h := range r.hist {
+		out.hist[r.cfg.Workspaces[s.workspace].Name].Merge(h)
 		out.Latency[r.cfg.Workspaces[s.workspace].Name+"/"+s.class.String()] = latencyOf(h)
 		all[s.class].Merge(h)
 	}
--- a/standin/load/session.go
+++ b/standin/load/session.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"crypto/tls"
 	"fmt"
 	"net"
 	"strconv"
@@ -161,7 +162,10 @@
 	}
 	var last error
 	for range s.cfg.Addresses {
-		conn, err := s.cfg.dialer.open(ctx, s.cfg.Addresses[s.addr%len(s.cfg.Addresses)], cmp.Or(s.cfg.User, s.ws.Name), s.ws.Key, s.cfg.Route, s.token)
+		conn, err := s.cfg.dialer.open(ctx, login{
+			address: s.cfg.Addresses[s.addr%len(s.cfg.Addresses)], user: cmp.Or(s.cfg.User, s.ws.Name), password: s.ws.Key,
+			database: s.cfg.Route, token: s.token, tls: s.cfg.TLS,
+		})
 		if err == nil {
 			s.conn = conn
 			s.rec.add(&s.rec.connects)
@@ -183,9 +187,20 @@
 // dialer opens connections; nil stands for a net.Dialer.
 type dialer func(ctx context.Context, network, address string) (net.Conn, error)
 
-// open connects without TLS, as loopback addresses allow.
-func (d dialer) open(ctx context.Context, address, user, password, database, token string) (*pgx.Conn, error) {
-	host, port, err := net.SplitHostPort(address)
+// login is what a connection is opened with.
+type login struct {
+	address  string
+	user     string
+	password string
+	database string
+	// token is a position, passed as a startup parameter unless empty.
+	token string
+	// tls is nil for plain text, as loopback addresses allow.
+	tls *tls.Config
+}
+
+func (d dialer) open(ctx context.Context, l login) (*pgx.Conn, error) {
+	host, port, err := net.SplitHostPort(l.address)
 	if err != nil {
 		return nil, err
 	}
@@ -197,15 +212,15 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg.Host, cfg.Port = host, uint16(n)
-	cfg.User, cfg.Password, cfg.Database = user, password, database
+	cfg.Host, cfg.Port, cfg.TLSConfig = host, uint16(n), l.tls
+	cfg.User, cfg.Password, cfg.Database = l.user, l.password, l.database
 	cfg.Fallbacks = nil
 	if d != nil {
 		cfg.DialFunc = pgconn.DialFunc(d)
 		cfg.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
 	}
-	if token != "" {
-		cfg.RuntimeParams[positionVar] = token
+	if l.token != "" {
+		cfg.RuntimeParams[positionVar] = l.token
 	}
 	return pgx.ConnectConfig(ctx, cfg)
 }
--- a/standin/load/verify.go
+++ b/standin/load/verify.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/jackc/pgx/v5"
 )
@@ -79,14 +80,11 @@
 	var best *pgx.Conn
 	var bestTerm int64
 	for _, address := range a.Addresses {
-		conn, err := a.dialer.open(ctx, address, a.User, a.Password, "orders", "")
-		if err != nil {
+		conn, term := a.openPrimary(ctx, address)
+		if conn == nil {
 			continue
 		}
-		var term int64
-		var role string
-		err = conn.QueryRow(ctx, "SELECT term, role FROM chervil_status()").Scan(&term, &role)
-		if err != nil || role != "primary" || term <= bestTerm {
+		if term <= bestTerm {
 			_ = conn.Close(ctx)
 			continue
 		}
@@ -101,6 +99,31 @@
 	return best, nil
 }
 
+// askTimeout bounds what a target that answers nothing costs.
+const askTimeout = time.Second
+
+// openPrimary connects to a target and returns its term; the connection is nil
+// unless the target is a primary.
+func (a Access) openPrimary(ctx context.Context, address string) (conn *pgx.Conn, term int64) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	conn, err := a.open(ctx, address)
+	if err != nil {
+		return nil, 0
+	}
+	var role string
+	err = conn.QueryRow(ctx, "SELECT term, role FROM chervil_status()").Scan(&term, &role)
+	if err != nil || role != "primary" {
+		_ = conn.Close(ctx)
+		return nil, 0
+	}
+	return conn, term
+}
+
+func (a Access) open(ctx context.Context, address string) (*pgx.Conn, error) {
+	return a.dialer.open(ctx, login{address: address, user: a.User, password: a.Password, database: "orders"})
+}
+
 func targetError(op string, err error) error {
 	return &Error{Op: op, Kind: KindTarget, Text: err.Error()}
 }
