Test the data plane end to end with real rows

Unchanged pgx clients run against the proxy and three stand-in targets: each query mode, lagging replicas, lost answers, a cut-off and replaced primary, silent connections and answers in pieces of three bytes.

Three faults came out. A replica that lacks a table refused a read of the session's own write at Parse, before it looked at the floor; such a refusal by a replica behind the floor now goes on to another target. A replayed key was answered without the wait for the quorum, and the key stayed set for the next write.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -1,9 +1,9 @@
 package conns
 
 import (
-	"bytes"
 	"net"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -258,10 +258,10 @@
 
 func (c *Conn) close() { _ = c.net.Close() }
 
-// Exec runs a statement of the proxy's own and returns the first column of its
-// first row, nil when there is none. A refusal by the target is a
-// *pgconn.PgError, any other error an *Error.
-func (c *Conn) Exec(sql string) (value []byte, err error) {
+// Exec runs a statement of the proxy's own and returns the values of its first
+// row, none when there is no row. A refusal by the target is a *pgconn.PgError,
+// any other error an *Error.
+func (c *Conn) Exec(sql string) (row []string, err error) {
 	c.Send(&pgproto3.Query{String: sql})
 	if err := c.Flush(); err != nil {
 		return nil, err
@@ -274,13 +274,24 @@
 		}
 		switch m := m.(type) {
 		case *pgproto3.DataRow:
-			if value == nil && len(m.Values) > 0 {
-				value = bytes.Clone(m.Values[0])
+			if row == nil {
+				for _, v := range m.Values {
+					row = append(row, string(v))
+				}
 			}
 		case *pgproto3.ErrorResponse:
 			refused = pgconn.ErrorResponseToPgError(m)
 		case *pgproto3.ReadyForQuery:
-			return value, refused
+			return row, refused
 		}
 	}
 }
+
+// Log asks the target for the position of the last entry of its log (A1).
+func (c *Conn) Log() (ident.Position, error) {
+	row, err := c.Exec("SELECT log_term, log_index FROM chervil_status()")
+	if err != nil {
+		return ident.Position{}, err
+	}
+	return ident.ParsePosition(strings.Join(row, "/"))
+}
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -94,7 +94,7 @@
 		c := r.get(t)
 		v, err := c.Exec("SELECT 1")
 		is.NoErr(err)
-		is.Equal(string(v), "1")
+		is.Equal(v, []string{"1"})
 		d := r.get(t)
 		is.True(c != d)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -274,7 +274,7 @@
 		c.Start(ident.Position{}, 0)
 		v, err := c.Exec("SELECT 1") // hides the answer to the Close of s1
 		is.NoErr(err)
-		is.Equal(string(v), "1")
+		is.Equal(v, []string{"1"})
 		prepare("s1") // would fail if the target still had it
 		c.Forget("s3")
 		is.True(!c.Prepared("s3"))
--- a/internal/wire/once.go
+++ b/internal/wire/once.go
@@ -28,12 +28,13 @@
 	if _, err := c.Exec("BEGIN"); err != nil {
 		return s.onceFailed(err)
 	}
+	tx.keyed = true
 	tag, err := c.Exec(onceCall(s.key, u.fingerprint(), keyTag))
 	if err != nil {
 		return s.onceFailed(err)
 	}
-	if len(tag) > 0 {
-		return s.replay(u, tx, string(tag))
+	if recorded(tag) {
+		return s.replay(u, tx, tag[0])
 	}
 	a, m := s.exchange(u, tx)
 	if m != nil {
@@ -81,18 +82,26 @@
 func (s *session) commitFailed(err error) *miss {
 	o := retry.Unknown
 	var refused *pgconn.PgError
-	if errors.As(err, &refused) || conns.Is(err, conns.KindBroken) && retry.Of(err) == retry.NotRun {
+	if errors.As(err, &refused) && refused.Severity == "ERROR" || conns.Is(err, conns.KindBroken) && retry.Of(err) == retry.NotRun {
 		o = retry.NotRun
 	}
 	return &miss{err: lost("commit", "the target was lost while the transaction committed", o, err), again: true, reached: true}
 }
 
-// replay answers a unit whose key is already committed.
+// recorded reports whether chervil_once returned the tag of a committed key.
+func recorded(row []string) bool { return len(row) > 0 && row[0] != "" }
+
+// replay answers a unit whose key is already committed. The commit may not have
+// reached a majority yet, so the end of the primary's log is waited for.
 func (s *session) replay(u *unit, tx *txn, tag string) *miss {
 	if _, err := tx.conn.Exec("ROLLBACK"); err != nil {
-		tx.conn.Taint()
+		return s.commitFailed(err)
+	}
+	pos, err := tx.conn.Log()
+	if err != nil {
+		return s.commitFailed(err)
 	}
-	tx.wrote = true // the answer says that the write is done, so it is confirmed
+	tx.wrote, tx.replayed = true, pos
 	s.answerWithout(u, tag)
 	return nil
 }
@@ -104,7 +113,7 @@
 	}
 	tx.keyed = true
 	tag, err := tx.conn.Exec(onceCall(s.key, explicitPrint, keyTag))
-	if err == nil && len(tag) == 0 {
+	if err == nil && !recorded(tag) {
 		return nil
 	}
 	s.key = ""
--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 
 	"github.com/jackc/pgx/v5/pgconn"
 
@@ -29,7 +30,10 @@
 	failed bool
 	// unsynced tells that extended messages were sent without Sync.
 	unsynced bool
+	// keyed tells that the transaction records the idempotency key, and
+	// replayed is where the log ended when the key was found committed.
 	keyed    bool
+	replayed ident.Position
 }
 
 // first runs a unit on a connection that has no transaction yet.
@@ -148,6 +152,10 @@
 		// A statement prepared on the connection no longer fits its tables.
 		tx.conn.Taint()
 	}
+	if tx.replica && schemaError(a.refused.Code) && s.grant.MaxAge == 0 && tx.conn.Position().Less(s.floor.Floor()) {
+		err := &Error{Op: "run", Kind: KindRefused, Code: a.refused.Code, Text: a.refused.Message, Outcome: retry.NotRun, Err: a.refused}
+		return &miss{err: err, again: true, reached: true, moved: true}
+	}
 	if !stateRefusal(a.refused.Code) || u.control && !u.onlyBegins() {
 		return nil
 	}
@@ -161,6 +169,10 @@
 	return &miss{err: refuse("run", code, text, a.refused), again: true, reached: true, moved: true}
 }
 
+// schemaError reports whether a code says that something does not exist. A
+// replica behind the floor may say so at Parse, before it looks at the floor.
+func schemaError(code string) bool { return strings.HasPrefix(code, "42") && code != codeSyntax }
+
 // stateRefusal reports whether a code says that the target refused a statement
 // because of its own state, before running it or by rolling it back.
 func stateRefusal(code string) bool {
@@ -193,10 +205,16 @@
 func (s *session) ended(ctx context.Context, u *unit, tx *txn, committed bool) *miss {
 	// A transaction that changed nothing has no position to wait for.
 	pos, wrote := tx.conn.Position(), tx.wrote && committed && tx.conn.Reported()
+	if !tx.replayed.IsZero() {
+		pos, wrote = tx.replayed, true
+	}
 	s.give(tx)
 	s.tx = nil
 	clear(s.portals)
 	if !wrote {
+		if tx.explicit {
+			s.key = ""
+		}
 		s.floor.Read(pos, s.grant.MaxAge)
 		return nil
 	}
--- /dev/null
+++ b/standin/e2e/e2e_test.go
@@ -0,0 +1,237 @@
+package e2e
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/matryer/is"
+
+	"chervilspan.example/standin/target"
+)
+
+// TestRows guards against values that an unchanged client can't write or read
+// back through the proxy, in each of its modes.
+func TestRows(t *testing.T) {
+	bubble(t, target.Config{}, func(t *testing.T, is *is.I, k *kit) {
+		c := k.connect()
+		for i, mode := range []pgx.QueryExecMode{
+			pgx.QueryExecModeCacheStatement, pgx.QueryExecModeCacheDescribe, pgx.QueryExecModeDescribeExec,
+			pgx.QueryExecModeExec, pgx.QueryExecModeSimpleProtocol,
+		} {
+			id := fmt.Sprint(i)
+			tag, err := c.Exec(t.Context(), "INSERT INTO orders VALUES ($1, $2)", mode, id, int32(i))
+			is.NoErr(err)
+			is.Equal(tag.RowsAffected(), int64(1))
+			var n int32
+			is.NoErr(c.QueryRow(t.Context(), "SELECT metres FROM orders WHERE id = $1", mode, id).Scan(&n))
+			is.Equal(n, int32(i))
+		}
+		_, err := c.Exec(t.Context(), "INSERT INTO orders VALUES ($1, $2)", "0", int32(1))
+		is.Equal(code(err), "23505") // the target's own error
+		var b pgx.Batch
+		for i := range 600 { // more than one piece
+			b.Queue("INSERT INTO orders VALUES ($1, $2)", fmt.Sprintf("b%d-%s", i, strings.Repeat("x", 100)), int32(i))
+		}
+		is.NoErr(c.SendBatch(t.Context(), &b).Close())
+		var n int64
+		is.NoErr(c.QueryRow(t.Context(), "SELECT count(*) FROM orders").Scan(&n))
+		is.Equal(n, int64(605))
+		rows, err := c.Query(t.Context(), "SELECT id FROM orders ORDER BY id")
+		is.NoErr(err)
+		ids, err := pgx.CollectRows(rows, pgx.RowTo[string])
+		is.NoErr(err)
+		is.Equal(len(ids), 605)
+	})
+}
+
+// TestReadYourWrites guards against a session that misses its own write while
+// replicas lag, also after it has moved to another connection with its token.
+func TestReadYourWrites(t *testing.T) {
+	bubble(t, target.Config{Lag: 50 * time.Millisecond}, func(t *testing.T, is *is.I, k *kit) {
+		var wg sync.WaitGroup
+		for w := range 4 {
+			wg.Go(func() {
+				c := k.connect()
+				for i := range 20 {
+					id := fmt.Sprintf("%d-%d", w, i)
+					k.exec(c, "INSERT INTO orders VALUES ($1, 1)", id)
+					time.Sleep(time.Duration(rand.IntN(100)) * time.Millisecond)
+					if i%5 == 4 {
+						token := c.PgConn().ParameterStatus("chervil.position")
+						_ = c.Close(t.Context())
+						c = k.resume(token)
+					}
+					var n int64
+					if err := c.QueryRow(t.Context(), "SELECT count(*) FROM orders WHERE id = $1", id).Scan(&n); err != nil || n != 1 {
+						t.Errorf("order %s: %d rows, %v", id, n, err)
+					}
+				}
+			})
+		}
+		wg.Wait()
+	})
+}
+
+func (k *kit) resume(token string) *pgx.Conn {
+	k.t.Helper()
+	cfg := k.connect().Config().Copy()
+	cfg.RuntimeParams["chervil.position"] = token
+	c, err := pgx.ConnectConfig(k.t.Context(), cfg)
+	if err != nil {
+		k.t.Fatal(err)
+	}
+	return c
+}
+
+// TestLostAnswers guards against an order that is lost or doubled when the
+// answer to its commit is lost: with a key each is there once, and without one
+// the caller is told that the outcome is unknown.
+func TestLostAnswers(t *testing.T) {
+	bubble(t, target.Config{}, func(t *testing.T, is *is.I, k *kit) {
+		c := k.connect()
+		for i := range 10 {
+			k.fault(0, target.FaultDrop, "1")
+			k.exec(c, fmt.Sprintf("SET chervil.idempotency_key = 'k%d'", i))
+			tag, err := c.Exec(t.Context(), "INSERT INTO orders VALUES ($1, 1)", fmt.Sprint(i))
+			is.NoErr(err)
+			is.Equal(tag.String(), "INSERT 0 1")
+		}
+		k.fault(0, target.FaultDrop, "1")
+		_, err := c.Exec(t.Context(), "INSERT INTO orders VALUES ($1, 1)", "without")
+		is.Equal(code(err), "08007")
+		// The session's floor does not cover a write of unknown outcome, so the
+		// rows are counted at the primary.
+		tx, err := c.Begin(t.Context())
+		is.NoErr(err)
+		var n int64
+		is.NoErr(tx.QueryRow(t.Context(), "SELECT count(*) FROM orders").Scan(&n))
+		is.Equal(n, int64(11)) // ten with a key, each once, and the unknown one
+	})
+}
+
+// TestFailover guards against an acknowledged order that is lost, one that is
+// called not run and is there, and one that is there twice, while the primary
+// is cut off in the middle of writes and replaced.
+func TestFailover(t *testing.T) {
+	bubble(t, target.Config{}, func(t *testing.T, is *is.I, k *kit) {
+		fates := map[string]string{}
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for w := range 6 {
+			c := k.connect()
+			wg.Go(func() {
+				for i := range 40 {
+					id := fmt.Sprintf("%d-%d", w, i)
+					_, err := c.Exec(t.Context(), "INSERT INTO orders VALUES ($1, 1)", id)
+					mu.Lock()
+					fates[id] = fate(err)
+					mu.Unlock()
+					time.Sleep(time.Duration(rand.IntN(100)) * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		k.fault(0, target.FaultCut, "*") // the proxy still reaches it
+		time.Sleep(700 * time.Millisecond)
+		k.elect(2, 1, 2)
+		wg.Wait()
+		there := k.orders(is)
+		counts := map[string]int{}
+		for id, f := range fates {
+			counts[f]++
+			switch {
+			case f == "done" && there[id] != 1:
+				t.Errorf("order %s was acknowledged and is there %d times", id, there[id])
+			case f == "not run" && there[id] != 0:
+				t.Errorf("order %s was called not run and is there", id)
+			}
+		}
+		t.Log(counts)
+		is.True(counts["done"] > 200)
+	})
+}
+
+// fate returns what a caller was told about its order.
+func fate(err error) string {
+	switch {
+	case err == nil:
+		return "done"
+	case strings.Contains(err.Error(), "; not run"):
+		return "not run"
+	}
+	return "unknown"
+}
+
+func (k *kit) orders(is *is.I) map[string]int {
+	rows, err := k.connect().Query(context.Background(), "SELECT id FROM orders")
+	is.NoErr(err)
+	ids, err := pgx.CollectRows(rows, pgx.RowTo[string])
+	is.NoErr(err)
+	there := map[string]int{}
+	for _, id := range ids {
+		there[id]++
+	}
+	return there
+}
+
+// TestSilence guards against connections that went silent and are used again
+// and again: one statement each may meet its deadline, the next must work.
+func TestSilence(t *testing.T) {
+	bubble(t, target.Config{}, func(t *testing.T, is *is.I, k *kit) {
+		c := k.connect()
+		k.exec(c, "INSERT INTO orders VALUES ('1', 1)")
+		for i := range k.targets {
+			k.fault(i, target.FaultSilence, "1")
+		}
+		_, err := c.Exec(t.Context(), "INSERT INTO orders VALUES ('2', 1)")
+		is.True(err != nil)
+		k.exec(c, "INSERT INTO orders VALUES ('3', 1)")
+		var n int64
+		is.NoErr(c.QueryRow(t.Context(), "SELECT count(*) FROM orders WHERE id = '3'").Scan(&n))
+		is.Equal(n, int64(1))
+	})
+}
+
+// TestSmallPieces guards against answers that are taken apart wrongly when they
+// arrive byte by byte, and against crossed answers under many callers.
+func TestSmallPieces(t *testing.T) {
+	bubble(t, target.Config{Slots: 3, ServiceTime: time.Millisecond}, func(t *testing.T, is *is.I, k *kit) {
+		for i := range k.targets {
+			k.fault(i, target.FaultSplit, "3")
+		}
+		var wg sync.WaitGroup
+		for w := range 8 {
+			c := k.connect()
+			wg.Go(func() {
+				for i := range 10 {
+					want := fmt.Sprintf("%d/%d", w, i)
+					tx, err := c.Begin(t.Context())
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					_, err = tx.Exec(t.Context(), "INSERT INTO orders VALUES ($1, 1)", want)
+					if err != nil {
+						t.Error(err)
+					}
+					var got string
+					err = tx.QueryRow(t.Context(), "SELECT id FROM orders WHERE id = $1", want).Scan(&got)
+					if err != nil || got != want {
+						t.Errorf("%q for %q, %v", got, want, err)
+					}
+					if err := tx.Commit(t.Context()); err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		is.Equal(len(k.orders(is)), 80)
+	})
+}
