--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"runtime"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -335,3 +336,28 @@
 		is.NoErr(<-done)
 	})
 }
+
+// TestAlive guards against an idle connection that the target has closed, or on
+// which something arrived outside a statement, and that is used all the same.
+// It needs real sockets; a connection that stays alive makes it run for ever.
+func TestAlive(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close()
+	for _, end := range []func(net.Conn){
+		func(c net.Conn) { _ = c.Close() },
+		func(c net.Conn) { _, _ = c.Write([]byte{0}) },
+	} {
+		c, err := net.Dial("tcp", l.Addr().String())
+		is.NoErr(err)
+		d, err := l.Accept()
+		is.NoErr(err)
+		is.True(alive(c))
+		end(d)
+		for alive(c) {
+			runtime.Gosched()
+		}
+		_, _ = c.Close(), d.Close()
+	}
+}
--- a/internal/wire/fail_test.go
+++ b/internal/wire/fail_test.go
@@ -431,3 +431,129 @@
 		is.Equal(k.forward, []uint32{9<<16 | 5})
 	})
 }
+
+// TestReplayHeld guards against a repetition under a key that is answered as
+// done before a majority has the commit.
+func TestReplayHeld(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, k *kit) {
+		k.targets["a"].HoldQuorum()
+		done := make(chan error, 2)
+		insert := func() {
+			c := k.connect()
+			_, err := c.Exec(t.Context(), "SET chervil.idempotency_key = 'k1'")
+			is.NoErr(err)
+			_, err = c.Exec(t.Context(), "INSERT INTO t VALUES (1)")
+			done <- err
+		}
+		go insert()
+		time.Sleep(time.Second)
+		go insert()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.Equal(len(done), 0)
+		is.Equal(len(k.targets["a"].Log()), 1)
+		k.targets["a"].SetQuorum(k.targets["a"].Applied())
+		is.NoErr(<-done)
+		is.NoErr(<-done)
+	})
+}
+
+// TestLargeAnswerHeld guards against the acknowledgement of a commit that goes
+// out with the rows before it, because they fill the buffer.
+func TestLargeAnswerHeld(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, k *kit) {
+		k.targets["a"].HoldQuorum()
+		k.targets["a"].Handle = func(*wiretest.Call) wiretest.Reply {
+			return wiretest.Reply{Rows: []string{strings.Repeat("x", outboxFlush-20)}, Tag: "INSERT 0 1", Write: true}
+		}
+		r := k.login()
+		go func() {
+			r.fe.Send(&pgproto3.Query{String: "INSERT INTO t VALUES (1) RETURNING x"})
+			_ = r.fe.Flush()
+		}()
+		seen := make(chan string, 10)
+		go func() {
+			kinds, _ := r.until(t)
+			seen <- kinds
+		}()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.Equal(len(seen), 0)
+		k.table.Learn(topo.Hint{Group: "g", Term: 2, Primary: "b"})
+		is.Equal(<-seen, "TDEZ") // rows, then the error in place of the tag
+		_ = r.Close()
+	})
+}
+
+// TestFailedParse guards against a statement that failed to parse and that the
+// proxy takes for prepared.
+func TestFailedParse(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, k *kit) {
+		c := k.connect()
+		for range 3 {
+			_, err := c.Exec(t.Context(), "SELECT $1, 'syntax error'", "x")
+			is.Equal(code(err), "42601")
+		}
+		r := k.login()
+		for range 2 {
+			go func() {
+				r.fe.Send(&pgproto3.Parse{Name: "p", Query: "SELECT 'syntax error'"})
+				r.fe.Send(&pgproto3.Sync{})
+				_ = r.fe.Flush()
+			}()
+			_, code := r.until(t)
+			is.Equal(code, "42601") // not 42P05: the name is free
+			synctest.Wait()
+		}
+	})
+}
+
+// TestSupersededInside guards against a transaction that goes on after its
+// primary was replaced.
+func TestSupersededInside(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, k *kit) {
+		c := k.connect()
+		_, err := c.Exec(t.Context(), "BEGIN")
+		is.NoErr(err)
+		k.targets["a"].Handle = func(*wiretest.Call) wiretest.Reply { return wiretest.Refused("CV002") }
+		_, err = c.Exec(t.Context(), "INSERT INTO t VALUES (1)")
+		is.Equal(code(err), "40001")
+		_, err = c.Exec(t.Context(), "INSERT INTO t VALUES (2)")
+		is.Equal(code(err), "25P02")
+		_, err = c.Exec(t.Context(), "ROLLBACK")
+		is.NoErr(err)
+		is.Equal(len(k.targets["a"].Log()), 1)
+		is.Equal(k.targets["a"].Open(), 0)
+	})
+}
+
+// TestQueueFull guards against a read that is refused although another target
+// has room, and against a refused write that is sent.
+func TestQueueFull(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, k *kit) {
+		c := k.connect()
+		k.busy = map[ident.Target]bool{"b": true}
+		_, err := c.Exec(t.Context(), "SELECT 1")
+		is.NoErr(err)
+		k.mu.Lock()
+		k.busy["a"] = true
+		k.mu.Unlock()
+		_, err = c.Exec(t.Context(), "INSERT INTO t VALUES (1)")
+		is.Equal(code(err), "53300")
+		is.Equal(len(k.targets["a"].Log()), 1)
+	})
+}
+
+// TestOpaque guards against session state that a block of code leaves on a
+// pooled connection.
+func TestOpaque(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, k *kit) {
+		c := k.connect()
+		_, err := c.Exec(t.Context(), "DO 'x'")
+		is.NoErr(err)
+		_, err = c.Exec(t.Context(), "INSERT INTO t VALUES (1)")
+		is.NoErr(err)
+		log := k.targets["a"].Log()
+		is.True(log[0].Conn != log[1].Conn)
+	})
+}
--- a/internal/wire/kit_test.go
+++ b/internal/wire/kit_test.go
@@ -47,10 +47,11 @@
 	floorErr error
 	has      bool
 	hasErr   error
-	admitted int
+	slots    int
 	suspects int
 	forward  []uint32
 	down     map[ident.Target]bool
+	busy     map[ident.Target]bool
 }
 
 func (k *kit) Authenticate(ws ident.Workspace, route ident.Route, key string) (access.Grant, error) {
@@ -82,12 +83,21 @@
 func (k *kit) Admit(context.Context, ident.Workspace) error {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.admitted++
 	return k.admit
 }
 
-func (k *kit) Acquire(context.Context, ident.Target, ident.Workspace, uint32) (func(), error) {
-	return func() {}, nil
+func (k *kit) Acquire(_ context.Context, t ident.Target, _ ident.Workspace, _ uint32) (func(), error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.busy[t] {
+		return nil, stateError{"53300", "the queue is full"}
+	}
+	k.slots++
+	return func() {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		k.slots--
+	}, nil
 }
 
 func (k *kit) Floor(context.Context, ident.Group) (ident.Position, error) {
@@ -152,7 +162,13 @@
 				tg.Cut()
 			}
 		}()
-		defer k.srv.Close()
+		defer func() {
+			k.srv.Close()
+			synctest.Wait()
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			is.New(t).Equal(k.slots, 0) // each slot was given back once
+		}()
 		f(t, is.New(t), k)
 	})
 }
--- a/internal/wiretest/client.go
+++ b/internal/wiretest/client.go
@@ -234,6 +234,9 @@
 		return Reply{Tag: "LISTEN"}, true
 	case strings.Contains(sql, "chervil_status"):
 		q := c.t.position()
+		if strings.Contains(sql, "log_term") {
+			q = c.t.Applied()
+		}
 		term, index, _ := strings.Cut(q.String(), "/")
 		c.send(&pgproto3.DataRow{Values: [][]byte{[]byte(term), []byte(index)}})
 		return Reply{Tag: "SELECT 1"}, true
--- a/standin/e2e/e2e_test.go
+++ b/standin/e2e/e2e_test.go
@@ -53,7 +53,7 @@
 // TestReadYourWrites guards against a session that misses its own write while
 // replicas lag, also after it has moved to another connection with its token.
 func TestReadYourWrites(t *testing.T) {
-	bubble(t, target.Config{Lag: 50 * time.Millisecond}, func(t *testing.T, is *is.I, k *kit) {
+	bubble(t, target.Config{Lag: 50 * time.Millisecond}, func(t *testing.T, _ *is.I, k *kit) {
 		var wg sync.WaitGroup
 		for w := range 4 {
 			wg.Go(func() {
