Add limit: rates and slots on one VM

Cause: the data plane needs Admit and Acquire over the decisions of quota, gate and fairq. Change: slices are claimed in the store one call at a time, paced by the size of the fleet to 150 writes/s in total; lost answers are resolved by reading back, and a claim in doubt is released before it is made again. Tokens are borrowed over Borrow, slots over one stream for each VM that has gates. The gate now divides by entitlement (max-min over workspaces, then VMs) and credit of slot time, with turns; dividing whole slots by momentary queues moved them so often that a quiet workspace lost two thirds of its requests. TestTurns and the other gate tests are unchanged but for the demand numbers that loans now answer; a new gate waits 100 ms for its predecessor's borrowers where it waited 1 s, as a target would stand idle that long after each change.

--- /dev/null
+++ b/internal/limit/gates.go
@@ -0,0 +1,354 @@
+package limit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"chervilspan.example/internal/evlog"
+	"chervilspan.example/internal/proto/peerpb"
+	"chervilspan.example/pkg/gate"
+	"chervilspan.example/pkg/ident"
+)
+
+// Bounds of the streams between gates and borrowers. What does not fit is
+// dropped, as the next demand or loan replaces it.
+const (
+	streamQueue = 256
+	linkRetry   = 500 * time.Millisecond
+)
+
+// gateState is the gate of a target on this VM.
+type gateState struct {
+	id ident.Target
+	mu sync.Mutex
+	g  gate.Gate
+	to map[ident.VM]func(gate.Loan)
+}
+
+// link is the stream to another VM's gates.
+type link struct {
+	vm     ident.VM
+	out    chan *peerpb.SlotDemand
+	cancel context.CancelFunc
+	done   chan struct{}
+	mu     sync.Mutex
+	up     bool
+}
+
+// setGates applies slots to the gates here and drops those that other VMs have.
+func (l *Limiter) setGates(v *view) {
+	l.gatesMu.Lock()
+	defer l.gatesMu.Unlock()
+	for id, s := range l.gates {
+		slots, vm := 0, ident.VM("")
+		if t := v.targets[id]; t != nil {
+			slots, vm = t.info()
+		}
+		if vm != v.self.VM {
+			delete(l.gates, id)
+			continue
+		}
+		s.mu.Lock()
+		s.g.SetSlots(slots)
+		s.mu.Unlock()
+	}
+}
+
+// gateFor returns the gate of a target, which starts with the first demand. A
+// demand that arrives at a VM that is not the gate by its own view is served
+// too: two gates overfill only the target's own queue.
+func (l *Limiter) gateFor(id ident.Target) *gateState {
+	t := l.view.Load().targets[id]
+	if t == nil {
+		return nil
+	}
+	slots, _ := t.info()
+	l.gatesMu.Lock()
+	defer l.gatesMu.Unlock()
+	s := l.gates[id]
+	if s == nil {
+		s = &gateState{id: id, to: map[ident.VM]func(gate.Loan){}}
+		s.g.SetSlots(slots)
+		s.g.StartAt(time.Now())
+		l.gates[id] = s
+	}
+	return s
+}
+
+// demand gives a demand to a gate here and sends the loans that follow.
+func (l *Limiter) demand(id ident.Target, d gate.Demand, to func(gate.Loan)) {
+	s := l.gateFor(id)
+	if s == nil {
+		return
+	}
+	now := time.Now()
+	s.mu.Lock()
+	s.to[d.VM] = to
+	s.g.Demand(d, now)
+	send := s.assign(now)
+	s.mu.Unlock()
+	send()
+}
+
+// assign returns a function that sends the loans, to be called without the
+// lock. The caller holds s.mu.
+func (s *gateState) assign(now time.Time) func() {
+	loans := s.g.Assign(now)
+	to := make([]func(gate.Loan), len(loans))
+	for i, loan := range loans {
+		to[i] = s.to[loan.VM]
+	}
+	return func() {
+		for i, loan := range loans {
+			if to[i] != nil {
+				to[i](loan)
+			}
+		}
+	}
+}
+
+// keepSlots renews loans and gives the gates' turns until ctx ends.
+func (l *Limiter) keepSlots(ctx context.Context) {
+	t := time.NewTicker(tickPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		now := time.Now()
+		for _, t := range l.view.Load().targets {
+			t.tick(now)
+		}
+		for _, s := range l.activeGates() {
+			s.mu.Lock()
+			send := s.assign(now)
+			s.mu.Unlock()
+			send()
+		}
+	}
+}
+
+func (l *Limiter) activeGates() []*gateState {
+	l.gatesMu.Lock()
+	defer l.gatesMu.Unlock()
+	out := make([]*gateState, 0, len(l.gates))
+	for _, s := range l.gates {
+		out = append(out, s)
+	}
+	return out
+}
+
+// Slots serves the stream of another VM's demands.
+func (l *Limiter) Slots(stream grpc.BidiStreamingServer[peerpb.SlotDemand, peerpb.SlotLoan]) error {
+	out := make(chan *peerpb.SlotLoan, streamQueue)
+	ctx, cancel := context.WithCancel(stream.Context())
+	var group sync.WaitGroup
+	group.Go(func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case m := <-out:
+				if stream.Send(m) != nil {
+					cancel()
+					return
+				}
+			}
+		}
+	})
+	seen := map[ident.Target]ident.VM{}
+	var err error
+	for ctx.Err() == nil {
+		var m *peerpb.SlotDemand
+		if m, err = stream.Recv(); err != nil {
+			break
+		}
+		id := ident.Target(m.Target)
+		seen[id] = ident.VM(m.Vm)
+		l.demand(id, fromDemand(m), func(loan gate.Loan) {
+			select {
+			case out <- toLoan(id, loan):
+			default:
+			}
+		})
+	}
+	cancel()
+	group.Wait()
+	l.dropDemands(seen)
+	return err
+}
+
+func (l *Limiter) dropDemands(seen map[ident.Target]ident.VM) {
+	for id, vm := range seen {
+		l.gatesMu.Lock()
+		s := l.gates[id]
+		l.gatesMu.Unlock()
+		if s != nil {
+			s.mu.Lock()
+			s.g.Drop(vm)
+			s.mu.Unlock()
+		}
+	}
+}
+
+// reachable reports whether demands to a VM's gates can be sent now.
+func (l *Limiter) reachable(vm ident.VM) bool {
+	if vm == l.view.Load().self.VM {
+		return true
+	}
+	return l.up(vm)
+}
+
+// up reports whether there is a stream to a VM's gates.
+func (l *Limiter) up(vm ident.VM) bool {
+	k := l.link(vm)
+	if k == nil {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.up
+}
+
+func (l *Limiter) link(vm ident.VM) *link {
+	l.linksMu.Lock()
+	defer l.linksMu.Unlock()
+	return l.links[vm]
+}
+
+func (l *Limiter) sendDemand(vm ident.VM, id ident.Target, d gate.Demand) {
+	if vm == d.VM {
+		l.demand(id, d, func(loan gate.Loan) {
+			if t := l.view.Load().targets[id]; t != nil {
+				t.take(vm, loan)
+			}
+		})
+		return
+	}
+	if k := l.link(vm); k != nil {
+		select {
+		case k.out <- toDemand(id, d):
+		default:
+		}
+	}
+}
+
+// setLinks opens streams to the VMs that have gates and closes the others.
+func (l *Limiter) setLinks(ctx context.Context, v *view) {
+	want := map[ident.VM]bool{}
+	for _, t := range v.targets {
+		if _, vm := t.info(); vm != "" && vm != v.self.VM {
+			want[vm] = true
+		}
+	}
+	l.linksMu.Lock()
+	defer l.linksMu.Unlock()
+	for vm, k := range l.links {
+		if !want[vm] {
+			k.cancel()
+			delete(l.links, vm)
+		}
+	}
+	for vm := range want {
+		if l.links[vm] != nil || ctx.Err() != nil {
+			continue
+		}
+		linkCtx, cancel := context.WithCancel(ctx)
+		k := &link{vm: vm, out: make(chan *peerpb.SlotDemand, streamQueue), cancel: cancel, done: make(chan struct{})}
+		l.links[vm] = k
+		go l.keepLink(linkCtx, k)
+	}
+}
+
+func (l *Limiter) closeLinks() {
+	l.linksMu.Lock()
+	links := l.links
+	l.links = map[ident.VM]*link{}
+	l.linksMu.Unlock()
+	for _, k := range links {
+		k.cancel()
+		<-k.done
+	}
+}
+
+// keepLink holds the stream to a VM's gates open until ctx ends.
+func (l *Limiter) keepLink(ctx context.Context, k *link) {
+	defer close(k.done)
+	for ctx.Err() == nil {
+		l.runLink(ctx, k)
+		k.mu.Lock()
+		was := k.up
+		k.up = false
+		k.mu.Unlock()
+		if was && ctx.Err() == nil {
+			l.lostGate(k.vm)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(jitter(linkRetry)):
+		}
+	}
+}
+
+func (l *Limiter) lostGate(vm ident.VM) {
+	used := false
+	for _, t := range l.view.Load().targets {
+		used = t.lost(vm) || used
+	}
+	if used {
+		evlog.At(l.cfg.Log, evlog.GateLost).Str("vm", string(vm)).Send()
+	}
+}
+
+func (l *Limiter) runLink(ctx context.Context, k *link) {
+	c, err := l.cfg.Peers.Client(k.vm)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := c.Slots(ctx)
+	if err != nil {
+		return
+	}
+	k.mu.Lock()
+	k.up = true
+	k.mu.Unlock()
+	for _, t := range l.view.Load().targets {
+		t.found(k.vm)
+	}
+	var group sync.WaitGroup
+	group.Go(func() {
+		defer cancel()
+		l.receiveLoans(stream, k.vm)
+	})
+	defer group.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-k.out:
+			if stream.Send(m) != nil {
+				cancel()
+				return
+			}
+		}
+	}
+}
+
+func (l *Limiter) receiveLoans(stream grpc.BidiStreamingClient[peerpb.SlotDemand, peerpb.SlotLoan], vm ident.VM) {
+	for {
+		m, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		if t := l.view.Load().targets[ident.Target(m.Target)]; t != nil {
+			t.take(vm, gate.Loan{Slots: int(m.Slots), Sequence: gate.Sequence(m.Sequence), Number: m.Number, Contended: m.Contended})
+		}
+	}
+}
--- /dev/null
+++ b/internal/limit/rate_test.go
@@ -0,0 +1,308 @@
+package limit
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilspan.example/internal/proto/peerpb"
+	"chervilspan.example/pkg/catal"
+	"chervilspan.example/pkg/ident"
+)
+
+// load sends requests of one workspace and records what becomes of them.
+type load struct {
+	mu       sync.Mutex
+	group    sync.WaitGroup
+	ws       ident.Workspace
+	admitted []time.Time
+	refused  int
+	other    int
+}
+
+// send lets requests arrive evenly at the VMs in turn.
+func (d *load) send(rate float64, length time.Duration, vms ...*node) {
+	gap := time.Duration(float64(time.Second) / rate)
+	for i := range int(rate * length.Seconds()) {
+		time.Sleep(gap)
+		d.group.Go(func() { d.one(vms[i%len(vms)]) })
+	}
+}
+
+func (d *load) one(v *node) {
+	err := v.Admit(context.Background(), d.ws)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var e *Error
+	switch {
+	case err == nil:
+		d.admitted = append(d.admitted, time.Now())
+	case errors.As(err, &e) && e.Kind == KindRate:
+		d.refused++
+	default:
+		d.other++
+	}
+}
+
+// excess returns by how many requests the worst window is above the limit.
+func (d *load) excess(rate, burst float64) float64 {
+	d.group.Wait()
+	worst, level := 0.0, burst
+	for i, t := range d.admitted {
+		if i > 0 {
+			level = min(burst, level+rate*t.Sub(d.admitted[i-1]).Seconds())
+		}
+		level--
+		worst = max(worst, -level)
+	}
+	return worst
+}
+
+const slack = 1e-3
+
+// TestLoadMoves guards against refusals within the rate while the balancer
+// moves a workspace's whole load from one VM to the next at once.
+func TestLoadMoves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(9, rates(map[ident.Workspace][2]int{"w": {100, 100}}))
+		defer w.stop()
+		time.Sleep(20 * time.Second)
+		is.Equal(w.store.keys(), 16*12)
+		d := &load{ws: "w"}
+		before := w.messages()
+		for i := range 18 {
+			d.send(95, 3*time.Second, w.vms[i%9])
+		}
+		d.send(95, 10*time.Second, w.vms...)
+		is.True(d.excess(100, 100) < slack)
+		is.Equal(d.refused, 0)
+		is.Equal(d.other, 0)
+		t.Logf("messages per admitted statement at 9 VMs: %.2f", 2*float64(w.messages()-before)/float64(len(d.admitted)))
+	})
+}
+
+// TestStoreOutage guards against refusals while the store is down for ten
+// minutes, and against minting after the lease when it stays down.
+func TestStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(6, rates(map[ident.Workspace][2]int{"w": {20, 24}}))
+		defer w.stop()
+		time.Sleep(90 * time.Second)
+		w.store.set(func() { w.store.down = true })
+		d := &load{ws: "w"}
+		d.send(19, 10*time.Minute, w.vms[0])
+		is.True(d.excess(20, 24) < slack)
+		is.Equal(d.refused, 0)
+		time.Sleep(5 * time.Minute)
+		late := &load{ws: "w"}
+		late.send(5, 10*time.Second, w.vms...)
+		late.group.Wait()
+		is.Equal(len(late.admitted), 0)
+		w.store.set(func() { w.store.down = false })
+		time.Sleep(time.Minute)
+		late.send(19, 10*time.Second, w.vms...)
+		is.True(late.excess(20, 24) < slack)
+		is.True(len(late.admitted) > 180)
+	})
+}
+
+// TestDeath guards against a dead VM's slices that are counted twice or lost,
+// and against a lasting refusal of what the others can mint.
+func TestDeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(6, rates(map[ident.Workspace][2]int{"w": {60, 60}}))
+		defer w.stop()
+		time.Sleep(20 * time.Second)
+		w.kill(w.vms[1])
+		d := &load{ws: "w"}
+		d.send(60, 16*time.Minute, w.vms[0])
+		is.Equal(w.store.keys(), 16*12)
+		d.group.Wait()
+		before := d.refused
+		d.send(57, 10*time.Second, w.vms[0], w.vms[2])
+		is.True(d.excess(60, 60) < slack)
+		is.Equal(d.refused, before)
+		is.Equal(d.other, 0)
+		w.start(w.vms[1])
+		time.Sleep(30 * time.Second)
+		for _, n := range w.holders(t) {
+			is.Equal(n, 1)
+		}
+		is.True(w.vms[1].Snapshot()[0].Slices > 0)
+	})
+}
+
+// TestLostAnswers guards against two holders of a slice, and against slices
+// that nobody holds, when store answers are lost or requests arrive twice, while
+// VMs come and go.
+func TestLostAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(6, rates(map[ident.Workspace][2]int{"w": {60, 60}}), func(w *world) {
+			n := 0
+			w.store.lose = func(string) bool { n++; return n%4 == 0 }
+			w.store.twice = func() bool { return n%3 == 0 }
+		})
+		defer w.stop()
+		d := &load{ws: "w"}
+		for i := range 6 {
+			w.kill(w.vms[i])
+			d.send(100, 20*time.Second, w.vms[(i+1)%6])
+			for sl, n := range w.holders(t) {
+				if n > 1 {
+					t.Fatalf("slice %s has %d holders", sl, n)
+				}
+			}
+			w.start(w.vms[i])
+			d.send(100, 40*time.Second, w.vms[(i+1)%6])
+		}
+		is.True(d.excess(60, 60) < slack)
+		time.Sleep(20 * time.Minute)
+		is.Equal(w.store.keys(), 16*12)
+		held := 0
+		for _, n := range w.holders(t) {
+			held += n
+		}
+		is.Equal(held, 16*12)
+	})
+}
+
+// TestCutOffHolder guards against a VM that goes on minting after its lease,
+// when the others have taken over its slices.
+func TestCutOffHolder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(4, rates(map[ident.Workspace][2]int{"w": {40, 40}}), func(w *world) { w.lease = 2 * time.Minute })
+		defer w.stop()
+		time.Sleep(30 * time.Second)
+		cut := w.vms[0]
+		w.mu.Lock()
+		cut.hidden = true
+		w.mu.Unlock()
+		cut.store.cut.Store(true)
+		d := &load{ws: "w"}
+		d.send(200, 5*time.Minute, cut, w.vms[1])
+		is.True(d.excess(40, 40) < slack)
+		is.True(!time.Now().Before(cut.deadline()))
+		is.Equal(w.store.keys(), 16*12)
+	})
+}
+
+// TestAllReturnAtOnce guards against a start of the whole fleet that asks more
+// writes of the store than it sustains. 60 VMs stand for the 480 of the design;
+// the pace of each depends on their number.
+func TestAllReturnAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cat := rates(map[ident.Workspace][2]int{"w": {40, 40}})
+		cat.Sharing = catal.Sharing{Shards: 64}
+		w := newWorld(60, cat)
+		defer w.stop()
+		time.Sleep(30 * time.Second)
+		is.Equal(w.store.keys(), 64*12)
+		most := 0
+		for i, at := range w.store.writes {
+			n := 0
+			for _, o := range w.store.writes[i:] {
+				if o.Sub(at) < time.Second {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+		t.Logf("most writes within a second: %d", most)
+		is.True(most < 300)
+	})
+}
+
+// TestDrain guards against slices that stay blocked until the lease ends after
+// a planned stop.
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(3, rates(map[ident.Workspace][2]int{"w": {40, 40}}))
+		defer w.stop()
+		time.Sleep(20 * time.Second)
+		is.True(w.vms[0].Ready())
+		w.mu.Lock()
+		w.vms[0].hidden = true
+		w.mu.Unlock()
+		is.NoErr(w.vms[0].Drain(t.Context()))
+		is.Equal(w.vms[0].Snapshot()[0].Slices, 0)
+		time.Sleep(20 * time.Second)
+		is.Equal(w.store.keys(), 16*12)
+	})
+}
+
+// TestStaticRefuses guards against a baseline that lends: a static split
+// refuses a workspace within its rate whose load is on one VM.
+func TestStaticRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(9, rates(map[ident.Workspace][2]int{"w": {90, 90}}), func(w *world) { w.static = true })
+		defer w.stop()
+		time.Sleep(20 * time.Second)
+		d := &load{ws: "w"}
+		d.send(85, 20*time.Second, w.vms[0])
+		is.True(d.excess(90, 90) < slack)
+		is.True(d.refused > len(d.admitted))
+		is.Equal(w.messages(), 0)
+		is.Equal(w.store.keys(), 0)
+	})
+}
+
+// TestErrors guards against refusals without the code, the truth about the
+// statement or a hint, and against a caller that waits after it has gone.
+func TestErrors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(1, rates(map[ident.Workspace][2]int{"w": {1, 1}}))
+		defer w.stop()
+		time.Sleep(time.Millisecond)
+		var e *Error
+		is.True(errors.As(w.vms[0].Admit(t.Context(), "w"), &e)) // nothing is minted yet
+		is.Equal(e.SQLState(), "53400")
+		is.True(strings.Contains(e.Error(), "retry after 250 ms") && strings.HasSuffix(e.Error(), "not run"))
+		is.True(errors.As(w.vms[0].Admit(t.Context(), "none"), &e))
+		is.Equal(e.SQLState(), "28000")
+		ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+		defer cancel()
+		is.True(errors.As(w.vms[0].Admit(ctx, "w"), &e))
+		is.Equal(e.Kind, KindCancelled)
+		is.Equal(w.vms[0].Snapshot()[0].Queued, 0)
+		r, err := w.vms[0].Borrow(t.Context(), &peerpb.BorrowRequest{Workspace: "none", Micro: 1})
+		is.NoErr(err)
+		is.True(!r.Holds)
+	})
+}
+
+// TestEdit guards against an edit of a rate or a removed workspace that has no
+// effect on open accounts.
+func TestEdit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld(3, rates(map[ident.Workspace][2]int{"w": {10, 12}, "x": {10, 12}}))
+		defer w.stop()
+		time.Sleep(20 * time.Second)
+		next := rates(map[ident.Workspace][2]int{"w": {100, 100}})
+		next.Zones = w.cat.Zones
+		w.edit(next)
+		time.Sleep(time.Second)
+		d := &load{ws: "w"}
+		d.send(95, 10*time.Second, w.vms[0])
+		is.True(d.excess(100, 100) < slack)
+		is.Equal(d.refused, 0)
+		var e *Error
+		is.True(errors.As(w.vms[0].Admit(t.Context(), "x"), &e))
+		is.Equal(e.Kind, KindUnknown)
+	})
+}
--- a/pkg/gate/divide.go
+++ b/pkg/gate/divide.go
@@ -2,115 +2,109 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
-	"time"
 
 	"chervilspan.example/pkg/ident"
 )
 
-// tenant is a workspace while slots are divided.
-type tenant struct {
+// need is a demand while slots are divided: a workspace's, or that of one of its
+// VMs.
+type need struct {
 	ws     ident.Workspace
+	vm     ident.VM
 	weight float64
-	got    int
-	had    int
-	needs  []need
+	want   float64
+	got    float64
 }
 
-type need struct {
-	key  claimKey
-	want int
-	got  int
-	had  int
-}
-
-// divide gives the slots one by one to the workspace with the fewest for its
-// weight, and there to the VM with the fewest. Among equals the one that had
-// less slot time goes first; present holders keep theirs for a turn.
-func (g *Gate) divide() map[claimKey]int {
-	tenants := g.tenants()
-	plan := map[claimKey]int{}
-	for range g.slots {
-		t := g.pick(tenants)
-		if t == nil {
-			break
-		}
-		n := g.pickVM(t)
-		n.got++
-		t.got++
-		plan[n.key] = n.got
+// fill divides an amount by weighted max-min fairness: no need gets more than it
+// wants, and what is left of small ones goes to the others.
+func fill(amount float64, needs []*need) {
+	slices.SortFunc(needs, func(a, b *need) int {
+		return cmp.Or(cmp.Compare(a.want/a.weight, b.want/b.weight), cmp.Compare(a.ws, b.ws), cmp.Compare(a.vm, b.vm))
+	})
+	weights := 0.0
+	for _, n := range needs {
+		weights += n.weight
+	}
+	for _, n := range needs {
+		n.got = min(n.want, amount*n.weight/weights)
+		amount -= n.got
+		weights -= n.weight
 	}
-	return plan
 }
 
-func (g *Gate) tenants() []*tenant {
-	byName := map[ident.Workspace]*tenant{}
-	var out []*tenant
+// entitle returns the fraction of the slots that each VM is due: max-min over
+// the workspaces that wait or run, then over the VMs of each.
+func (g *Gate) entitle() map[ident.VM]float64 {
+	byWS := map[ident.Workspace][]*need{}
 	for vm, b := range g.vms {
 		for _, c := range b.demand.Claims {
-			if c.Waiting+c.InUse == 0 {
-				continue
+			if want := c.Waiting + c.InUse; want > 0 {
+				byWS[c.Workspace] = append(byWS[c.Workspace], &need{ws: c.Workspace, vm: vm, weight: float64(max(1, c.Weight)), want: float64(want)})
 			}
-			t := byName[c.Workspace]
-			if t == nil {
-				t = &tenant{ws: c.Workspace, weight: 1}
-				byName[c.Workspace] = t
-				out = append(out, t)
-			}
-			t.weight = max(t.weight, float64(c.Weight))
-			k := claimKey{c.Workspace, vm}
-			had := g.plan[k]
-			t.had += had
-			t.needs = append(t.needs, need{key: k, want: c.Waiting + c.InUse, had: had})
 		}
 	}
-	slices.SortFunc(out, func(a, b *tenant) int { return cmp.Compare(a.ws, b.ws) })
-	for _, t := range out {
-		slices.SortFunc(t.needs, func(a, b need) int { return cmp.Compare(a.key.vm, b.key.vm) })
+	var tenants []*need
+	for ws, needs := range byWS {
+		t := &need{ws: ws, weight: 1}
+		for _, n := range needs {
+			t.want += n.want
+			t.weight = max(t.weight, n.weight)
+			n.weight = 1
+		}
+		tenants = append(tenants, t)
 	}
-	return out
-}
-
-func (g *Gate) pick(tenants []*tenant) *tenant {
-	var best *tenant
+	fill(float64(g.slots), tenants)
+	due := map[ident.VM]float64{}
 	for _, t := range tenants {
-		if !slices.ContainsFunc(t.needs, func(n need) bool { return n.got < n.want }) {
-			continue
-		}
-		if best == nil || g.before(t, best) {
-			best = t
+		fill(t.got, byWS[t.ws])
+		for _, n := range byWS[t.ws] {
+			due[n.vm] += n.got
 		}
 	}
-	return best
+	return due
 }
 
-func (g *Gate) before(a, b *tenant) bool {
-	x, y := float64(a.got)/a.weight, float64(b.got)/b.weight
-	if x != y {
-		return x < y
+// divide gives each VM the whole slots that it is due, and the rest by credit:
+// slot time that it was due and did not have. Holders keep their slots for a
+// turn, unless they need them no more.
+func (g *Gate) divide(due map[ident.VM]float64) map[ident.VM]int {
+	plan := map[ident.VM]int{}
+	free := g.slots
+	give := func(vm ident.VM, n int) {
+		n = max(0, min(n, free, g.vms[vm].want()-plan[vm]))
+		plan[vm] += n
+		free -= n
 	}
-	return g.used[a.ws]/a.weight-bonus(a.had > a.got) < g.used[b.ws]/b.weight-bonus(b.had > b.got)
-}
-
-func (g *Gate) pickVM(t *tenant) *need {
-	var best *need
-	score := func(n *need) float64 { return g.usedV[n.key] - bonus(n.had > n.got) }
-	for i := range t.needs {
-		n := &t.needs[i]
-		if n.got == n.want {
-			continue
+	order := slices.Sorted(maps.Keys(due))
+	slices.SortStableFunc(order, func(a, b ident.VM) int { return cmp.Compare(g.credit[b], g.credit[a]) })
+	for _, vm := range order {
+		if g.last.Before(g.vms[vm].keep) {
+			give(vm, g.plan[vm])
 		}
-		if best == nil || n.got < best.got || n.got == best.got && score(n) < score(best) {
-			best = n
+	}
+	const rounding = 1e-9
+	for _, vm := range order {
+		give(vm, int(due[vm]+rounding)-plan[vm])
+	}
+	for _, vm := range order {
+		if plan[vm] <= int(due[vm]) {
+			give(vm, 1)
 		}
 	}
-	return best
+	for _, vm := range order {
+		give(vm, free)
+	}
+	return plan
 }
 
-// bonus is the advantage of a present holder.
-func bonus(holds bool) float64 {
-	if holds {
-		return time.Duration(turn).Seconds()
+// want is the number of statements that the VM runs or has waiting.
+func (b *borrower) want() int {
+	n := 0
+	for _, c := range b.demand.Claims {
+		n += c.Waiting + c.InUse
 	}
-	return 0
+	return n
 }
--- a/pkg/gate/gate.go
+++ b/pkg/gate/gate.go
@@ -13,13 +13,16 @@
 // not repeated.
 const Lifetime = time.Second
 
-// turn is the slot time by which a claimant must have had less than the present
-// holder before a slot moves to it. Shorter turns cost a message and a round
-// trip for each statement.
-const turn = 50 * time.Millisecond
+// turn is how long a VM keeps a slot that others wait for. A move leaves the slot
+// idle for a statement's rest and three messages; shorter turns spend too much of
+// the slots on that. A turn is at least farTurn round trips to the VM.
+const (
+	turn    = 60 * time.Millisecond
+	farTurn = 3
+)
 
-// memory is the time over which slot time is forgotten by half.
-const memory = 5 * time.Second
+// maxCredit bounds what a VM can save up.
+const maxCredit = 1.0
 
 // Sequence numbers the loans of a gate.
 type Sequence uint64
@@ -40,19 +43,26 @@
 	Claims []Claim
 	// Confirmed is the last loan that the VM received; 0 means none.
 	Confirmed Sequence
+	// Number counts the VM's demands.
+	Number uint64
 }
 
-// Loan lets a VM use slots for Lifetime from when it sent its demand.
+// Loan lets a VM use slots for Lifetime from when it sent the demand with that
+// Number, the last one that the gate had.
 type Loan struct {
 	VM       ident.VM
 	Slots    int
 	Sequence Sequence
+	Number   uint64
+	// Contended tells that other VMs wait, so that the end of the demand matters.
+	Contended bool
 }
 
 // promise is a loan that the VM may still act upon.
 type promise struct {
 	seq   Sequence
 	slots int
+	at    time.Time
 	until time.Time
 }
 
@@ -63,39 +73,44 @@
 	// answered tells that the last demand has got its loan.
 	answered bool
 	sent     int
+	// keep is until when the VM keeps the slots that it needs.
+	keep time.Time
+	trip time.Duration
+	last promise
 }
 
 // Gate divides the slots of one target. The zero Gate has no slots.
 type Gate struct {
 	slots int
 	vms   map[ident.VM]*borrower
-	used  map[ident.Workspace]float64 // slot time, decaying
-	usedV map[claimKey]float64
-	last  time.Time
-	plan  map[claimKey]int
-	seq   Sequence
-}
-
-type claimKey struct {
-	ws ident.Workspace
-	vm ident.VM
+	// credit is the slot time that a VM was due and did not have, in seconds.
+	credit    map[ident.VM]float64
+	due       map[ident.VM]float64
+	plan      map[ident.VM]int
+	contended bool
+	last      time.Time
+	seq       Sequence
 }
 
 // SetSlots sets the number of slots. After a decrease loans are recalled.
 func (g *Gate) SetSlots(n int) { g.slots = n }
 
-// StartAt makes the gate count all slots as lent for one Lifetime from now on,
+// settle is how long a new gate lends only the slots that run already. The VMs
+// that had loans from a former gate tell it what they use in that time. Waiting
+// for a whole Lifetime would leave a target idle after each change of its gate.
+const settle = 100 * time.Millisecond
+
+// StartAt makes the gate count all slots as lent for a short time from now on,
 // as a former gate's loans may still be in use.
 func (g *Gate) StartAt(now time.Time) {
 	g.init()
-	g.vms[""] = &borrower{heard: now, answered: true, promises: []promise{{slots: g.slots, until: now.Add(Lifetime)}}}
+	g.vms[""] = &borrower{heard: now, answered: true, promises: []promise{{slots: g.slots, until: now.Add(settle)}}}
 }
 
 func (g *Gate) init() {
 	if g.vms == nil {
 		g.vms = map[ident.VM]*borrower{}
-		g.used = map[ident.Workspace]float64{}
-		g.usedV = map[claimKey]float64{}
+		g.credit = map[ident.VM]float64{}
 	}
 }
 
@@ -108,6 +123,9 @@
 		g.vms[d.VM] = b
 	}
 	b.demand, b.heard, b.answered = d, now, false
+	if b.last.seq != 0 && d.Confirmed == b.last.seq {
+		b.trip, b.last.seq = now.Sub(b.last.at), 0
+	}
 	// Loans before the confirmed one can't be acted upon any more.
 	b.promises = slices.DeleteFunc(b.promises, func(p promise) bool { return p.seq < d.Confirmed })
 }
@@ -115,7 +133,7 @@
 // Drop forgets the demand of a VM that is gone. Its loans count until they end.
 func (g *Gate) Drop(vm ident.VM) {
 	if b := g.vms[vm]; b != nil {
-		b.demand, b.answered = Demand{VM: vm}, true
+		b.demand, b.answered = Demand{VM: vm, Number: b.demand.Number}, true
 	}
 }
 
@@ -127,7 +145,8 @@
 func (g *Gate) Assign(now time.Time) []Loan {
 	g.expire(now)
 	g.charge(now)
-	g.plan = g.divide()
+	g.due = g.entitle()
+	g.plan = g.divide(g.due)
 	want := g.totals()
 	free := g.slots
 	for _, b := range g.vms {
@@ -151,11 +170,17 @@
 
 func (g *Gate) lend(vm ident.VM, b *borrower, n int, now time.Time) Loan {
 	g.seq++
+	if n > b.sent {
+		b.keep = now.Add(max(turn, farTurn*min(b.trip, Lifetime/10)))
+	}
+	if n != b.sent {
+		b.last = promise{seq: g.seq, at: now}
+	}
 	// A later loan of as many slots outlasts an earlier one.
 	b.promises = slices.DeleteFunc(b.promises, func(p promise) bool { return p.slots <= n })
-	b.promises = append(b.promises, promise{g.seq, n, now.Add(Lifetime)})
+	b.promises = append(b.promises, promise{seq: g.seq, slots: n, until: now.Add(Lifetime)})
 	b.answered, b.sent = true, n
-	return Loan{VM: vm, Slots: n, Sequence: g.seq}
+	return Loan{VM: vm, Slots: n, Sequence: g.seq, Number: b.demand.Number, Contended: g.contended}
 }
 
 // held is the greatest number of slots that the VM may be using.
@@ -176,46 +201,44 @@
 		if now.Sub(b.heard) < Lifetime {
 			continue
 		}
-		b.demand = Demand{VM: vm}
+		b.demand = Demand{VM: vm, Number: b.demand.Number}
 		if len(b.promises) == 0 {
 			delete(g.vms, vm)
 		}
 	}
 }
 
-// charge adds the slot time since the last call to those who had the slots.
+// charge adds to each VM's credit what it was due since the last call, less what
+// it had.
 func (g *Gate) charge(now time.Time) {
-	d := now.Sub(g.last)
+	d := min(max(now.Sub(g.last), 0), Lifetime).Seconds()
 	g.last = now
-	if d <= 0 || d > Lifetime {
-		d = 0
-	}
-	keep := 1 - 0.5*d.Seconds()/memory.Seconds()
-	for k, v := range g.usedV {
-		if v *= keep; v < 1e-4 {
-			delete(g.usedV, k)
-			continue
+	for vm := range g.credit {
+		if g.vms[vm] == nil {
+			delete(g.credit, vm)
 		}
-		g.usedV[k] = v
 	}
-	for ws, v := range g.used {
-		if v *= keep; v < 1e-4 {
-			delete(g.used, ws)
-			continue
+	sum := 0.0
+	for vm, due := range g.due {
+		if b := g.vms[vm]; b != nil {
+			g.credit[vm] += (due - float64(b.held())) * d
+			sum += g.credit[vm]
 		}
-		g.used[ws] = v
 	}
-	for k, n := range g.plan {
-		t := float64(n) * d.Seconds()
-		g.used[k.ws] += t
-		g.usedV[k] += t
+	// Slots on their way between VMs would raise every credit to the bound.
+	mean := sum / float64(max(1, len(g.credit)))
+	for vm, c := range g.credit {
+		g.credit[vm] = max(-maxCredit, min(c-mean, maxCredit))
 	}
 }
 
 func (g *Gate) totals() map[ident.VM]int {
-	want := map[ident.VM]int{}
-	for k, n := range g.plan {
-		want[k.vm] += n
+	want := maps.Clone(g.plan)
+	g.contended = false
+	for vm, n := range g.plan {
+		if n < g.vms[vm].want() {
+			g.contended = true
+		}
 	}
 	g.spread(want)
 	return want
--- a/pkg/gate/lot.go
+++ b/pkg/gate/lot.go
@@ -15,8 +15,14 @@
 	// unanswered is when the first demand was sent that no loan has answered.
 	unanswered time.Time
 	gate       bool
+	number     uint64
+	sent       [remembered]time.Time
 }
 
+// remembered is the number of demands whose send time is kept. A loan that
+// answers an older one is of no use.
+const remembered = 16
+
 // Configure sets the target's slots and the number of live VMs.
 func (l *Lot) Configure(slots, live int) { l.slots, l.live = slots, live }
 
@@ -24,29 +30,49 @@
 // least 1.
 func (l *Lot) Fallback() int { return max(1, l.slots/max(1, l.live)) }
 
-// Sent notes that a demand was sent to the gate.
-func (l *Lot) Sent(now time.Time) {
+// Found notes that the gate can be reached: the VM waits for its answer before
+// it starts a statement without a loan.
+func (l *Lot) Found() { l.gate = true }
+
+// Sent notes that a demand is sent to the gate, and returns its number.
+func (l *Lot) Sent(now time.Time) uint64 {
+	l.number++
+	l.sent[l.number%remembered] = now
 	l.gate = true
 	if l.unanswered.IsZero() {
 		l.unanswered = now
 	}
+	return l.number
 }
 
 // Take notes a loan, which counts from the sending of the demand that it
-// answers. Loans that are older than the known one are ignored.
-func (l *Lot) Take(loan Loan, sent time.Time) {
-	if loan.Sequence <= l.loan.Sequence {
-		return
+// answers: the gate counts from a later moment. Loans that are older than the
+// known one are ignored. It reports whether the loan was taken.
+func (l *Lot) Take(loan Loan) bool {
+	if loan.Sequence <= l.loan.Sequence || loan.Number > l.number || loan.Number+remembered <= l.number {
+		return false
 	}
-	l.loan, l.until, l.unanswered = loan, sent.Add(Lifetime), time.Time{}
+	l.loan, l.unanswered = loan, time.Time{}
+	l.until = l.sent[loan.Number%remembered].Add(Lifetime)
+	return true
 }
 
+// Until is when the loan ends.
+func (l *Lot) Until() time.Time { return l.until }
+
+// Contended reports whether others wait for the target's slots.
+func (l *Lot) Contended() bool { return l.loan.Contended }
+
+// Slots is the size of the last loan.
+func (l *Lot) Slots() int { return l.loan.Slots }
+
 // Lost notes that the gate can't be reached or has changed. A loan stays usable
 // until it ends; the next gate waits for that.
 func (l *Lot) Lost() {
 	l.gate = false
 	l.unanswered = time.Time{}
 	l.loan.Sequence = 0
+	l.sent = [remembered]time.Time{}
 }
 
 // Confirmed is the sequence to send with a demand.
--- a/pkg/quota/holdings.go
+++ b/pkg/quota/holdings.go
@@ -64,6 +64,19 @@
 	h.leaving[s] = true
 }
 
+// Doubt notes that a claim of a slice got no answer: its key may be this VM's
+// now or later. The slice counts as stopped, so that its key is looked for and
+// deleted before the slice is claimed again.
+func (h *Holdings) Doubt(s Slice) {
+	if _, ok := h.held[s]; ok {
+		return
+	}
+	if h.leaving == nil {
+		h.leaving = map[Slice]bool{}
+	}
+	h.leaving[s] = true
+}
+
 // Released notes that the key of a stopped slice is known to be gone or to be
 // another VM's.
 func (h *Holdings) Released(s Slice) { delete(h.leaving, s) }
