Close connections beyond a VM's part when they are given back

Cause: a fixed part of 30 connections for nine VMs, less the control connections, is one or two each, so that a VM which the balancer sends a whole workspace to could use only that many of a target's five slots. Change: a VM may open as many connections as there are slots, and keeps only its part while unused.

TestKeep fails without the check in put (open is 3, idle 2) and passes with it.

--- a/internal/conns/config.go
+++ b/internal/conns/config.go
@@ -36,6 +36,11 @@
 	// Limit returns the number of connections this VM may keep to a target;
 	// nil stands for all that the target accepts. One is always allowed.
 	Limit func(topo.Target) int
+	// Keep returns the number of connections that stay open while unused; nil
+	// stands for Limit. Connections beyond it are closed when they are given
+	// back and nobody waits, so that a VM with much to do for a while does not
+	// hold connections that the target needs for others.
+	Keep func(topo.Target) int
 	// ConnectTimeout bounds opening a connection; 0 stands for 1 s.
 	ConnectTimeout time.Duration
 	// IdleClose is the time after which an unused connection is closed; 0
@@ -60,6 +65,9 @@
 	if c.Limit == nil {
 		c.Limit = func(t topo.Target) int { return int(max(t.Config.Connections, t.Status.Connections)) }
 	}
+	if c.Keep == nil {
+		c.Keep = c.Limit
+	}
 	if c.Suspect == nil {
 		c.Suspect = func(ident.Group) {}
 	}
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -134,6 +134,26 @@
 	}, func(c *Config) { c.Limit = func(topo.Target) int { return 1 } })
 }
 
+// TestKeep guards against a VM that goes on holding more than its part of a
+// target's connections after it was busy.
+func TestKeep(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, r *rig) {
+		a, b, c := r.get(t), r.get(t), r.get(t)
+		r.pools.Put(a)
+		r.pools.Put(b)
+		open, idle := r.pools.Size("g", "a")
+		is.Equal(open, 1) // the one in use
+		is.Equal(idle, 0)
+		r.pools.Put(c)
+		open, idle = r.pools.Size("g", "a")
+		is.Equal(open, 1)
+		is.Equal(idle, 1)
+	}, func(c *Config) {
+		c.Limit = func(topo.Target) int { return 3 }
+		c.Keep = func(topo.Target) int { return 1 }
+	})
+}
+
 // TestDiscard guards against the reuse of a connection on which an answer is
 // outstanding or a transaction open, whose deadline passed, that was sent a
 // cancel request, or that is of an earlier term.
--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -143,6 +143,10 @@
 		l.drop(c)
 		return
 	}
+	if l.open > max(1, l.p.cfg.Keep(row)) && len(l.waiters) == 0 {
+		l.drop(c)
+		return
+	}
 	c.used = now
 	c.SetDeadline(time.Time{})
 	l.idle = append(l.idle, c)
