Bound the number of sessions

callers.max_connections was documented but not enforced. TestSessionLimit gets 53300 for the second of two callers at a bound of one, and no limit without the change.

--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -83,6 +83,8 @@
 	// MaxUnauthenticated bounds connections that have not logged in; 0 stands
 	// for 256.
 	MaxUnauthenticated int
+	// MaxSessions bounds the callers that have logged in; 0 stands for no bound.
+	MaxSessions int
 	// HandshakeTimeout bounds the login; 0 stands for 10 s.
 	HandshakeTimeout time.Duration
 	// MaxMessage bounds a message of a caller, in bytes; 0 stands for 16 MiB.
--- a/internal/wire/login_test.go
+++ b/internal/wire/login_test.go
@@ -197,6 +197,21 @@
 	}, func(c *Config) { c.MaxUnauthenticated = 2 })
 }
 
+// TestSessionLimit guards against more sessions than the settings allow.
+func TestSessionLimit(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, k *kit) {
+		first := k.connect()
+		_, err := first.Exec(t.Context(), "SELECT 1")
+		is.NoErr(err)
+		_, code := k.raw().until(t)
+		is.Equal(code, "53300")
+		is.NoErr(first.Close(t.Context()))
+		synctest.Wait()
+		_, err = k.connect().Exec(t.Context(), "SELECT 1")
+		is.NoErr(err)
+	}, func(c *Config) { c.MaxSessions = 1 })
+}
+
 // TestMessages guards against frontend messages that leave a caller without an
 // answer, out of step, or the server without its other callers.
 func TestMessages(t *testing.T) {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -83,6 +83,11 @@
 // ServeConn serves one connection and closes it.
 func (s *Server) ServeConn(c net.Conn) {
 	defer c.Close()
+	if n := s.cfg.MaxSessions; n > 0 && s.Sessions() >= n {
+		s.meter.count("logins_refused")
+		s.reject(c, fatal("login", codeQueue, "too many connections", nil))
+		return
+	}
 	if s.logins.Add(1) > int64(s.cfg.MaxUnauthenticated) {
 		s.logins.Add(-1)
 		s.meter.count("logins_refused")
