Remove each safeguard once and strengthen the tests that did not notice

Quoting of keys has a test now.

Two removals change nothing, as another safeguard covers them: a broken connection always has an answer outstanding as well, and the check for a drain before the login, which is gone now, was repeated after it.

Targets are now told apart by group and name, since two groups may use the same name; a missing connection is refused with 53300; ROLLBACK TO works in a failed transaction through the extended protocol as well.

--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -262,7 +262,10 @@
 			for {
 				m, err := c.Receive()
 				is.NoErr(err)
-				if _, ok := m.(*pgproto3.ReadyForQuery); ok {
+				switch m.(type) {
+				case *pgproto3.ErrorResponse:
+					t.Fatalf("the target refused the Parse of %s", name)
+				case *pgproto3.ReadyForQuery:
 					return
 				}
 			}
--- a/internal/conns/pools.go
+++ b/internal/conns/pools.go
@@ -28,10 +28,16 @@
 	stop  context.CancelFunc
 
 	mu     sync.Mutex
-	pools  map[ident.Target]*pool
+	pools  map[poolKey]*pool
 	quorum map[ident.Group]*quorum
 }
 
+// poolKey names a target; two groups may use the same name.
+type poolKey struct {
+	group  ident.Group
+	target ident.Target
+}
+
 // sweepEvery is how often unused connections are looked for.
 const sweepEvery = 5 * time.Second
 
@@ -40,7 +46,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p := &Pools{
 		cfg: cfg.withDefaults(), work: pond.NewPool(0), ctx: ctx, stop: stop,
-		pools: map[ident.Target]*pool{}, quorum: map[ident.Group]*quorum{},
+		pools: map[poolKey]*pool{}, quorum: map[ident.Group]*quorum{},
 	}
 	p.background(p.sweep)
 	return p
@@ -106,10 +112,11 @@
 func (p *Pools) pool(g ident.Group, t ident.Target) *pool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.pools[t]
+	key := poolKey{g, t}
+	l := p.pools[key]
 	if l == nil {
 		l = &pool{p: p, group: g, target: t}
-		p.pools[t] = l
+		p.pools[key] = l
 	}
 	return l
 }
--- a/internal/wire/execute.go
+++ b/internal/wire/execute.go
@@ -291,13 +291,21 @@
 		if errors.Is(context.Cause(ctx), errCancelled) {
 			return &miss{err: fromLimit(ctx, "connect", err)}
 		}
-		return &miss{err: refuse("connect", codeNotReady, "the target can't be reached", err), again: !conns.Is(err, conns.KindClosed)}
+		return &miss{err: unreachable(err), again: !conns.Is(err, conns.KindClosed)}
 	}
 	tx := &txn{conn: c, release: release, target: target, replica: p.read && !s.isPrimary(target)}
 	p.count()
 	return s.first(ctx, u, tx, p)
 }
 
+// unreachable says why there is no connection to a target.
+func unreachable(err error) *Error {
+	if conns.Is(err, conns.KindLimit) {
+		return refuse("connect", codeQueue, "no connection to the target came free", err)
+	}
+	return refuse("connect", codeNotReady, "the target can't be reached", err)
+}
+
 func (s *session) isPrimary(t ident.Target) bool {
 	g, _ := s.srv.cfg.Groups.Group(s.grant.Group)
 	return g.Primary == t
--- a/internal/wire/fail_test.go
+++ b/internal/wire/fail_test.go
@@ -362,6 +362,7 @@
 		ro := k.connect()
 		_, err = ro.Exec(t.Context(), "INSERT INTO t VALUES (1)")
 		is.Equal(code(err), "25006")
+		is.Equal(len(k.targets["b"].Log()), 1) // refused before it was sent
 		_, err = ro.Exec(t.Context(), "SELECT * FROM view_that_writes")
 		is.Equal(code(err), "25006")
 		is.Equal(len(k.targets["a"].Log()), 1)
@@ -464,7 +465,8 @@
 	bubble(t, func(t *testing.T, is *is.I, k *kit) {
 		k.targets["a"].HoldQuorum()
 		k.targets["a"].Handle = func(*wiretest.Call) wiretest.Reply {
-			return wiretest.Reply{Rows: []string{strings.Repeat("x", outboxFlush-20)}, Tag: "INSERT 0 1", Write: true}
+			// With the rows the buffer is not full yet, with the tag it is.
+			return wiretest.Reply{Rows: []string{strings.Repeat("x", outboxFlush-45)}, Tag: "INSERT 0 1", Write: true}
 		}
 		r := k.login()
 		go func() {
@@ -522,6 +524,7 @@
 		is.Equal(code(err), "25P02")
 		_, err = c.Exec(t.Context(), "ROLLBACK")
 		is.NoErr(err)
+		synctest.Wait()
 		is.Equal(len(k.targets["a"].Log()), 1)
 		is.Equal(k.targets["a"].Open(), 0)
 	})
@@ -557,3 +560,9 @@
 		is.True(log[0].Conn != log[1].Conn)
 	})
 }
+
+// TestOnceCall guards against a key that ends its string literal.
+func TestOnceCall(t *testing.T) {
+	is := is.New(t)
+	is.Equal(onceCall("a'); DROP TABLE t; --", "f", "t"), "SELECT chervil_once('a''); DROP TABLE t; --', 'f', 't')")
+}
--- a/internal/wire/login.go
+++ b/internal/wire/login.go
@@ -129,9 +129,6 @@
 
 func (h *handshake) authenticate(m *pgproto3.StartupMessage) error {
 	h.params = m.Parameters
-	if h.srv.isDraining() {
-		return errDraining()
-	}
 	if !h.secure && !h.srv.cfg.AllowPlain {
 		return fatal("login", codeForbidden, "TLS is required", nil)
 	}
--- a/internal/wire/login_test.go
+++ b/internal/wire/login_test.go
@@ -364,6 +364,7 @@
 		idle, open := k.login(), k.connect()
 		_, err := open.Exec(t.Context(), "BEGIN")
 		is.NoErr(err)
+		synctest.Wait()
 		cut := make(chan int, 1)
 		go func() { cut <- k.srv.Drain(t.Context()) }()
 		_, code1 := idle.until(t)
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -120,12 +120,6 @@
 	delete(s.handshakes, c)
 }
 
-func (s *Server) isDraining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
-}
-
 func errDraining() *Error {
 	return fatal("drain", codeDrain, "the proxy is being stopped; connect again", nil)
 }
--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -276,7 +276,7 @@
 
 // revives reports whether a unit takes the transaction back to a savepoint.
 func (s *session) revives(u *unit) bool {
-	if s.tx.conn == nil || !u.rollTo || u.executes != 1 || u.simple == nil {
+	if s.tx.conn == nil || s.tx.unsynced || !u.rollTo || u.executes != 1 {
 		return false
 	}
 	s.tx.failed = false
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -1,12 +1,17 @@
 package wire
 
 import (
+	"strconv"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/matryer/is"
+	"github.com/uber-go/tally/v4"
 
+	"chervilspan.example/pkg/access"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/retry"
 )
 
 // TestThinPath guards against a proxy that an unchanged pgx client with its
@@ -113,6 +118,11 @@
 		is.Equal(c.PgConn().TxStatus(), byte('E'))
 		_, err = exec("INSERT INTO t VALUES ($1)", "z")
 		is.Equal(code(err), "25P02")
+		_, err = exec("ROLLBACK TO a")
+		is.NoErr(err)
+		is.Equal(c.PgConn().TxStatus(), byte('T'))
+		_, err = exec("LISTEN a")
+		is.Equal(code(err), "0A000")
 		tag, err := exec("COMMIT")
 		is.NoErr(err)
 		is.Equal(tag, "ROLLBACK")
@@ -153,3 +163,41 @@
 		is.Equal(s, "after")
 	})
 }
+
+// TestMetrics guards against metrics that grow with the number of workspaces,
+// and against reads that are counted for the wrong role.
+func TestMetrics(t *testing.T) {
+	is := is.New(t)
+	scope := tally.NewTestScope("", nil)
+	m := newMeter(scope)
+	for i := range 3 * maxWorkspaces {
+		g := access.Grant{Workspace: ident.Workspace("w" + strconv.Itoa(i)), Class: "std"}
+		m.statement(g, retry.Done, time.Millisecond)
+		m.read(g, i%2 == 0)
+	}
+	is.Equal(len(m.rows), maxWorkspaces+1)
+	counters := scope.Snapshot().Counters()
+	is.Equal(counters["statements+class=std,outcome=done,workspace=other"].Value(), int64(2*maxWorkspaces))
+	is.Equal(counters["reads+class=std,role=primary,workspace=w0"].Value(), int64(1))
+	is.Equal(counters["reads+class=std,role=replica,workspace=w1"].Value(), int64(1))
+}
+
+// TestCounts guards against a share of reads on replicas that counts statements
+// of another kind.
+func TestCounts(t *testing.T) {
+	scope := tally.NewTestScope("", nil)
+	bubble(t, func(t *testing.T, is *is.I, k *kit) {
+		c := k.connect()
+		_, err := c.Exec(t.Context(), "SELECT 1")
+		is.NoErr(err)
+		_, err = c.Exec(t.Context(), "INSERT INTO t VALUES (1)")
+		is.NoErr(err)
+		_, err = c.Exec(t.Context(), "SELECT 1") // the replica lacks the write
+		is.NoErr(err)
+		counters := scope.Snapshot().Counters()
+		for role, want := range map[string]int64{"replica": 1, "primary": 1} {
+			is.Equal(counters["reads+class=std,role="+role+",workspace=taller"].Value(), want)
+		}
+		is.Equal(counters["statements+class=std,outcome=done,workspace=taller"].Value(), int64(3))
+	}, func(cfg *Config) { cfg.Scope = scope })
+}
--- a/internal/wiretest/client.go
+++ b/internal/wiretest/client.go
@@ -225,6 +225,9 @@
 		}
 		c.status = 'T'
 		return Reply{Tag: "BEGIN"}, true
+	case strings.HasPrefix(upper, "ROLLBACK TO"):
+		c.status = 'T'
+		return Reply{Tag: "ROLLBACK"}, true
 	case strings.HasPrefix(upper, "COMMIT"), strings.HasPrefix(upper, "ROLLBACK"):
 		return c.endTx(upper), true
 	case strings.HasPrefix(upper, "LISTEN"):
