Keep sessions of a cut-off VM, ask for keys in plain text on loopback only

A VM that can't check keys refuses statements with 57P03 and rolls open transactions back, but its sessions stay, so that the end of a partition is no reconnect storm. The design allows plain text on loopback addresses only. After the first round over the targets, reads that are refused by their state take from the retry budget, so a forged token can't flood them.

--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -76,8 +76,8 @@
 	Place  sessn.Place
 	// Region returns the region of a zone; nil stands for none.
 	Region func(ident.Zone) ident.Region
-	// TLS, unless nil, is offered to callers. AllowPlain lets callers log in
-	// without it.
+	// TLS, unless nil, is offered to callers. AllowPlain lets callers on
+	// loopback addresses log in without it.
 	TLS        *tls.Config
 	AllowPlain bool
 	// MaxUnauthenticated bounds connections that have not logged in; 0 stands
--- a/internal/wire/execute.go
+++ b/internal/wire/execute.go
@@ -16,8 +16,15 @@
 
 // execute runs a unit and queues its answer. An error ends the session.
 func (s *session) execute(u *unit) error {
-	if err := s.checkKey(); err != nil {
-		return err
+	if e := s.checkKey(); e != nil {
+		if e.Fatal {
+			return e
+		}
+		if !s.rollBackUnder(u) {
+			s.forget(u)
+			s.fail(e)
+			return s.out.err
+		}
 	}
 	start := time.Now()
 	ctx, stop := s.startUnit(start.Add(s.deadline()))
@@ -254,10 +261,11 @@
 }
 
 // pay waits until the budget lets another attempt follow; it reports false when
-// the time is over. A read that a target refused by its state goes on at once:
-// a replica known to be behind is passed over, which bounds such refusals.
+// the time is over. A read that a target refused by its state goes on to each
+// other target once: a replica known to be behind is passed over, which bounds
+// such refusals.
 func (p *plan) pay(ctx context.Context, m *miss) bool {
-	if !m.reached || m.moved && p.read {
+	if !m.reached || m.moved && p.read && p.rounds <= 1 {
 		return true
 	}
 	budget := p.s.srv.cfg.Pools.Budget(p.s.grant.Group, p.target)
--- a/internal/wire/fail_test.go
+++ b/internal/wire/fail_test.go
@@ -566,3 +566,20 @@
 	is := is.New(t)
 	is.Equal(onceCall("a'); DROP TABLE t; --", "f", "t"), "SELECT chervil_once('a''); DROP TABLE t; --', 'f', 't')")
 }
+
+// TestForgedToken guards against a caller that makes the proxy flood its
+// targets by a token that no target will reach, and against a floor that stays
+// on the connections for others.
+func TestForgedToken(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, k *kit) {
+		c := k.connect(func(cfg *pgx.ConnConfig) { cfg.RuntimeParams["chervil.position"] = "99/1" })
+		_, err := c.Exec(t.Context(), "SELECT 1")
+		is.Equal(code(err), "57P03")
+		// 10 s at 10 retries a second to each of two targets, and the first round.
+		sent := k.targets["a"].Refused() + k.targets["b"].Refused()
+		is.True(sent > 2 && sent <= 2*10*11+2)
+		_, err = k.connect().Exec(t.Context(), "SELECT 1")
+		is.NoErr(err)
+		is.Equal(len(k.targets["b"].Log()), 1)
+	})
+}
--- a/internal/wire/failed.go
+++ b/internal/wire/failed.go
@@ -53,6 +53,24 @@
 	return m.err
 }
 
+// rollBackUnder rolls an open transaction back because the key can't be checked
+// now. It reports whether the unit is the caller's own rollback, which may go on.
+func (s *session) rollBackUnder(u *unit) bool {
+	if s.tx == nil {
+		return false
+	}
+	if !s.tx.explicit {
+		s.abandon()
+		return false
+	}
+	if s.tx.conn != nil {
+		s.tx.conn.Taint()
+		s.give(s.tx)
+	}
+	s.tx.failed = true
+	return u.rollback && u.executes == 0 && !u.begins
+}
+
 // insideFailed serves a transaction that can only be rolled back.
 func (s *session) insideFailed(ctx context.Context, u *unit) *Error {
 	if u.empty() {
--- a/internal/wire/kit_test.go
+++ b/internal/wire/kit_test.go
@@ -43,6 +43,7 @@
 	grant    access.Grant
 	revoked  bool
 	admit    error
+	check    error
 	floor    ident.Position
 	floorErr error
 	has      bool
@@ -71,7 +72,7 @@
 	if k.revoked {
 		return stateError{"28P01", "the key was withdrawn"}
 	}
-	return nil
+	return k.check
 }
 
 func (k *kit) revoke() {
--- a/internal/wire/login.go
+++ b/internal/wire/login.go
@@ -129,7 +129,7 @@
 
 func (h *handshake) authenticate(m *pgproto3.StartupMessage) error {
 	h.params = m.Parameters
-	if !h.secure && !h.srv.cfg.AllowPlain {
+	if !h.secure && !h.plainAllowed() {
 		return fatal("login", codeForbidden, "TLS is required", nil)
 	}
 	if err := h.parameters(m); err != nil {
@@ -147,6 +147,16 @@
 	return nil
 }
 
+// plainAllowed reports whether the key may come in plain text: the settings
+// allow it, and it does not leave this machine.
+func (h *handshake) plainAllowed() bool {
+	if !h.srv.cfg.AllowPlain {
+		return false
+	}
+	a, ok := h.conn.RemoteAddr().(*net.TCPAddr)
+	return !ok || a.IP.IsLoopback()
+}
+
 // parameters checks the startup parameters.
 func (h *handshake) parameters(m *pgproto3.StartupMessage) error {
 	var unknown []string
@@ -160,7 +170,7 @@
 			if err != nil {
 				return fatal("login", codeBadValue, "the startup parameter chervil.position must have the form term/index", err)
 			}
-			h.floor, h.resume = p, true
+			h.floor, h.resume = p, !p.IsZero()
 		default:
 			return fatal("login", codeUnsupported, "the startup parameter "+name+" is not supported with this value", nil)
 		}
--- a/internal/wire/login_test.go
+++ b/internal/wire/login_test.go
@@ -53,6 +53,63 @@
 	}, func(c *Config) { c.AllowPlain, c.TLS = false, cfg })
 }
 
+// TestPlainLoopback guards against a key in plain text from another machine.
+func TestPlainLoopback(t *testing.T) {
+	for address, want := range map[string]string{"127.0.0.1": "28P01", "10.0.0.5": "28000"} {
+		t.Run(address, func(t *testing.T) {
+			bubble(t, func(t *testing.T, is *is.I, k *kit) {
+				ours, theirs := net.Pipe()
+				go k.srv.ServeConn(&memConn{theirs, net.TCPAddr{IP: net.ParseIP(address)}})
+				r := raw{Conn: ours, fe: pgproto3.NewFrontend(ours, ours)}
+				r.fe.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "x"}})
+				r.flush(t)
+				go func() {
+					r := raw{fe: pgproto3.NewFrontend(nil, ours)}
+					r.fe.Send(&pgproto3.PasswordMessage{Password: "wrong"})
+					_ = r.fe.Flush()
+				}()
+				_, code := r.until(t)
+				is.Equal(code, want)
+			})
+		})
+	}
+}
+
+// TestCutOff guards against work on a VM that can't check keys, against a
+// transaction that it keeps open, and against sessions that it ends although it
+// may serve them again.
+func TestCutOff(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, k *kit) {
+		c, open := k.connect(), k.connect()
+		_, err := open.Exec(t.Context(), "BEGIN")
+		is.NoErr(err)
+		set := func(err error) {
+			k.mu.Lock()
+			k.check = err
+			k.mu.Unlock()
+		}
+		set(stateError{"57P03", "this VM is cut off"})
+		time.Sleep(5 * time.Second)
+		_, err = c.Exec(t.Context(), "SELECT 1")
+		is.Equal(code(err), "57P03")
+		_, err = open.Exec(t.Context(), "INSERT INTO t VALUES (1)")
+		is.Equal(code(err), "57P03")
+		synctest.Wait()
+		is.Equal(k.targets["a"].Open(), 0) // rolled back
+		_, err = open.Exec(t.Context(), "COMMIT")
+		is.Equal(code(err), "57P03")
+		_, err = open.Exec(t.Context(), "ROLLBACK")
+		is.NoErr(err)
+		is.Equal(open.PgConn().TxStatus(), byte('I'))
+		set(nil)
+		for _, conn := range []*pgx.Conn{c, open} {
+			_, err = conn.Exec(t.Context(), "INSERT INTO t VALUES (1)")
+			is.NoErr(err)
+		}
+		is.Equal(len(k.targets["a"].Log()), 2)
+	})
+}
+
 // TestLogin guards against callers with a wrong key, and against parameters
 // that would silently have no effect.
 func TestLogin(t *testing.T) {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -199,8 +199,11 @@
 				err = s.cfg.Access.Check(g)
 				checked[g] = err
 			}
-			if err != nil {
-				sess.end(keyError(err), true)
+			if err == nil {
+				continue
+			}
+			if e := keyError(err); e.Fatal {
+				sess.end(e, true)
 			}
 		}
 	}
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -296,8 +296,9 @@
 	return s.tx.conn.Status()
 }
 
-// checkKey ends the session when its key no longer holds.
-func (s *session) checkKey() error {
+// checkKey returns an error when the session's key no longer holds, or when
+// this VM can't tell. Between transactions it takes up the limits in force.
+func (s *session) checkKey() *Error {
 	if err := s.srv.cfg.Access.Check(s.grant); err != nil {
 		return keyError(err)
 	}
@@ -322,6 +323,12 @@
 	return nil
 }
 
+// keyError returns the error of a check. A VM that is cut off refuses
+// statements but keeps its sessions, which it can serve again later.
 func keyError(err error) *Error {
-	return fatal("check", sqlState(err, codeKey), err.Error(), nil)
+	code := sqlState(err, codeKey)
+	if code == codeNotReady {
+		return refuse("check", code, err.Error(), nil)
+	}
+	return fatal("check", code, err.Error(), nil)
 }
--- a/internal/wiretest/client.go
+++ b/internal/wiretest/client.go
@@ -198,6 +198,9 @@
 
 func (c *client) call(sql string, params []string) Reply {
 	if c.t.Applied().Less(c.floor) {
+		c.t.mu.Lock()
+		c.t.refused++
+		c.t.mu.Unlock()
 		return Reply{Code: "CV001", Message: "behind the floor"}
 	}
 	if c.status == 'E' {
--- a/internal/wiretest/target.go
+++ b/internal/wiretest/target.go
@@ -63,6 +63,7 @@
 	conns     map[int]*client
 	next      int
 	log       []Call
+	refused   int
 	listeners []*client
 }
 
@@ -120,6 +121,13 @@
 	return slices.Clone(t.log)
 }
 
+// Refused returns the number of statements refused for being behind a floor.
+func (t *Target) Refused() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.refused
+}
+
 // SQL returns the texts of Log.
 func (t *Target) SQL() []string {
 	var out []string
--- a/standin/e2e/e2e_test.go
+++ b/standin/e2e/e2e_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
 
 	"chervilspan.example/standin/target"
@@ -235,3 +236,45 @@
 		is.Equal(len(k.orders(is)), 80)
 	})
 }
+
+// TestRowLimit guards against rows that are lost, repeated or sent at once when
+// a caller fetches a portal in parts.
+func TestRowLimit(t *testing.T) {
+	bubble(t, target.Config{}, func(t *testing.T, is *is.I, k *kit) {
+		c := k.connect()
+		for i := range 5 {
+			k.exec(c, "INSERT INTO orders VALUES ($1, 1)", fmt.Sprint(i))
+		}
+		k.exec(c, "BEGIN")
+		fe := c.PgConn().Frontend()
+		var got []string
+		answer := func(list ...pgproto3.FrontendMessage) (last string) {
+			for _, m := range list {
+				fe.Send(m)
+			}
+			is.NoErr(fe.Flush())
+			for {
+				m, err := fe.Receive()
+				is.NoErr(err)
+				switch m := m.(type) {
+				case *pgproto3.DataRow:
+					got = append(got, string(m.Values[0]))
+				case *pgproto3.PortalSuspended:
+					last = "suspended"
+				case *pgproto3.CommandComplete:
+					last = "complete"
+				case *pgproto3.ErrorResponse:
+					t.Fatal(m.Message)
+				case *pgproto3.ReadyForQuery:
+					return last
+				}
+			}
+		}
+		next := &pgproto3.Execute{Portal: "p", MaxRows: 2}
+		is.Equal(answer(&pgproto3.Parse{Query: "SELECT id FROM orders ORDER BY id"}, &pgproto3.Bind{DestinationPortal: "p"}, next, &pgproto3.Sync{}), "suspended")
+		is.Equal(got, []string{"0", "1"})
+		is.Equal(answer(next, &pgproto3.Flush{}, next, &pgproto3.Sync{}), "complete")
+		is.Equal(got, []string{"0", "1", "2", "3", "4"})
+		k.exec(c, "COMMIT")
+	})
+}
