--- a/internal/wire/fail_test.go
+++ b/internal/wire/fail_test.go
@@ -362,6 +362,7 @@
 		ro := k.connect()
 		_, err = ro.Exec(t.Context(), "INSERT INTO t VALUES (1)")
 		is.Equal(code(err), "25006")
+		is.Equal(len(k.targets["b"].Log()), 1) // refused before it was sent
 		_, err = ro.Exec(t.Context(), "SELECT * FROM view_that_writes")
 		is.Equal(code(err), "25006")
 		is.Equal(len(k.targets["a"].Log()), 1)
@@ -464,7 +465,8 @@
 	bubble(t, func(t *testing.T, is *is.I, k *kit) {
 		k.targets["a"].HoldQuorum()
 		k.targets["a"].Handle = func(*wiretest.Call) wiretest.Reply {
-			return wiretest.Reply{Rows: []string{strings.Repeat("x", outboxFlush-20)}, Tag: "INSERT 0 1", Write: true}
+			// With the rows the buffer is not full yet, with the tag it is.
+			return wiretest.Reply{Rows: []string{strings.Repeat("x", outboxFlush-45)}, Tag: "INSERT 0 1", Write: true}
 		}
 		r := k.login()
 		go func() {
@@ -522,6 +524,7 @@
 		is.Equal(code(err), "25P02")
 		_, err = c.Exec(t.Context(), "ROLLBACK")
 		is.NoErr(err)
+		synctest.Wait()
 		is.Equal(len(k.targets["a"].Log()), 1)
 		is.Equal(k.targets["a"].Open(), 0)
 	})
@@ -557,3 +560,26 @@
 		is.True(log[0].Conn != log[1].Conn)
 	})
 }
+
+// TestOnceCall guards against a key that ends its string literal.
+func TestOnceCall(t *testing.T) {
+	is := is.New(t)
+	is.Equal(onceCall("a'); DROP TABLE t; --", "f", "t"), "SELECT chervil_once('a''); DROP TABLE t; --', 'f', 't')")
+}
+
+// TestForgedToken guards against a caller that makes the proxy flood its
+// targets by a token that no target will reach, and against a floor that stays
+// on the connections for others.
+func TestForgedToken(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, k *kit) {
+		c := k.connect(func(cfg *pgx.ConnConfig) { cfg.RuntimeParams["chervil.position"] = "99/1" })
+		_, err := c.Exec(t.Context(), "SELECT 1")
+		is.Equal(code(err), "57P03")
+		// 10 s at 10 retries a second to each of two targets, and the first round.
+		sent := k.targets["a"].Refused() + k.targets["b"].Refused()
+		is.True(sent > 2 && sent <= 2*10*11+2)
+		_, err = k.connect().Exec(t.Context(), "SELECT 1")
+		is.NoErr(err)
+		is.Equal(len(k.targets["b"].Log()), 1)
+	})
+}
