Add the experiment tool's measure command

Change: standin/bench with the cases overhead, memory, reads, isolation, configuration, promotions, failover and refusals over standin/fleet; chervilbench measure; a bound on how long a run waits for its last answers; fleet.Proc.Pid and fleet.Fleet.Workspaces.

--- /dev/null
+++ b/standin/bench/bench_test.go
@@ -0,0 +1,50 @@
+package bench
+
+import (
+	"bytes"
+	"math"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chervilspan.example/standin/load"
+)
+
+// TestJudge guards against a missed objective that is reported as met, and
+// against a missing value that counts as met.
+func TestJudge(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	p := &printer{out: &out}
+	is.NoErr(p.print(atMost("m", "c", 1.5, "s", 1.5)))
+	is.NoErr(p.print(atLeast("m", "c", 0.99, "share", 0.99)))
+	is.NoErr(p.print(plain("m", "c", 1, "s")))
+	is.Equal(p.missed, 0)
+	is.NoErr(p.print(atMost("m", "c", 1.6, "s", 1.5)))
+	is.NoErr(p.print(atLeast("m", "c", 0.98, "share", 0.99)))
+	is.Equal(p.missed, 2)
+	is.True(!*atMost("m", "c", math.NaN(), "s", 1).Met)
+	first, _, _ := bytes.Cut(out.Bytes(), []byte("\n"))
+	is.Equal(string(first), `{"measure":"m","case":"c","value":1.5,"unit":"s","target":1.5,"met":true}`)
+	is.True(bytes.Contains(out.Bytes(), []byte(`"target":null,"met":null`)))
+}
+
+// TestQuantiles guards against quantiles that leave the worst trial out.
+func TestQuantiles(t *testing.T) {
+	is := is.New(t)
+	v := []float64{3, 1, 2, 10}
+	is.Equal(median(v), 2.5)
+	is.Equal(median(v[:3]), 2.0)
+	is.Equal(nearestRank(v, 1), 10.0)
+	is.Equal(nearestRank(v, 0.99), 10.0)
+	is.Equal(nearestRank(v, 0.5), 2.0)
+	is.True(math.IsNaN(median(nil)))
+	is.True(math.IsNaN(nearestRank(nil, 1)))
+}
+
+// TestRefusedShare guards against refusals that the measure does not see.
+func TestRefusedShare(t *testing.T) {
+	is := is.New(t)
+	r := &load.Report{Total: load.Counts{Sent: 100, Codes: map[string]int{"53400": 1, "53300": 2, "57P03": 3, "23505": 50}}}
+	is.Equal(refusedShare(r), 0.06)
+}
--- /dev/null
+++ b/standin/bench/failover.go
@@ -0,0 +1,192 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/standin/fleet"
+	"chervilspan.example/standin/load"
+	"chervilspan.example/standin/target"
+)
+
+const (
+	// failoverRate is in writes a second over all workspaces; the mean gap of
+	// a quiet run is its inverse.
+	failoverRate = 200
+	// faultAfter is when in a run the fault comes.
+	faultAfter = 800 * time.Millisecond
+	// Objectives of the unavailability, in seconds.
+	failoverMedian = 1.0
+	failoverWorst  = 2.5
+	// Objective of the requests sent to targets per request from callers.
+	amplification = 1.2
+)
+
+// fault is a fault of a primary and its end.
+type fault struct {
+	name  string
+	begin func(ctx context.Context, s *stage, t *fleet.Target) error
+	end   func(ctx context.Context, s *stage, t *fleet.Target) error
+}
+
+func primaryFaults() []fault {
+	return []fault{
+		{
+			"kill",
+			func(_ context.Context, _ *stage, t *fleet.Target) error { t.Proc().Kill(); return nil },
+			func(_ context.Context, s *stage, t *fleet.Target) error { return s.f.StartTarget(t) },
+		},
+		{
+			"freeze",
+			func(_ context.Context, _ *stage, t *fleet.Target) error { return t.Proc().Signal(syscall.SIGSTOP) },
+			func(_ context.Context, _ *stage, t *fleet.Target) error { return t.Proc().Signal(syscall.SIGCONT) },
+		},
+		{
+			"cut_from_replicas",
+			func(ctx context.Context, s *stage, t *fleet.Target) error {
+				return s.fault(ctx, t, target.FaultCut, "*")
+			},
+			func(ctx context.Context, s *stage, t *fleet.Target) error {
+				return s.fault(ctx, t, target.FaultHeal, "*")
+			},
+		},
+		{
+			"silent_connections",
+			func(ctx context.Context, s *stage, t *fleet.Target) error {
+				return s.fault(ctx, t, target.FaultSilence, "1")
+			},
+			func(context.Context, *stage, *fleet.Target) error { return nil },
+		},
+	}
+}
+
+// trial runs writes on a group while its primary has a fault. It returns the
+// run and the requests sent to targets per request from callers, which is 0
+// when the fault loses the targets' counts.
+func (m *meter) trial(ctx context.Context, g ident.Group, f fault, d time.Duration) (*load.Report, float64, error) {
+	s := m.stage
+	if err := s.settle(ctx, g); err != nil {
+		return nil, 0, err
+	}
+	if err := load.Prepare(ctx, s.access(g)); err != nil {
+		return nil, 0, err
+	}
+	primary, err := s.f.Primary(ctx, g)
+	if err != nil {
+		return nil, 0, err
+	}
+	before, err := m.statements(ctx, g)
+	if err != nil {
+		return nil, 0, err
+	}
+	began := make(chan error, 1)
+	go func() {
+		time.Sleep(faultAfter)
+		began <- f.begin(ctx, s, primary)
+	}()
+	r, err := load.Run(ctx, m.load(string(g), failoverRate, d, 1))
+	if err != nil {
+		return nil, 0, err
+	}
+	if err := <-began; err != nil {
+		return nil, 0, err
+	}
+	if err := f.end(ctx, s, primary); err != nil {
+		return nil, 0, err
+	}
+	if err := s.settle(ctx, g); err != nil {
+		return nil, 0, err
+	}
+	if err := m.verify(ctx, g, "failover_"+f.name, r); err != nil {
+		return nil, 0, err
+	}
+	after, err := m.statements(ctx, g)
+	if err != nil || after < before {
+		return r, 0, err
+	}
+	return r, float64(after-before) / float64(r.Total.Sent), nil
+}
+
+// statements sums what a group's targets were sent.
+func (m *meter) statements(ctx context.Context, g ident.Group) (sum int64, err error) {
+	for _, t := range m.stage.targets(g) {
+		n, _, err := m.stage.stats(ctx, t)
+		if err != nil {
+			return 0, err
+		}
+		sum += n
+	}
+	return sum, nil
+}
+
+// failover measures the unavailability of writes for each fault of a primary.
+func (m *meter) failover(ctx context.Context) error {
+	// A run without recovery shows a gap up to its end, which must be above the
+	// objective.
+	trials, d := 5, 5*time.Second
+	if m.cfg.Quick {
+		trials, d = 1, 3400*time.Millisecond
+	}
+	groups := []ident.Group{"taller-1", "taller-3"}
+	var all []float64
+	for _, f := range primaryFaults() {
+		var gaps []float64
+		for i := range trials {
+			r, sent, err := m.trial(ctx, groups[i%len(groups)], f, d)
+			if err != nil {
+				return caseError("failover "+f.name, err)
+			}
+			gaps = append(gaps, r.Gap/1000)
+			if f.name == "freeze" && i == 0 {
+				if err := m.out.print(atMost("retry_amplification", "primary_frozen", sent, "requests_per_request", amplification)); err != nil {
+					return err
+				}
+			}
+		}
+		all = append(all, gaps...)
+		if err := m.out.print(atMost("failover", f.name+fmt.Sprintf("_worst_of_%d", trials), nearestRank(gaps, 1), "s", failoverWorst)); err != nil {
+			return err
+		}
+	}
+	if err := m.out.print(atMost("failover", fmt.Sprintf("median_of_%d", len(all)), median(all), "s", failoverMedian)); err != nil {
+		return err
+	}
+	return m.out.print(atMost("failover", fmt.Sprintf("worst_of_%d", len(all)), nearestRank(all, 1), "s", failoverWorst))
+}
+
+// quiet counts promotions while primaries pause for 200 ms, which must not
+// count as a failure.
+func (m *meter) quiet(ctx context.Context) error {
+	const pause = 200 * time.Millisecond
+	rounds := 20
+	if m.cfg.Quick {
+		rounds = 3
+	}
+	g := ident.Group("taller-2")
+	before, err := m.stage.term(ctx, g)
+	if err != nil {
+		return caseError("quiet", err)
+	}
+	for range rounds {
+		primary, err := m.stage.f.Primary(ctx, g)
+		if err != nil {
+			return caseError("quiet", err)
+		}
+		if err := primary.Proc().Signal(syscall.SIGSTOP); err != nil {
+			return caseError("quiet", err)
+		}
+		time.Sleep(pause)
+		if err := primary.Proc().Signal(syscall.SIGCONT); err != nil {
+			return caseError("quiet", err)
+		}
+		time.Sleep(2 * pause)
+	}
+	after, err := m.stage.term(ctx, g)
+	if err != nil {
+		return caseError("quiet", err)
+	}
+	return m.out.print(atMost("promotions", fmt.Sprintf("%d_pauses_of_200ms", rounds), float64(after-before), "terms", 0))
+}
--- /dev/null
+++ b/standin/bench/measure.go
@@ -0,0 +1,112 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/standin/load"
+)
+
+// Config has the settings of a measurement.
+type Config struct {
+	// Bin is the folder with the programs.
+	Bin  string
+	Seed uint64
+	// Quick shortens every case, so that all end within 50 s.
+	Quick bool
+	Out   io.Writer
+	// Only, unless empty, names the one measure that is run.
+	Only string
+}
+
+// meter runs the cases.
+type meter struct {
+	cfg   Config
+	stage *stage
+	out   *printer
+}
+
+// Measure runs all cases and prints a line for each result. ok is false when
+// an objective was missed. Errors are of kind KindFleet or KindCase.
+func Measure(ctx context.Context, cfg Config) (ok bool, err error) {
+	m := &meter{cfg: cfg, out: &printer{out: cfg.Out}}
+	if err := m.out.print(plain("seed", "all", float64(cfg.Seed), "seed")); err != nil {
+		return false, err
+	}
+	started := time.Now()
+	if m.stage, err = newStage(ctx, cfg.Bin, cfg.Seed); err != nil {
+		return false, err
+	}
+	defer func() {
+		if stopErr := m.stage.f.Stop(); err == nil && stopErr != nil {
+			err = &Error{Op: "stop the fleet", Kind: KindFleet, Text: stopErr.Error()}
+		}
+	}()
+	if err := m.cases(ctx); err != nil {
+		return false, err
+	}
+	return m.out.missed == 0, m.out.print(plain("duration", "all", time.Since(started).Seconds(), "s"))
+}
+
+// cases runs the measures in order; those that disturb the fleet come last.
+func (m *meter) cases(ctx context.Context) error {
+	for _, c := range []struct {
+		name string
+		run  func(context.Context) error
+	}{
+		{"overhead", m.overhead},
+		{"memory", m.memory},
+		{"reads", m.reads},
+		{"isolation", m.isolation},
+		{"configuration", m.configuration},
+		{"promotions", m.quiet},
+		{"failover", m.failover},
+		{"refusals", m.refusals},
+	} {
+		if m.cfg.Only != "" && m.cfg.Only != c.name {
+			continue
+		}
+		if err := c.run(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// span returns the length of a run.
+func (m *meter) span(quick, full time.Duration) time.Duration {
+	if m.cfg.Quick {
+		return quick
+	}
+	return full
+}
+
+// verify checks a run's ledger and its reads, and prints the number of
+// contradictions.
+func (m *meter) verify(ctx context.Context, g ident.Group, name string, r *load.Report) error {
+	v, err := load.Verify(ctx, m.stage.access(g), r.Ledger)
+	if err != nil {
+		return err
+	}
+	wrong := v.Lost + v.Duplicated + v.Ghost + v.Foreign + r.Stale + r.Wrong
+	if wrong > 0 {
+		name += fmt.Sprintf("_lost_%d_duplicated_%d_ghost_%d_foreign_%d_stale_%d_wrong_%d",
+			v.Lost, v.Duplicated, v.Ghost, v.Foreign, r.Stale, r.Wrong)
+	}
+	return m.out.print(atMost("ledger", name, float64(wrong), "contradictions", 0))
+}
+
+// run prepares a group, sends a load and verifies it.
+func (m *meter) run(ctx context.Context, g ident.Group, name string, cfg load.Config) (*load.Report, error) {
+	if err := load.Prepare(ctx, m.stage.access(g)); err != nil {
+		return nil, err
+	}
+	r, err := load.Run(ctx, cfg)
+	if err != nil {
+		return nil, err
+	}
+	return r, m.verify(ctx, g, name, r)
+}
--- a/standin/cmd/chervilbench/main.go
+++ b/standin/cmd/chervilbench/main.go
@@ -8,12 +8,14 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"time"
 
 	"github.com/alexflint/go-arg"
 
+	"chervilspan.example/standin/bench"
 	"chervilspan.example/standin/load"
 	"chervilspan.example/standin/target"
 )
@@ -47,14 +49,21 @@
 	Elect      string `arg:"--elect" help:"id=host:port,...: make the first one the primary of these before the run"`
 }
 
+type measureArgs struct {
+	Quick bool   `arg:"--quick" help:"shorten every case; ends within 50 s"`
+	Seed  uint64 `arg:"--seed" default:"1"`
+	Only  string `arg:"--only" help:"run one measure: overhead, memory, reads, isolation, configuration, promotions, failover, refusals"`
+}
+
 type args struct {
-	Run    *runArgs    `arg:"subcommand:run" help:"send load to daemons"`
-	Target *targetArgs `arg:"subcommand:target" help:"send load straight to the primary of a group"`
+	Measure *measureArgs `arg:"subcommand:measure" help:"start a fleet and measure the objectives"`
+	Run     *runArgs     `arg:"subcommand:run" help:"send load to daemons"`
+	Target  *targetArgs  `arg:"subcommand:target" help:"send load straight to the primary of a group"`
 }
 
 // Description is shown by --help.
 func (args) Description() string {
-	return "Open-loop load generator of chervilspan. Prints one JSON object; exits with 1 when an order contradicts its outcome."
+	return "Open-loop load generator and experiment tool of chervilspan. run and target print one JSON object and exit with 1 when an order contradicts its outcome; measure prints one object a line and exits with 1 when an objective is missed."
 }
 
 func main() {
@@ -69,6 +78,8 @@
 		ok, err = run(ctx, *a.Run)
 	case a.Target != nil:
 		ok, err = straight(ctx, *a.Target)
+	case a.Measure != nil:
+		ok, err = measure(ctx, *a.Measure)
 	default:
 		p.Fail("a subcommand is needed")
 	}
@@ -126,6 +137,15 @@
 	return send(ctx, a.access(), cfg)
 }
 
+// measure takes the programs from the folder of its own.
+func measure(ctx context.Context, a measureArgs) (bool, error) {
+	exe, err := os.Executable()
+	if err != nil {
+		return false, err
+	}
+	return bench.Measure(ctx, bench.Config{Bin: filepath.Dir(exe), Seed: a.Seed, Quick: a.Quick, Only: a.Only, Out: os.Stdout})
+}
+
 func send(ctx context.Context, access load.Access, cfg load.Config) (bool, error) {
 	if err := load.Prepare(ctx, access); err != nil {
 		return false, err
--- a/standin/load/config.go
+++ b/standin/load/config.go
@@ -27,7 +27,9 @@
 	User string
 	// Route is the database that sessions connect to.
 	Route string
-	Seed  uint64
+	// Seed draws the arrivals, and tells the sessions of different runs apart;
+	// it must be below 2^42.
+	Seed uint64
 	// Rate is in statements a second over all workspaces.
 	Rate     float64
 	Duration time.Duration
@@ -42,6 +44,9 @@
 	RoamEvery int
 	// Deadline of a statement; 0 stands for 5 s.
 	Deadline time.Duration
+	// Grace is how long after the last arrival statements may still be sent and
+	// answered; 0 stands for 5 s. What waits then counts as not sent.
+	Grace time.Duration
 	// Idempotent gives each order an idempotency key, and repeats it under the
 	// same key when its outcome is unknown.
 	Idempotent bool
@@ -60,6 +65,7 @@
 	}
 	c.Zipf = cmp.Or(c.Zipf, 1.1)
 	c.Sessions = cmp.Or(c.Sessions, 4)
+	c.Grace = cmp.Or(c.Grace, 5*time.Second)
 	c.Deadline = cmp.Or(c.Deadline, 5*time.Second)
 	weights := make([]Workspace, len(c.Workspaces))
 	given := 0.0
--- a/standin/load/load_test.go
+++ b/standin/load/load_test.go
@@ -175,6 +175,42 @@
 	})
 }
 
+// TestGap guards against a gap at the end that is not seen, and against time
+// after the last arrival that counts as one.
+func TestGap(t *testing.T) {
+	for _, test := range []struct {
+		moments []time.Duration
+		want    float64
+	}{
+		{nil, 100},
+		{[]time.Duration{30, 10, 60}, 40},
+		{[]time.Duration{10, 50, 90, 300}, 40},
+		{[]time.Duration{70, 75, 80}, 70},
+	} {
+		is := is.New(t)
+		for i := range test.moments {
+			test.moments[i] *= time.Millisecond
+		}
+		is.Equal(longestGap(test.moments, 100*time.Millisecond), test.want)
+	}
+}
+
+// TestGrace guards against a run that never ends while a target is silent, and
+// against arrivals that are left out of the counts.
+func TestGrace(t *testing.T) {
+	stand(t, func(is *is.I, all []*target.Server, _ Access, cfg Config) {
+		is.NoErr(all[0].Fault(target.FaultFreeze, "1"))
+		cfg.Grace = time.Second
+		start := time.Now()
+		r, err := Run(context.Background(), cfg)
+		is.NoErr(err)
+		is.True(time.Since(start) < 7*time.Second)
+		is.True(r.Total.Sent > 900)
+		is.Equal(r.Total.NotRun, r.Total.Sent) // no session could connect
+		is.NoErr(all[0].Fault(target.FaultFreeze, "0"))
+	})
+}
+
 // TestStaleRead guards against a read that misses the session's own write and
 // is not counted.
 func TestStaleRead(t *testing.T) {
--- a/standin/load/record.go
+++ b/standin/load/record.go
@@ -172,11 +172,14 @@
 }
 
 // longestGap returns the longest time between consecutive moments from 0 to
-// end, in milliseconds.
+// end, in milliseconds. Later moments are left out: nothing was asked for then.
 func longestGap(moments []time.Duration, end time.Duration) float64 {
 	slices.Sort(moments)
 	last, gap := time.Duration(0), time.Duration(0)
 	for _, m := range moments {
+		if m > end {
+			break
+		}
 		gap = max(gap, m-last)
 		last = m
 	}
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -17,11 +17,13 @@
 	rec := newRecorder(cfg)
 	queues := make([]*queue, len(cfg.Workspaces))
 	var wg sync.WaitGroup
+	ctx, cancel := context.WithTimeout(ctx, cfg.Duration+cfg.Grace)
+	defer cancel()
 	rec.start = time.Now()
 	for i, ws := range cfg.Workspaces {
 		queues[i] = newQueue()
 		for n := range cfg.Sessions {
-			s := &session{cfg: cfg, rec: rec, ws: ws, id: int64(i*cfg.Sessions + n + 1), addr: i + n}
+			s := &session{cfg: cfg, rec: rec, ws: ws, id: int64(cfg.Seed<<20) + int64(i*cfg.Sessions+n+1), addr: i + n}
 			wg.Go(func() { s.serve(ctx, queues[i]) })
 		}
 	}
@@ -30,6 +32,11 @@
 		q.close()
 	}
 	wg.Wait()
+	for _, q := range queues {
+		for _, a := range q.items {
+			rec.done(a, OutcomeNotRun, "not_sent")
+		}
+	}
 	return rec.report(time.Since(rec.start)), nil
 }
 
