Spread catalogue versions between the VMs and the store

Versions reach VMs by the relay's watch, checks of two readers in each zone, pushes and pings, as deltas where there is a base. A check reads the history key of the version at hand, which is written before an edit replaces that version, so that it costs a few bytes and not the document. An edit that stopped between the two writes is ended by the relay.

In the outage test a VM was refused for a moment when the store came back, because others reached it first. That the store was down is now certified as of a moment, and the certificate lasts as long as a proof does.

--- /dev/null
+++ b/internal/spread/spread_test.go
@@ -0,0 +1,375 @@
+package spread
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilspan.example/internal/proto/peerpb"
+	"chervilspan.example/pkg/access"
+	"chervilspan.example/pkg/catal"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/store"
+)
+
+func sqlState(err error) string {
+	var e *access.Error
+	if errors.As(err, &e) {
+		return e.SQLState()
+	}
+	return ""
+}
+
+// run runs a test on a fleet of 9 VMs in virtual time.
+func run(t *testing.T, f func(is *is.I, w *world, key string)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w, key := fleet(t, 9)
+		defer w.end()
+		f(is.New(t), w, key)
+	})
+}
+
+// TestInForce guards against edits that some VM never gets, or late. It also
+// reports the calls to the store.
+func TestInForce(t *testing.T) {
+	run(t, func(is *is.I, w *world, _ string) {
+		var worst time.Duration
+		for i := range 10 {
+			v := w.all[i%9]
+			out, err := w.edit(v, rate(float64(i+2)))
+			is.NoErr(err)
+			is.True(out.Accepted)
+			took := until(time.Minute, w.allAt(out.Version))
+			is.True(took >= 0)
+			worst = max(worst, took)
+			time.Sleep(2 * time.Second)
+		}
+		t.Logf("9 VMs: edits in force everywhere within %v", worst)
+		w.mu.Lock()
+		calls := w.calls
+		w.mu.Unlock()
+		time.Sleep(time.Minute)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		t.Logf("9 VMs: %.1f store calls a second when quiet", float64(w.calls-calls)/60)
+	})
+}
+
+// TestCutZoneWithdrawnKey guards against a withdrawn key that goes on working
+// in a zone that is cut off, and against open routes that stop there.
+func TestCutZoneWithdrawnKey(t *testing.T) {
+	run(t, func(is *is.I, w *world, key string) {
+		cutOff := w.all[2] // in costa
+		g, err := cutOff.Authenticate("w", "keyed", key)
+		is.NoErr(err)
+		w.setCut(apart("costa"))
+		out, err := w.edit(w.all[0], withdraw)
+		is.NoErr(err)
+		is.True(out.Accepted)
+		took := until(time.Minute, func() bool { return cutOff.Check(g) != nil })
+		is.True(took >= 0 && took <= 6*time.Second) // max_stale and the age at the cut
+		is.Equal(sqlState(cutOff.Check(g)), "57P03")
+		_, err = cutOff.Authenticate("w", "keyed", key)
+		is.Equal(sqlState(err), "57P03")
+		_, err = cutOff.Authenticate("w", "open", "")
+		is.NoErr(err)
+		is.True(cutOff.Facts().Decision.CutOff())
+		is.Equal(sqlState(w.all[0].Check(g)), "28P01")
+
+		w.setCut(func(ident.Zone, ident.Zone) bool { return false })
+		took = until(time.Minute, func() bool {
+			err := cutOff.Check(g)
+			is.True(err != nil) // must not work again for a moment
+			return sqlState(err) == "28P01"
+		})
+		is.True(took >= 0)
+		t.Logf("withdrawn key refused %v after the cut has healed", took)
+	})
+}
+
+// TestZoneWithoutStore guards against a zone that reaches its peers, but not
+// the store, and refuses or misses an edit.
+func TestZoneWithoutStore(t *testing.T) {
+	run(t, func(is *is.I, w *world, key string) {
+		g, err := w.all[2].Authenticate("w", "keyed", key)
+		is.NoErr(err)
+		w.setCut(func(a, b ident.Zone) bool { return a == "costa" && b == "store" })
+		for range 600 {
+			time.Sleep(50 * time.Millisecond)
+			for _, v := range w.all {
+				is.NoErr(v.Check(g))
+			}
+		}
+		out, err := w.edit(w.all[0], withdraw)
+		is.NoErr(err)
+		took := until(time.Minute, w.allAt(out.Version))
+		is.True(took >= 0 && took <= 9*time.Second)
+		t.Logf("in force in the zone without the store after %v", took)
+		is.Equal(sqlState(w.all[2].Check(g)), "28P01")
+	})
+}
+
+// TestStoreOutage guards against refusals while the store is down for all, when
+// it goes and when it comes back, and against edits meanwhile.
+func TestStoreOutage(t *testing.T) {
+	run(t, func(is *is.I, w *world, key string) {
+		g, err := w.all[0].Authenticate("w", "keyed", key)
+		is.NoErr(err)
+		watch := func(d time.Duration) {
+			for begin := time.Now(); time.Since(begin) < d; time.Sleep(50 * time.Millisecond) {
+				for _, v := range w.all {
+					is.NoErr(v.Check(g))
+				}
+			}
+		}
+		watch(10 * time.Second)
+		w.setCut(apart("store"))
+		watch(2 * time.Minute)
+		is.Equal(w.all[0].Facts().Decision.Reason.String(), "store_down")
+		_, err = w.edit(w.all[0], rate(3))
+		is.True(isStore(err))
+		w.setCut(func(ident.Zone, ident.Zone) bool { return false })
+		watch(30 * time.Second)
+		is.Equal(w.all[0].Facts().Decision.Reason.String(), "fresh")
+	})
+}
+
+// TestReaderCrash guards against VMs that are cut off because one VM, on which
+// others rely for the version's age, has crashed.
+func TestReaderCrash(t *testing.T) {
+	run(t, func(is *is.I, w *world, key string) {
+		g, err := w.all[0].Authenticate("w", "keyed", key)
+		is.NoErr(err)
+		for i := range 3 {
+			w.stop(w.all[i])
+			rest := w.all[3:]
+			for begin := time.Now(); time.Since(begin) < 20*time.Second; time.Sleep(50 * time.Millisecond) {
+				for _, v := range rest {
+					is.NoErr(v.Check(g))
+				}
+			}
+		}
+	})
+}
+
+// TestBootStoreDown guards against a VM that starts during an outage of the
+// store and serves nothing, or serves with too few peers.
+func TestBootStoreDown(t *testing.T) {
+	run(t, func(is *is.I, w *world, key string) {
+		out, err := w.edit(w.all[0], rate(5))
+		is.NoErr(err)
+		time.Sleep(5 * time.Second)
+		w.setCut(apart("store"))
+		time.Sleep(time.Minute)
+		old := w.all[4]
+		w.stop(old)
+		again := w.start(4, 9)
+		is.True(until(10*time.Second, func() bool { return again.Facts().Version == out.Version }) >= 0)
+		is.True(until(10*time.Second, func() bool { _, err := again.Authenticate("w", "keyed", key); return err == nil }) >= 0)
+
+		w.stop(again)
+		w.setCut(func(a, b ident.Zone) bool { return a != b }) // only its zone answers: 2 of 8 peers
+		last := w.start(4, 9)
+		time.Sleep(time.Minute)
+		is.Equal(last.Facts().Version, ident.Version(0))
+		_, err = last.Authenticate("w", "open", "")
+		is.Equal(sqlState(err), "57P03")
+	})
+}
+
+// TestRace guards against two operators of whom both are told that their edit
+// was accepted, or against a loser who isn't shown what won.
+func TestRace(t *testing.T) {
+	run(t, func(is *is.I, w *world, _ string) {
+		outs := make(chan Outcome, 2)
+		for i, v := range []*vm{w.all[0], w.all[2]} {
+			go func() {
+				out, err := w.edit(v, rate(float64(i+7)))
+				is.NoErr(err)
+				outs <- out
+			}()
+		}
+		a, b := <-outs, <-outs
+		if b.Accepted {
+			a, b = b, a
+		}
+		is.True(a.Accepted && !b.Accepted)
+		is.Equal(b.Version, a.Version)
+		is.Equal(b.Won.Operator, "ana")
+		is.Equal(b.Won.Version, a.Version)
+		is.True(until(10*time.Second, w.allAt(a.Version)) >= 0)
+	})
+}
+
+// TestLostAnswers guards against an edit that is reported as lost, or stored
+// twice, because the store's answers are lost.
+func TestLostAnswers(t *testing.T) {
+	for lost := range 4 {
+		run(t, func(is *is.I, w *world, _ string) {
+			w.mu.Lock()
+			w.lose = lost
+			w.mu.Unlock()
+			out, err := w.edit(w.all[0], rate(9))
+			is.NoErr(err)
+			is.True(out.Accepted)
+			is.Equal(out.Version, ident.Version(2))
+			time.Sleep(30 * time.Second)
+			is.True(w.allAt(2)())
+		})
+	}
+}
+
+// TestStaleStore guards against a lower version that comes back with stale
+// answers of the store, also on a VM that starts.
+func TestStaleStore(t *testing.T) {
+	run(t, func(is *is.I, w *world, _ string) {
+		out, err := w.edit(w.all[0], rate(9))
+		is.NoErr(err)
+		is.True(until(10*time.Second, w.allAt(out.Version)) >= 0)
+		w.mu.Lock()
+		w.stale = true
+		w.mu.Unlock()
+		w.stop(w.all[5])
+		again := w.start(5, 9)
+		for range 600 {
+			time.Sleep(50 * time.Millisecond)
+			is.Equal(w.all[0].Facts().Version, out.Version)
+			v := again.Facts().Version
+			is.True(v == 0 || v == out.Version)
+		}
+		is.Equal(again.Facts().Version, out.Version)
+	})
+}
+
+// TestReplayedAnswers guards against a peer's old answer, whole or delta, that
+// brings a lower version back or stops the spreading.
+func TestReplayedAnswers(t *testing.T) {
+	run(t, func(is *is.I, w *world, _ string) {
+		var first *peerpb.GetCatalogueReply
+		n := 0
+		w.replay = func(r *peerpb.GetCatalogueReply) *peerpb.GetCatalogueReply {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if first == nil && r.GetVersion() > 0 {
+				first = r
+			}
+			n++
+			if n%2 == 0 && first != nil {
+				return first
+			}
+			return r
+		}
+		for i := range 6 {
+			out, err := w.edit(w.all[i], rate(float64(i+2)))
+			is.NoErr(err)
+			is.True(out.Accepted)
+			low := make([]ident.Version, 9)
+			is.True(until(10*time.Second, func() bool {
+				for k, v := range w.all {
+					is.True(v.Facts().Version >= low[k])
+					low[k] = v.Facts().Version
+				}
+				return w.allAt(out.Version)()
+			}) >= 0)
+		}
+		is.True(n > 10)
+	})
+}
+
+// TestInterruptedEdit guards against a fleet that reads the whole catalogue at
+// each check because an edit stopped half way.
+func TestInterruptedEdit(t *testing.T) {
+	run(t, func(is *is.I, w *world, _ string) {
+		now, err := readRecord(w.t.Context(), w.all[0].cfg.Store, CatalogueKey)
+		is.NoErr(err)
+		is.NoErr(w.all[0].keep(w.t.Context(), now))
+		is.True(until(time.Minute, w.allAt(2)) >= 0)
+		changes, err := catal.Diff(now.catalogue, w.all[3].Catalogue())
+		is.NoErr(err)
+		is.Equal(len(changes), 0)
+	})
+}
+
+// TestAlone guards against edits through a VM that has lost all others and
+// still reaches the store.
+func TestAlone(t *testing.T) {
+	run(t, func(is *is.I, w *world, _ string) {
+		w.setCut(func(a, b ident.Zone) bool { return a != "store" && b != "store" })
+		time.Sleep(10 * time.Second)
+		_, err := w.edit(w.all[0], rate(3))
+		var e *Error
+		is.True(errors.As(err, &e))
+		is.Equal(e.Kind, KindAlone)
+	})
+}
+
+// TestHistory guards against a history that grows without bound or loses
+// versions that it has to keep.
+func TestHistory(t *testing.T) {
+	run(t, func(is *is.I, w *world, _ string) {
+		for i := range 108 {
+			out, err := w.edit(w.all[0], rate(float64(i+2)))
+			is.NoErr(err)
+			is.True(out.Accepted)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(2 * time.Minute)
+		w.mu.Lock()
+		is.Equal(len(w.entries), 101) // the present version and 100 former ones
+		w.mu.Unlock()
+		r, err := w.all[0].Stored(w.t.Context(), 60)
+		is.NoErr(err)
+		is.Equal(r.catalogue.Workspaces["w"].Rate, 60.0)
+		_, err = w.all[0].Stored(w.t.Context(), 5)
+		var e *Error
+		is.True(errors.As(err, &e))
+		is.Equal(e.Kind, KindMissing)
+	})
+}
+
+// TestRules guards against documents that are stored although they break rules.
+func TestRules(t *testing.T) {
+	run(t, func(is *is.I, w *world, _ string) {
+		out, err := w.edit(w.all[0], func(c *catal.Catalogue) { c.Sharing.Slices = 3 })
+		is.NoErr(err)
+		is.True(!out.Accepted)
+		is.Equal(out.Problems[0].Path, "/sharing/slices")
+		out, err = w.all[0].Edit(w.t.Context(), Edit{Base: 1, Document: []byte(`{"zones":{}`)})
+		is.NoErr(err)
+		is.Equal(len(out.Problems), 1)
+		is.Equal(w.all[0].Facts().Version, ident.Version(1))
+	})
+}
+
+// TestNoKeyInClear guards against keys in logs, errors or the store.
+func TestNoKeyInClear(t *testing.T) {
+	run(t, func(is *is.I, w *world, key string) {
+		_, err := w.all[0].Authenticate(ident.Workspace(key), "keyed", key)
+		is.True(!strings.Contains(err.Error(), key[10:]))
+		out, err := w.edit(w.all[0], func(c *catal.Catalogue) {
+			ws := c.Workspaces["w"]
+			ws.Owner = key
+			c.Workspaces["w"] = ws
+		})
+		_ = out
+		is.NoErr(err)
+		is.True(!out.Accepted)
+		_, err = w.edit(w.all[0], withdraw)
+		is.NoErr(err)
+		time.Sleep(5 * time.Second)
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		for _, e := range w.entries {
+			is.True(!strings.Contains(string(e.Value), key[10:]))
+		}
+		is.True(strings.Contains(w.logs.String(), "catalogue_applied"))
+		is.True(!strings.Contains(w.logs.String(), key[10:]))
+	})
+}
+
+var _ store.Store = (*zoneStore)(nil)
--- a/pkg/fresh/decide.go
+++ b/pkg/fresh/decide.go
@@ -47,13 +47,12 @@
 	if s.version == 0 {
 		return Decision{Age: Never}
 	}
-	d := Decision{Age: age(s.current.at, now)}
-	down := s.storeDown(now, &d)
+	d := Decision{Age: age(s.current.at, now), Missing: s.certify(now)}
 	switch {
-	case d.Age >= 0 && d.Age <= s.cfg.MaxStale:
+	case s.young(s.current.at, now):
 		d.Reason = ReasonFresh
 		s.served = now
-	case down:
+	case s.young(s.down, now):
 		d.Reason = ReasonStoreDown
 		s.served = now
 	case s.cfg.CutOffServe > 0 && !s.served.IsZero() && now.Sub(s.served) <= s.cfg.CutOffServe:
@@ -65,22 +64,36 @@
 	return d
 }
 
-// storeDown reports whether the store is down for all zones, so that nobody
-// can accept an edit.
-func (s *State) storeDown(now time.Time, d *Decision) bool {
-	down := s.known <= s.version
+func (s *State) young(t, now time.Time) bool {
+	return !t.IsZero() && now.Sub(t) <= s.cfg.MaxStale
+}
+
+// certify finds out whether the store is down for all zones, so that nobody
+// can accept an edit, and as of when. It returns the zones that were not heard
+// from within MaxStale. When a zone gains contact again, what was certified
+// before stands until it is too old: like a proof it bounds for how long an
+// edit can be missed.
+func (s *State) certify(now time.Time) (missing []ident.Zone) {
+	down := s.known <= s.version && len(s.names) > 0
+	asOf := now
 	for _, id := range s.names {
 		z := s.zone(id)
 		if id == s.cfg.Zone {
 			z.heard = now
 		}
-		if z.heard.IsZero() || now.Sub(z.heard) > s.cfg.MaxStale {
+		if !s.young(z.heard, now) {
 			down = false
-			d.Missing = append(d.Missing, id)
+			missing = append(missing, id)
 		}
 		if !z.store.IsZero() && z.heard.Sub(z.store) <= s.cfg.MaxStale/2 {
 			down = false
 		}
+		if z.heard.Before(asOf) {
+			asOf = z.heard
+		}
+	}
+	if down {
+		s.down = later(s.down, asOf)
 	}
-	return down
+	return missing
 }
--- a/pkg/fresh/doc.go
+++ b/pkg/fresh/doc.go
@@ -12,7 +12,9 @@
 // A VM serves keyed routes while its proof is younger than MaxStale, or while
 // the store is down for all: each zone was heard from within MaxStale, none of
 // them was in contact with the store for MaxStale/2 before it was heard, and no
-// higher version was heard of. Otherwise the VM is cut off.
+// higher version was heard of. Otherwise the VM is cut off. That the store was
+// down is certified as of the moment when the zone heard from least was heard,
+// and like a proof the certificate lasts for MaxStale.
 //
 // The half is judged sound for callers that read the store and exchange reports
 // every MaxStale/6 with a jitter of 20%: a VM of a zone with contact then knows
--- a/pkg/fresh/fresh.go
+++ b/pkg/fresh/fresh.go
@@ -69,6 +69,8 @@
 	ahead   proof
 	zones   map[ident.Zone]*zone
 	names   []ident.Zone
+	// down is the latest moment as of which the store was down for all.
+	down time.Time
 	// served is when Decide last found the VM not cut off.
 	served time.Time
 }
@@ -166,6 +168,7 @@
 			z.heard = later(z.heard, sent.Add(-a.Heard))
 		}
 	}
+	s.certify(got)
 }
 
 // Request takes the report in a request of a peer. How long it was on its way
--- a/pkg/member/events.go
+++ b/pkg/member/events.go
@@ -133,7 +133,7 @@
 	slices.SortFunc(rows, func(a, b row) int {
 		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.vm, b.vm))
 	})
-	limit := n.spread()
+	limit := n.Spread()
 	most := min(n.cfg.MaxEvents, max(minEvents, len(rows)/4))
 	var out []Info
 	for _, r := range rows[:min(len(rows), most)] {
--- a/pkg/member/links.go
+++ b/pkg/member/links.go
@@ -55,35 +55,25 @@
 // Relays returns the live VMs of a region, leaving ones last, in the order in
 // which they take the role of the region's relay.
 func (n *Node) Relays(region ident.Region) []ident.VM {
-	var staying, leaving []ident.VM
-	for _, i := range n.Live() {
-		switch {
-		case i.Region != region:
-		case i.State == StateLeaving:
-			leaving = append(leaving, i.VM)
-		default:
-			staying = append(staying, i.VM)
-		}
-	}
-	key := "relay/" + string(region)
-	return append(rendez.Rank(key, staying), rendez.Rank(key, leaving)...)
+	return n.rank("relay/"+string(region), func(i Info) bool { return i.Region == region })
 }
 
-// ZoneReader returns the VM of a zone that reads the store's version, leaving
-// ones last; ok is false when the zone has no live VM.
-func (n *Node) ZoneReader(zone ident.Zone) (vm ident.VM, ok bool) {
+// Readers returns the live VMs of a zone, leaving ones last, in the order in
+// which they read the store's version for the zone.
+func (n *Node) Readers(zone ident.Zone) []ident.VM {
+	return n.rank("reader/"+string(zone), func(i Info) bool { return i.Zone == zone })
+}
+
+func (n *Node) rank(key string, among func(Info) bool) []ident.VM {
 	var staying, leaving []ident.VM
 	for _, i := range n.Live() {
 		switch {
-		case i.Zone != zone:
+		case !among(i):
 		case i.State == StateLeaving:
 			leaving = append(leaving, i.VM)
 		default:
 			staying = append(staying, i.VM)
 		}
 	}
-	if vm, ok = rendez.First("reader/"+string(zone), staying); ok {
-		return vm, true
-	}
-	return rendez.First("reader/"+string(zone), leaving)
+	return append(rendez.Rank(key, staying), rendez.Rank(key, leaving)...)
 }
--- a/pkg/member/node.go
+++ b/pkg/member/node.go
@@ -214,9 +214,9 @@
 
 func live(i Info) bool { return i.State != StateDead }
 
-// spread is how many times an event is sent, which is also about the number
+// Spread is how many times an event is sent, which is also about the number
 // of periods that it needs to reach everyone.
-func (n *Node) spread() int {
+func (n *Node) Spread() int {
 	return n.cfg.EventFactor * max(1, bits.Len(uint(n.others)))
 }
 
@@ -227,7 +227,7 @@
 // hearsayTime is how long a suspicion of another VM is held: that VM's verdict
 // or a refutation arrives earlier.
 func (n *Node) hearsayTime() time.Duration {
-	return n.suspectTime() + time.Duration(n.spread())*n.cfg.Period
+	return n.suspectTime() + time.Duration(n.Spread())*n.cfg.Period
 }
 
 // rows returns the rows that f selects, by id.
@@ -248,3 +248,6 @@
 	}
 	return append(list, v)
 }
+
+// Hash returns the hash of this VM's table, for messages beside Tick's pings.
+func (n *Node) Hash() uint64 { return n.hash }
--- a/pkg/member/probe.go
+++ b/pkg/member/probe.go
@@ -230,14 +230,7 @@
 	var a Actions
 	p := n.pending[seq]
 	before := n.self.Incarnation
-	if p != nil && p.full {
-		n.mergeAll(m.Events, now)
-	} else {
-		for _, i := range m.Events {
-			n.merge(i, now)
-		}
-	}
-	n.compare(m, now)
+	n.HandleList(m, p != nil && p.full, now)
 	if p == nil || p.target.VM != "" && p.target.VM != m.From {
 		// Another VM may answer at the address of a dead one.
 		return a
@@ -250,6 +243,19 @@
 	return a
 }
 
+// HandleList takes the answer to a message that did not come from Tick; full
+// tells whether it asked for all members.
+func (n *Node) HandleList(m Message, full bool, now time.Time) {
+	if full {
+		n.mergeAll(m.Events, now)
+	} else {
+		for _, i := range m.Events {
+			n.merge(i, now)
+		}
+	}
+	n.compare(m, now)
+}
+
 // HandleIndirect takes the answer to an indirect probe.
 func (n *Node) HandleIndirect(seq uint64, reached bool) {
 	if reached {
