Guard the spread tests' own state against data races

The race detector found the log buffer and a counter of the test fleet shared between VMs without a lock; the package itself had none.

--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -252,6 +252,7 @@
 	run(t, func(is *is.I, w *world, _ string) {
 		var first *peerpb.GetCatalogueReply
 		n := 0
+		w.mu.Lock()
 		w.replay = func(r *peerpb.GetCatalogueReply) *peerpb.GetCatalogueReply {
 			w.mu.Lock()
 			defer w.mu.Unlock()
@@ -264,6 +265,7 @@
 			}
 			return r
 		}
+		w.mu.Unlock()
 		for i := range 6 {
 			out, err := w.edit(w.all[i], rate(float64(i+2)))
 			is.NoErr(err)
@@ -277,6 +279,8 @@
 				return w.allAt(out.Version)()
 			}) >= 0)
 		}
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		is.True(n > 10)
 	})
 }
--- a/internal/spread/world_test.go
+++ b/internal/spread/world_test.go
@@ -42,7 +42,25 @@
 	calls   int
 	lose    int  // that many writes take effect without an answer
 	stale   bool // reads return the value before the last write
-	logs    bytes.Buffer
+	logs    logBuffer
+}
+
+// logBuffer takes the log lines of all VMs.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
 }
 
 type vm struct {
@@ -100,7 +118,7 @@
 			VM: ident.VM(fmt.Sprintf("vm-%d", i)), Zone: zone, Region: ident.Region(place.region),
 			Address: seeds[i], Number: uint32(i + 1),
 		},
-		Seeds: seeds, Store: &zoneStore{w, zone}, Peers: &dialer{w, zone}, Log: zerolog.New(zerolog.SyncWriter(&w.logs)), Seed: uint64(i + 1),
+		Seeds: seeds, Store: &zoneStore{w, zone}, Peers: &dialer{w, zone}, Log: zerolog.New(&w.logs), Seed: uint64(i + 1),
 	})
 	ctx, cancel := context.WithCancel(w.t.Context())
 	v := &vm{Spread: s, cancel: cancel, done: make(chan struct{})}
@@ -287,8 +305,11 @@
 	reply, err := through(ctx, l, r, func(v *vm) func(context.Context, *peerpb.GetCatalogueRequest) (*peerpb.GetCatalogueReply, error) {
 		return v.GetCatalogue
 	})
-	if err == nil && l.d.w.replay != nil {
-		reply = l.d.w.replay(reply)
+	l.d.w.mu.Lock()
+	replay := l.d.w.replay
+	l.d.w.mu.Unlock()
+	if err == nil && replay != nil {
+		reply = replay(reply)
 	}
 	return reply, err
 }
