Assemble the daemon from catalogue, membership, limits and data plane

chervild now takes the catalogue through its peers and the store, limits rates and slots over the fleet, watches groups by the choice among live VMs, serves operators, drains on SIGTERM and reads settings again on SIGHUP. The demo also edits the catalogue, withdraws a key under open sessions and drains a daemon during a transaction.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,131 +3,204 @@
 import (
 	"context"
 	"crypto/tls"
-	"errors"
 	"net"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
+	"sync/atomic"
 
 	"github.com/rs/zerolog"
 
+	"chervilspan.example/internal/admin"
 	"chervilspan.example/internal/certs"
 	"chervilspan.example/internal/conf"
 	"chervilspan.example/internal/conns"
-	"chervilspan.example/internal/dbctl"
-	"chervilspan.example/internal/evlog"
+	"chervilspan.example/internal/limit"
 	"chervilspan.example/internal/metr"
+	"chervilspan.example/internal/peer"
+	"chervilspan.example/internal/spread"
 	"chervilspan.example/internal/strpc"
 	"chervilspan.example/internal/watch"
 	"chervilspan.example/internal/wire"
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
-	"chervilspan.example/pkg/sessn"
+	"chervilspan.example/pkg/member"
 	"chervilspan.example/pkg/topo"
 )
 
 // Daemon is one VM's entry daemon.
 type Daemon struct {
-	cfg     *conf.Settings
+	file    string
+	cfg     atomic.Pointer[conf.Settings]
 	log     zerolog.Logger
 	metrics *metr.Metrics
+	certs   certificates
+	secret  string
+
 	store   *strpc.Client
 	table   topo.Table
-	pools   *conns.Pools
+	clients *peer.Cache
+	spread  *spread.Spread
+	limiter *limit.Limiter
 	watch   *watch.Watcher
-	cat     *polled
+	pools   *conns.Pools
 	server  *wire.Server
-	listen  net.Listener
+	peers   *peer.Server
+	admin   *admin.Service
+
+	listeners listeners
+	// drain is closed when an operator asks for a planned stop.
+	drain chan struct{}
+}
+
+// certificates has the files that SIGHUP reads again; unused ones are nil.
+type certificates struct {
+	callers, store, targets *certs.Pair
+	peers                   *peer.Keys
 }
 
-// New prepares a daemon and opens its listeners.
+type listeners struct{ callers, peers, admin net.Listener }
+
+// New prepares a daemon and opens its listeners; file is where Run reads the
+// settings again on SIGHUP.
 func New(file string, cfg *conf.Settings) (*Daemon, error) {
-	d := &Daemon{cfg: cfg, metrics: metr.New()}
-	level, _ := zerolog.ParseLevel(cfg.WithDefaults().Log.Level)
-	d.log = zerolog.New(os.Stderr).Level(level).With().Timestamp().Str("vm", string(cfg.VM)).Logger()
-	st, err := strpc.Dial(cfg.Store.Address, nil, d.metrics.Scope)
+	d := &Daemon{file: file, metrics: metr.New(), drain: make(chan struct{}, 1)}
+	d.cfg.Store(cfg)
+	d.log = zerolog.New(os.Stderr).With().Timestamp().Str("vm", string(cfg.VM)).Logger()
+	d.setLevel(cfg)
+	if err := d.load(cfg); err != nil {
+		return nil, err
+	}
+	store, err := strpc.Dial(cfg.Store.Address, clientTLS(d.certs.store), d.metrics.Scope)
 	if err != nil {
 		return nil, &Error{Op: "open the store", Kind: KindConfig, Err: err}
 	}
-	d.store = st
+	d.store = store
+	d.assemble(cfg)
+	if err := d.open(cfg); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) setLevel(cfg *conf.Settings) {
+	if level, err := zerolog.ParseLevel(cfg.WithDefaults().Log.Level); err == nil {
+		zerolog.SetGlobalLevel(level)
+	}
+}
+
+// load reads the files that the settings name.
+func (d *Daemon) load(cfg *conf.Settings) (err error) {
+	for _, f := range []struct {
+		into **certs.Pair
+		tls  conf.TLS
+	}{
+		{&d.certs.callers, cfg.Callers.TLS},
+		{&d.certs.store, cfg.Store.TLS},
+		{&d.certs.targets, cfg.Targets.TLS},
+	} {
+		if f.tls.IsZero() {
+			continue
+		}
+		if *f.into, err = certs.Load(certs.Files{Cert: f.tls.CertFile, Key: f.tls.KeyFile, CA: f.tls.CAFile}); err != nil {
+			return &Error{Op: "load certificates", Kind: KindConfig, Err: err}
+		}
+	}
+	if t := cfg.Peers.TLS; !t.IsZero() {
+		if d.certs.peers, err = peer.LoadKeys(peer.Files{Cert: t.CertFile, Key: t.KeyFile, CA: t.CAFile}); err != nil {
+			return &Error{Op: "load certificates", Kind: KindConfig, Err: err}
+		}
+	}
 	password, err := os.ReadFile(cfg.Targets.PasswordFile)
 	if err != nil {
-		return nil, &Error{Op: "read the targets' password", Kind: KindConfig, Err: err}
+		return &Error{Op: "read the password for the targets", Kind: KindConfig, Err: err}
 	}
-	secret := strings.TrimRight(string(password), "\r\n")
-	callersTLS, err := serverTLS(cfg.Callers.TLS)
-	if err != nil {
-		return nil, err
+	d.secret = strings.TrimRight(string(password), "\r\n")
+	return nil
+}
+
+func clientTLS(p *certs.Pair) *tls.Config {
+	if p == nil {
+		return nil
 	}
-	d.watch = watch.New(watch.Config{
-		Self: cfg.VM, Table: &d.table, Store: d.store, Log: d.log, Metrics: d.metrics.Scope,
-		Watchers: cfg.Failover.WatcherCount(), Region: d.region,
-		Dial: func(_ ident.Group, id ident.Target, address string) watch.Conn {
-			return dbctl.New(dbctl.Config{Target: id, Address: address, User: cfg.Targets.User, Password: secret})
-		},
-	})
-	d.pools = conns.New(conns.Config{
-		User: cfg.Targets.User, Password: secret, Groups: &d.table, Suspect: d.watch.Suspect,
-		ConnectTimeout: cfg.Targets.ConnectTimeout(), IdleClose: cfg.Targets.IdleClose(), Log: d.log, Scope: d.metrics.Scope,
-	})
-	d.cat = &polled{store: d.store, apply: func(c *catal.Catalogue) { d.table.Configure(c) }}
-	d.server = wire.New(wire.Config{
-		Access: d.cat, Limiter: unlimited{}, Groups: &d.table, Control: d.watch, Pools: d.pools,
-		Number: cfg.Number, Place: sessn.Place{Zone: cfg.Zone, Region: cfg.Region}, Region: d.region,
-		TLS: callersTLS, AllowPlain: cfg.Callers.PlainText,
-		MaxUnauthenticated: cfg.Callers.Unauthenticated(), HandshakeTimeout: cfg.Callers.HandshakeTimeout(),
-		MaxMessage: cfg.Callers.MessageBytes(), Log: d.log, Scope: d.metrics.Scope,
-	})
-	d.listen, err = net.Listen("tcp", cfg.Callers.Listen)
-	if err != nil {
-		return nil, &Error{Op: "listen for callers", Kind: KindListen, Err: err}
+	return p.Client()
+}
+
+func serverTLS(p *certs.Pair) *tls.Config {
+	if p == nil {
+		return nil
 	}
-	_ = file
-	return d, nil
+	return p.Server()
 }
 
-func serverTLS(t conf.TLS) (*tls.Config, error) {
-	if t.IsZero() {
-		return nil, nil
+func (d *Daemon) open(cfg *conf.Settings) error {
+	for _, l := range []struct {
+		into    *net.Listener
+		address string
+	}{
+		{&d.listeners.callers, cfg.Callers.Listen},
+		{&d.listeners.peers, cfg.Peers.Listen},
+		{&d.listeners.admin, cfg.Admin.Listen},
+	} {
+		if l.address == "" {
+			continue
+		}
+		n, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return &Error{Op: "listen", Kind: KindListen, Err: err}
+		}
+		*l.into = n
 	}
-	pair, err := certs.Load(certs.Files{Cert: t.CertFile, Key: t.KeyFile, CA: t.CAFile})
-	if err != nil {
-		return nil, &Error{Op: "load certificates", Kind: KindConfig, Err: err}
+	return nil
+}
+
+func (d *Daemon) self(cfg *conf.Settings) member.Info {
+	return member.Info{
+		VM: cfg.VM, Zone: cfg.Zone, Region: cfg.Region, Number: cfg.Number,
+		Address: cfg.Peers.AdvertiseAddress(),
 	}
-	return pair.Server(), nil
 }
 
+// region returns the region of a zone of the catalogue in force.
 func (d *Daemon) region(z ident.Zone) ident.Region {
-	if c := d.cat.current.Load(); c != nil {
+	if c := d.spread.Catalogue(); c != nil {
 		return c.Zones[z].Region
 	}
 	return ""
 }
 
-// Run serves until SIGTERM or an interrupt and returns the number of sessions
-// that were cut.
-func (d *Daemon) Run(ctx context.Context) (cut int, err error) {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	work, end := context.WithCancel(context.Background())
-	defer end()
-	go d.cat.run(work)
-	go d.watch.Run(work)
-	failed := make(chan error, 1)
-	go func() { failed <- d.server.Serve(d.listen) }()
-	evlog.At(d.log, evlog.DaemonStarted).Str("callers", d.listen.Addr().String()).Send()
-	select {
-	case err := <-failed:
-		if err != nil && !errors.Is(err, net.ErrClosed) {
-			return 0, &Error{Op: "serve callers", Kind: KindListen, Err: err}
+// Ready returns an error while the daemon is not to be given callers.
+func (d *Daemon) Ready() error {
+	switch {
+	case d.spread.Self().State == member.StateLeaving:
+		return errLeaving
+	case d.spread.Catalogue() == nil:
+		return errNoCatalogue
+	case d.spread.Facts().Decision.CutOff() && !d.anyOpen():
+		return errCutOff
+	}
+	return nil
+}
+
+// anyOpen reports whether a route is open to all; such routes are served by a
+// VM that is cut off too.
+func (d *Daemon) anyOpen() bool {
+	for _, r := range d.spread.Catalogue().Routes {
+		if r.Open {
+			return true
 		}
-	case <-ctx.Done():
 	}
-	drain, cancel := context.WithTimeout(context.Background(), d.cfg.Drain.Max())
-	defer cancel()
-	cut = d.server.Drain(drain)
+	return false
+}
+
+// follow takes each version of the catalogue that comes into force.
+func (d *Daemon) follow(c *catal.Catalogue) { d.table.Configure(c) }
+
+// stopAll ends the parts that have no context.
+func (d *Daemon) stopAll(ctx context.Context) {
+	d.peers.Stop(ctx)
 	d.server.Close()
 	d.pools.Close()
-	return cut, nil
+	d.clients.Close()
+	_ = d.store.Close()
+	_ = d.metrics.Close()
 }
--- /dev/null
+++ b/internal/entry/status.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"time"
+
+	"chervilspan.example/internal/proto/adminpb"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/member"
+	"chervilspan.example/pkg/topo"
+)
+
+// fill adds to a VM's status what the parts beside the catalogue know.
+func (d *Daemon) fill(v *adminpb.VMStatus) {
+	v.Sessions = uint32(d.server.Sessions())
+	v.Draining = d.spread.Self().State == member.StateLeaving
+	for _, u := range d.limiter.Snapshot() {
+		v.Workspaces = append(v.Workspaces, &adminpb.WorkspaceStatus{
+			Workspace: string(u.Workspace), RateLimit: u.Limit.Rate, RateUsed: u.Used,
+			Admitted: u.Admitted, Refused: u.Refused, Queued: uint64(u.Queued),
+		})
+		v.Slices += uint32(u.Slices)
+	}
+	now := time.Now()
+	for _, id := range d.table.Groups() {
+		if g, ok := d.table.Group(id); ok {
+			v.Groups = append(v.Groups, d.groupStatus(&g, now))
+		}
+	}
+}
+
+func (d *Daemon) groupStatus(g *topo.Group, now time.Time) *adminpb.GroupStatus {
+	out := &adminpb.GroupStatus{Group: string(g.ID), Term: uint64(g.Term), Primary: string(g.Primary)}
+	end := groupEnd(g)
+	for i := range g.Targets {
+		out.Targets = append(out.Targets, d.targetStatus(g.ID, &g.Targets[i], end, now))
+	}
+	return out
+}
+
+// groupEnd returns the highest position known of any target.
+func groupEnd(g *topo.Group) ident.Position {
+	var end ident.Position
+	for i := range g.Targets {
+		end = end.Max(g.Targets[i].Applied)
+	}
+	return end
+}
+
+func (d *Daemon) targetStatus(g ident.Group, t *topo.Target, end ident.Position, now time.Time) *adminpb.TargetStatus {
+	open, _ := d.pools.Size(g, t.ID)
+	s := &adminpb.TargetStatus{
+		Target: string(t.ID), Zone: string(t.Config.Zone), Role: string(t.Status.Role),
+		Position: t.Applied.String(), Reachable: !t.Seen.IsZero() && t.Failed.IsZero(),
+		Leaving: t.Config.Leaving || t.Status.Leaving, Connections: uint32(open),
+		SlotsInUse: uint32(d.pools.Load(g, t.ID).Outstanding),
+	}
+	// A replica at the group's end has no lag; the age of what a replica
+	// behind it has is not known here.
+	if t.Applied.Less(end) && !t.Seen.IsZero() {
+		s.LagMs = now.Sub(t.Seen).Milliseconds()
+	}
+	return s
+}
--- a/pkg/access/errors.go
+++ b/pkg/access/errors.go
@@ -27,8 +27,9 @@
 	Text string
 }
 
-// Error returns the message; a refusal here means that nothing has run.
-func (e *Error) Error() string { return e.Text + ": not run" }
+// Error returns the message. A refusal here means that nothing has run; the
+// session adds that to what the caller sees.
+func (e *Error) Error() string { return e.Text }
 
 // SQLState returns the code of the PostgreSQL error message.
 func (e *Error) SQLState() string {
--- a/standin/cmd/demo/script.go
+++ b/standin/cmd/demo/script.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -13,6 +14,11 @@
 	"chervilspan.example/standin/fleet"
 )
 
+// execer is a connection or a transaction.
+type execer interface {
+	Exec(ctx context.Context, sql string, args ...any) (pgconn.CommandTag, error)
+}
+
 type step struct {
 	name string
 	run  func(context.Context) (string, error)
@@ -35,6 +41,9 @@
 		{"read them through another daemon", s.roam},
 		{"a wrong key is refused", s.wrongKey},
 		{"kill the primary, orders go on", s.failover},
+		{"an edit takes effect on all daemons", s.edit},
+		{"a withdrawn key stops everywhere", s.withdraw},
+		{"a daemon drains and cuts nothing", s.drain},
 		{"each order is there once", s.count},
 	}
 }
@@ -69,7 +78,7 @@
 	return "table orders", err
 }
 
-func (s *script) insert(ctx context.Context, c *pgx.Conn) error {
+func (s *script) insert(ctx context.Context, c execer) error {
 	id := fmt.Sprintf("order-%04d", s.placed)
 	if _, err := c.Exec(ctx, "INSERT INTO orders (id, pole, cm) VALUES ($1, $2, $3)", id, "curtain pole", 180+s.placed); err != nil {
 		return err
@@ -185,3 +194,112 @@
 	}
 	return fmt.Sprintf("%d orders placed, %d rows", s.placed, n), nil
 }
+
+// edit raises a workspace's rate and waits until each daemon has it in force.
+func (s *script) edit(ctx context.Context) (string, error) {
+	ws := s.fleet.Catalogue.Workspaces[s.ws]
+	ws.Rate *= 2
+	s.fleet.Catalogue.Workspaces[s.ws] = ws
+	v, err := s.fleet.Apply(ctx, s.fleet.Daemons[3])
+	if err != nil {
+		return "", err
+	}
+	took, err := s.fleet.WaitInForce(ctx, v)
+	return fmt.Sprintf("version %d in force on %d daemons after %.3f s", v, len(s.fleet.Daemons), took.Seconds()), err
+}
+
+// withdraw withdraws the key of another workspace while a session of it is
+// connected to each daemon.
+func (s *script) withdraw(ctx context.Context) (string, error) {
+	victim := s.fleet.Other(s.ws)
+	var open []*pgx.Conn
+	defer func() {
+		for _, c := range open {
+			_ = c.Close(ctx)
+		}
+	}()
+	for _, d := range s.fleet.Daemons {
+		c, err := s.fleet.Connect(ctx, d, victim, s.route)
+		if err != nil {
+			return "", err
+		}
+		open = append(open, c)
+		if _, err := c.Exec(ctx, "SELECT count(*) FROM orders"); err != nil {
+			return "", err
+		}
+	}
+	s.fleet.Withdraw(victim)
+	v, err := s.fleet.Apply(ctx, s.fleet.Daemons[0])
+	if err != nil {
+		return "", err
+	}
+	start := time.Now()
+	for i, c := range open {
+		if err := s.untilRefused(ctx, c); err != nil {
+			return "", fmt.Errorf("through %s: %w", s.fleet.Daemons[i].Settings.VM, err)
+		}
+	}
+	took := time.Since(start)
+	if took > withdrawLimit {
+		return "", fmt.Errorf("open sessions ended only after %s", took)
+	}
+	return fmt.Sprintf("version %d, %d open sessions ended within %.3f s", v, len(open), took.Seconds()), nil
+}
+
+// withdrawLimit is what "within seconds" means for a withdrawn key.
+const withdrawLimit = 9 * time.Second
+
+// untilRefused runs statements until one is refused because of the key.
+func (s *script) untilRefused(ctx context.Context, c *pgx.Conn) error {
+	for {
+		_, err := c.Exec(ctx, "SELECT count(*) FROM orders")
+		var pg *pgconn.PgError
+		switch {
+		case errors.As(err, &pg) && pg.Code == "28P01":
+			return nil
+		case err != nil:
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return errors.New("the withdrawn key still works")
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// drain stops a daemon while a transaction is open on it; the transaction must
+// end well.
+func (s *script) drain(ctx context.Context) (string, error) {
+	last := len(s.fleet.Daemons) - 1
+	c, err := s.fleet.Connect(ctx, s.fleet.Daemons[last], s.ws, s.route)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = c.Close(ctx) }()
+	tx, err := c.Begin(ctx)
+	if err != nil {
+		return "", err
+	}
+	if err := s.insert(ctx, tx); err != nil {
+		return "", err
+	}
+	d := s.fleet.Daemons[last]
+	if err := d.Proc().Signal(syscall.SIGTERM); err != nil {
+		return "", err
+	}
+	time.Sleep(d.Settings.Drain.Notice() + 200*time.Millisecond)
+	if err := s.insert(ctx, tx); err != nil {
+		return "", err
+	}
+	if err := tx.Commit(ctx); err != nil {
+		return "", err
+	}
+	if !d.Proc().WaitExit(5 * time.Second) {
+		return "", errors.New("the daemon did not stop")
+	}
+	if code := d.Proc().ExitCode(); code != 0 {
+		return "", fmt.Errorf("exit status %d, sessions were cut", code)
+	}
+	return fmt.Sprintf("%s finished an open transaction and stopped", d.Settings.VM), nil
+}
--- /dev/null
+++ b/standin/fleet/catalogue.go
@@ -0,0 +1,142 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"chervilspan.example/internal/peer"
+	"chervilspan.example/internal/proto/adminpb"
+	"chervilspan.example/pkg/catal"
+	"chervilspan.example/pkg/ident"
+)
+
+// applyWait bounds the time in which a new fleet takes its first catalogue.
+const applyWait = 20 * time.Second
+
+// operator returns the operators' service of the daemons.
+func (f *Fleet) operator() (*peer.Cache, error) {
+	cert, key, err := f.ca.issue(f.Dir, "operator")
+	if err != nil {
+		return nil, err
+	}
+	keys, err := peer.LoadKeys(peer.Files{Cert: cert, Key: key, CA: f.ca.file})
+	if err != nil {
+		return nil, err
+	}
+	return peer.NewCache(peer.CacheConfig{Keys: keys}), nil
+}
+
+// Apply makes f.Catalogue the next version through daemon d and returns that
+// version.
+func (f *Fleet) Apply(ctx context.Context, d *Daemon) (ident.Version, error) {
+	doc, err := catal.Encode(&f.Catalogue)
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, applyWait)
+	defer cancel()
+	err = waitFor(ctx, "the edit", func() error {
+		c, err := f.ops.Admin(d.Peers)
+		if err != nil {
+			return err
+		}
+		r, err := c.ApplyCatalogue(ctx, &adminpb.ApplyCatalogueRequest{
+			BaseVersion: uint64(f.Catalogue.Version), Document: doc, Operator: "fleet",
+		})
+		switch {
+		case err != nil:
+			return err
+		case !r.Accepted:
+			return fmt.Errorf("refused at version %d: %s", r.Version, strings.Join(r.Errors, "; "))
+		}
+		f.Catalogue.Version = ident.Version(r.Version)
+		return nil
+	})
+	return f.Catalogue.Version, err
+}
+
+// InForce returns the version in force on a daemon.
+func (f *Fleet) InForce(ctx context.Context, d *Daemon) (ident.Version, error) {
+	s, err := f.Status(ctx, d)
+	if err != nil {
+		return 0, err
+	}
+	return ident.Version(s.Version), nil
+}
+
+// Status returns what a daemon says of itself.
+func (f *Fleet) Status(ctx context.Context, d *Daemon) (*adminpb.VMStatus, error) {
+	c, err := f.ops.Admin(d.Peers)
+	if err != nil {
+		return nil, err
+	}
+	r, err := c.Status(ctx, &adminpb.StatusRequest{Local: true})
+	if err != nil {
+		return nil, err
+	}
+	if len(r.Vms) != 1 {
+		return nil, errors.New("a local status without a VM")
+	}
+	return r.Vms[0], nil
+}
+
+// WaitInForce waits until version v is in force on all running daemons and
+// returns how long that took.
+func (f *Fleet) WaitInForce(ctx context.Context, v ident.Version) (time.Duration, error) {
+	start := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, applyWait)
+	defer cancel()
+	for _, d := range f.Daemons {
+		if d.proc == nil || d.proc.Exited() {
+			continue
+		}
+		err := waitFor(ctx, "version "+fmt.Sprint(v)+" on "+string(d.Settings.VM), func() error {
+			have, err := f.InForce(ctx, d)
+			if err == nil && have < v {
+				return fmt.Errorf("version %d is in force", have)
+			}
+			return err
+		})
+		if err != nil {
+			return 0, err
+		}
+	}
+	return time.Since(start), nil
+}
+
+// Withdraw marks a workspace's key as withdrawn in f.Catalogue.
+func (f *Fleet) Withdraw(ws ident.Workspace) {
+	for id, k := range f.Catalogue.Workspaces[ws].Keys {
+		k.Withdrawn = true
+		f.Catalogue.Workspaces[ws].Keys[id] = k
+	}
+}
+
+// Other returns a workspace that is not ws.
+func (f *Fleet) Other(ws ident.Workspace) ident.Workspace {
+	for _, w := range f.cfg.Layout.Workspaces {
+		if w != ws {
+			return w
+		}
+	}
+	return ""
+}
+
+// Publish makes f.Catalogue the next version through the first running daemon
+// and waits until it is in force on all of them.
+func (f *Fleet) Publish(ctx context.Context) error {
+	for _, d := range f.Daemons {
+		if d.proc == nil || d.proc.Exited() {
+			continue
+		}
+		v, err := f.Apply(ctx, d)
+		if err == nil {
+			_, err = f.WaitInForce(ctx, v)
+		}
+		return err
+	}
+	return errors.New("no daemon runs")
+}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"chervilspan.example/internal/peer"
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
 )
@@ -57,6 +58,7 @@
 
 	cfg   Config
 	ca    *authority
+	ops   *peer.Cache
 	store *Proc
 }
 
@@ -78,6 +80,9 @@
 	if f.ca, err = newAuthority(f.Dir); err != nil {
 		return err
 	}
+	if f.ops, err = f.operator(); err != nil {
+		return err
+	}
 	if f.Store, err = freeAddress(); err != nil {
 		return err
 	}
@@ -199,6 +204,7 @@
 // Stop ends all processes that the fleet started and removes its folder.
 func (f *Fleet) Stop() error {
 	var slow []error
+	f.ops.Close()
 	for _, d := range f.Daemons {
 		if d.proc != nil && !d.proc.Exited() {
 			_ = d.proc.Signal(syscall.SIGTERM)
--- a/standin/fleet/proc.go
+++ b/standin/fleet/proc.go
@@ -61,6 +61,12 @@
 	}
 }
 
+// ExitCode returns the exit status of a process that is gone.
+func (p *Proc) ExitCode() int {
+	<-p.done
+	return p.cmd.ProcessState.ExitCode()
+}
+
 // WaitExit waits up to d for the process to end, and reports whether it did.
 func (p *Proc) WaitExit(d time.Duration) bool {
 	select {
--- a/standin/fleet/query.go
+++ b/standin/fleet/query.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"time"
 
 	"github.com/jackc/pgx/v5"
 
-	"chervilspan.example/internal/strpc"
 	"chervilspan.example/pkg/ident"
-	"chervilspan.example/pkg/store"
 )
 
 // adminUser is the user by which a stand-in target takes administration.
@@ -61,23 +58,3 @@
 	role, _ = status["role"].(string)
 	return term, role, nil
 }
-
-// Publish puts the catalogue into the store.
-func (f *Fleet) Publish(ctx context.Context) error {
-	c, err := strpc.Dial(f.Store, nil, nil)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = c.Close() }()
-	f.Catalogue.Version++
-	raw, err := json.Marshal(&f.Catalogue)
-	if err != nil {
-		return err
-	}
-	e, err := store.Read(ctx, c, "catalogue")
-	if err != nil {
-		return err
-	}
-	_, err = store.Swap(ctx, c, store.Write{Key: "catalogue", Value: raw, Expected: e.Revision})
-	return err
-}
