State outcomes once, wait for slices before readiness, end streams at a stop

Messages of refused statements ended in 'not run; not run'. A VM was ready before it held rate slices, so that the first statements of a new fleet were refused as above their rate. A stop waited 2 s for the streams of other VMs to the gates, which never end by themselves.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -175,6 +175,8 @@
 		return errLeaving
 	case d.spread.Catalogue() == nil:
 		return errNoCatalogue
+	case !d.limiter.Ready():
+		return errNoShares
 	case d.spread.Facts().Decision.CutOff() && !d.anyOpen():
 		return errCutOff
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -20,10 +20,16 @@
 	errLeaving     = errors.New("the VM is leaving")
 	errNoCatalogue = errors.New("no catalogue is in force")
 	errCutOff      = errors.New("the VM is cut off")
+	errNoShares    = errors.New("the rate slices are not claimed yet")
 )
 
-// stopTimeout bounds the end of the services for peers and operators.
-const stopTimeout = 2 * time.Second
+const (
+	// giveBackTimeout bounds the return of the rate slices.
+	giveBackTimeout = 2 * time.Second
+	// stopTimeout bounds the end of the services for peers and operators. The
+	// other VMs' streams to the gates here never end by themselves.
+	stopTimeout = 200 * time.Millisecond
+)
 
 // Run serves until a planned stop has drained, and returns the number of
 // sessions that were cut. SIGTERM, an interrupt and the end of ctx begin a
@@ -132,7 +138,7 @@
 
 // giveBack returns the rate slices, so that others need not wait for the lease.
 func (d *Daemon) giveBack() {
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), giveBackTimeout)
 	defer cancel()
 	_ = d.limiter.Drain(ctx) // without the store the slices end with the lease
 }
--- a/internal/limit/errors.go
+++ b/internal/limit/errors.go
@@ -36,13 +36,14 @@
 	Err   error
 }
 
-// Error returns the reason with a hint when to retry, and ends in "not run".
+// Error returns the reason with a hint when to retry, and ends in "not run", as
+// callers see it.
 func (e *Error) Error() string {
-	s := "limit: " + e.Op + ": " + e.reason()
+	s := e.reason()
 	if e.Retry > 0 {
 		s += fmt.Sprintf("; retry after %d ms", max(1, e.Retry.Milliseconds()))
 	}
-	return s + ": not run"
+	return s + "; not run"
 }
 
 func (e *Error) reason() string {
--- a/internal/wire/errors.go
+++ b/internal/wire/errors.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -74,7 +75,13 @@
 }
 
 // Error returns the text, which ends in the outcome, as callers see it.
-func (e *Error) Error() string { return e.Text + "; " + e.Outcome.String() }
+func (e *Error) Error() string {
+	end := "; " + e.Outcome.String()
+	if strings.HasSuffix(e.Text, end) {
+		return e.Text
+	}
+	return e.Text + end
+}
 
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
--- a/standin/fleet/catalogue.go
+++ b/standin/fleet/catalogue.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"strings"
 	"time"
 
@@ -133,10 +134,45 @@
 			continue
 		}
 		v, err := f.Apply(ctx, d)
-		if err == nil {
-			_, err = f.WaitInForce(ctx, v)
+		if err != nil {
+			return err
 		}
-		return err
+		if _, err = f.WaitInForce(ctx, v); err != nil {
+			return err
+		}
+		return f.WaitReady(ctx)
 	}
 	return errors.New("no daemon runs")
 }
+
+// WaitReady waits until the health check of each running daemon lets callers
+// in.
+func (f *Fleet) WaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, applyWait)
+	defer cancel()
+	for _, d := range f.Daemons {
+		if d.proc == nil || d.proc.Exited() {
+			continue
+		}
+		if err := waitFor(ctx, "readiness of "+string(d.Settings.VM), func() error { return ready(ctx, d) }); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, d *Daemon) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Admin+"/readyz", nil)
+	if err != nil {
+		return err
+	}
+	r, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = r.Body.Close() }()
+	if r.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", r.StatusCode)
+	}
+	return nil
+}
