Probe failed targets until they return; refuse keys that can't be recorded

A failed target was tried again by a caller's read a second later, which costs a connect time-out where the target is frozen. The pools now probe it every second or so, and it gets no reads until a probe succeeds; then its slow start begins.

A write under an idempotency key that can't be recorded in its transaction, such as a whole transaction in one simple query, ran without the key; it is refused.

--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -222,6 +222,18 @@
 		synctest.Wait()
 		is.True(failed())
 		is.Equal(r.suspects, 1)
+		time.Sleep(10 * time.Second)
+		synctest.Wait()
+		g, _ := r.table.Group("g")
+		is.True(time.Since(g.Targets[0].Failed) < 2*time.Second) // probed again and again
+		r.setDown(false)
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		is.True(!failed())
+		since := r.pools.Load("g", "a").Since
+		is.True(!since.IsZero()) // slow start
+		time.Sleep(time.Minute)
+		is.Equal(r.pools.Load("g", "a").Since, since)
 	})
 }
 
--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -170,13 +170,41 @@
 	now := time.Now()
 	l.mu.Lock()
 	l.heard = now
-	if l.failed {
-		l.failed, l.since = false, now
-	}
 	l.mu.Unlock()
+	l.succeed(now)
 	l.p.cfg.Groups.Apply(c.group, c.target, p)
 }
 
+// fail marks the target as failed and reports whether that is news.
+func (l *pool) fail() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	news := !l.failed
+	l.failed = true
+	return news
+}
+
+// succeed marks the target as reachable and reports whether it had failed; its
+// slow start begins then.
+func (l *pool) succeed(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.failed {
+		return false
+	}
+	l.failed, l.since = false, now
+	return true
+}
+
+// setProbing starts or ends probing; it reports false when it went on already.
+func (l *pool) setProbing(on bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changed := l.probing != on
+	l.probing = on
+	return changed
+}
+
 func (l *pool) load() sessn.Load {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/conns/pools.go
+++ b/internal/conns/pools.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -136,6 +137,7 @@
 	if Is(err, KindConnect) && ctx.Err() == nil && !answered(err) {
 		// A new connection failed, so the target can be judged at once.
 		p.failed(l)
+		p.judge(l, database, probeEvery)
 	}
 	return c, err
 }
@@ -166,48 +168,77 @@
 	}
 	c.pool.put(c, row, term, time.Now())
 	if broken {
-		p.judge(c.pool, row, c.database)
+		p.judge(c.pool, c.database, 0)
 	}
 }
 
-// judge probes a target by a new connection, once at a time.
-func (p *Pools) judge(l *pool, row topo.Target, database string) {
-	l.mu.Lock()
-	busy := l.probing
-	l.probing = true
-	l.mu.Unlock()
-	if busy {
+// judge probes a target by new connections until one succeeds, first after the
+// given time. There is one such loop for a target at a time. Until a probe has
+// succeeded the target counts as failed, so that statements need not find out.
+func (p *Pools) judge(l *pool, database string, after time.Duration) {
+	if !l.setProbing(true) {
 		return
 	}
-	p.background(func() {
-		defer func() {
-			l.mu.Lock()
-			l.probing = false
-			l.mu.Unlock()
-		}()
-		ctx, cancel := context.WithTimeout(p.ctx, p.cfg.ConnectTimeout)
-		defer cancel()
-		c, err := p.connect(ctx, l, row, database)
-		if err == nil {
-			c.close()
-			return
+	loop := func() {
+		defer l.setProbing(false)
+		for p.pause(after) && !p.probe(l, database) {
+			after = probeEvery + time.Duration(rand.Int64N(int64(probeEvery)/5))
 		}
-		if !answered(err) && p.ctx.Err() == nil {
-			p.failed(l)
+	}
+	if !p.background(loop) {
+		l.setProbing(false)
+	}
+}
+
+// probeEvery is the time between probes of a failed target; a jitter of up to
+// 20% is added.
+const probeEvery = time.Second
+
+// pause waits; it reports false when the pools are closed.
+func (p *Pools) pause(d time.Duration) bool {
+	if d > 0 {
+		select {
+		case <-time.After(d):
+		case <-p.ctx.Done():
 		}
-	})
+	}
+	return p.ctx.Err() == nil
+}
+
+// probe opens a connection and closes it. It reports false when the target
+// could not be reached and has to be probed again.
+func (p *Pools) probe(l *pool, database string) bool {
+	row, _, err := p.row(l.group, l.target)
+	if err != nil {
+		return true // no longer in the catalogue
+	}
+	c, err := p.connect(p.ctx, l, row, database)
+	if err == nil {
+		c.close()
+	}
+	if err == nil || answered(err) {
+		p.returned(l)
+		return true
+	}
+	if p.ctx.Err() == nil {
+		p.failed(l)
+	}
+	return false
+}
+
+// returned notes that a target can be reached.
+func (p *Pools) returned(l *pool) {
+	if l.succeed(time.Now()) {
+		evlog.At(p.cfg.Log, evlog.TargetReturned).Str("group", string(l.group)).Str("target", string(l.target)).Send()
+	}
+	p.cfg.Groups.Apply(l.group, l.target, ident.Position{})
 }
 
 // failed notes that a new connection to the target failed.
 func (p *Pools) failed(l *pool) {
 	l.retire()
-	l.mu.Lock()
-	news := !l.failed
-	l.failed = true
-	l.mu.Unlock()
-	now := time.Now()
-	p.cfg.Groups.Fail(l.group, l.target, now)
-	if news {
+	p.cfg.Groups.Fail(l.group, l.target, time.Now())
+	if l.fail() {
 		evlog.At(p.cfg.Log, evlog.TargetFailed).Str("group", string(l.group)).Str("target", string(l.target)).Send()
 		p.cfg.Scope.Tagged(map[string]string{"target": string(l.target)}).Counter("target_failures").Inc(1)
 	}
--- a/internal/conns/quorum.go
+++ b/internal/conns/quorum.go
@@ -132,6 +132,7 @@
 	if err != nil {
 		if !answered(err) && p.ctx.Err() == nil {
 			p.failed(l)
+			p.judge(l, "", probeEvery)
 		}
 		return
 	}
@@ -141,7 +142,7 @@
 	evlog.At(p.cfg.Log, evlog.QuorumListened).Str("group", string(group)).Str("target", string(g.Primary)).Send()
 	if err := p.read(c, g, q); err != nil && p.ctx.Err() == nil {
 		evlog.At(p.cfg.Log, evlog.QuorumLost).Str("group", string(group)).Str("target", string(g.Primary)).Err(err).Send()
-		p.judge(l, row, "")
+		p.judge(l, "", 0)
 	}
 }
 
--- a/internal/wire/execute.go
+++ b/internal/wire/execute.go
@@ -141,6 +141,9 @@
 	if s.grant.ReadOnly && u.writes && !u.onlyBegins() {
 		return refuse("route", codeReadOnly, "the route is read-only", nil)
 	}
+	if !s.keyFits(u) {
+		return refuse("once", codeUnsupported, "an idempotency key needs BEGIN in a message of its own, or one unit up to Sync of less than 32 KiB", nil)
+	}
 	if e := s.admit(ctx, u); e != nil {
 		return e
 	}
--- a/internal/wire/fail_test.go
+++ b/internal/wire/fail_test.go
@@ -308,6 +308,31 @@
 	})
 }
 
+// TestKeyMisfit guards against a write that runs without the key that its caller
+// has set, because the key can't be recorded in its transaction.
+func TestKeyMisfit(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, k *kit) {
+		c := k.connect()
+		_, err := c.Exec(t.Context(), "SET chervil.idempotency_key = 'k1'")
+		is.NoErr(err)
+		_, err = c.Exec(t.Context(), "BEGIN; INSERT INTO t VALUES (1); COMMIT")
+		is.Equal(code(err), "0A000")
+		is.Equal(len(k.targets["a"].Log()), 0)
+		_, err = c.Exec(t.Context(), "SET chervil.idempotency_key = 'k1'")
+		is.NoErr(err)
+		_, err = c.Exec(t.Context(), "BEGIN")
+		is.NoErr(err)
+		_, err = c.Exec(t.Context(), "INSERT INTO t VALUES (1)")
+		is.NoErr(err)
+		_, err = c.Exec(t.Context(), "COMMIT")
+		is.NoErr(err)
+		_, err = c.Exec(t.Context(), "SET chervil.idempotency_key = 'k1'")
+		is.NoErr(err)
+		_, err = c.Exec(t.Context(), "BEGIN")
+		is.Equal(code(err), "CV006")
+	})
+}
+
 // TestFloorRefused guards against a stale read when the cached position of a
 // replica is wrong.
 func TestFloorRefused(t *testing.T) {
--- a/internal/wire/once.go
+++ b/internal/wire/once.go
@@ -20,6 +20,12 @@
 	return s.key != "" && s.tx == nil && u.writes && !u.control && u.end != endFlush
 }
 
+// keyFits reports whether the session's key can be recorded in the transaction
+// of a unit: it is one of its own, or it begins one that stays open.
+func (s *session) keyFits(u *unit) bool {
+	return s.key == "" || !u.writes || s.keyed(u) || u.begins && !u.commits && !u.rollback
+}
+
 // runKeyed runs a unit in a transaction that records the key. When the key is
 // already committed the unit does not run, and the answer is the recorded tag.
 func (s *session) runKeyed(u *unit, tx *txn) *miss {
--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -303,7 +303,7 @@
 	}
 	if tx.conn.Outstanding() > 0 || u.end == endFlush || tx.conn.Status() != conns.Idle {
 		tx.explicit = tx.explicit || u.end != endFlush || u.begins && !u.failed
-		return nil
+		return s.onceExplicit(u, tx)
 	}
 	committed := a.committed()
 	if !tx.explicit {
--- a/pkg/sessn/choice.go
+++ b/pkg/sessn/choice.go
@@ -19,7 +19,8 @@
 	// caught up, and a refusal by the target costs one retry.
 	heardLife = 50 * time.Millisecond
 	// failedLife is how long a target that could not be reached is tried last.
-	failedLife = time.Second
+	// Each probe that fails, one a second or so, renews it.
+	failedLife = 3 * time.Second
 )
 
 // Place is where a VM is.
