Move reads away from a frozen target before their deadline

A read at a frozen replica waited for its whole deadline, since an answer of the old connection and a slow statement look alike. After 500 ms of silence the target is now probed by a new connection, at most once a second, and only when that fails are the silent reads interrupted and run elsewhere. Writes are not interrupted, because their outcome would be unknown.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -56,7 +57,7 @@
 	// outstanding is the number of ReadyForQuery messages to come.
 	outstanding int
 	// heard tells whether anything was received since Start.
-	heard  bool
+	heard  atomic.Bool
 	broken error
 	taint  bool
 	// unsynced tells that extended messages were sent without Sync.
@@ -101,7 +102,7 @@
 // it is behind floor or its data may be older than maxAge. What has to be set
 // is sent ahead of the session's first message, and Receive hides the answers.
 func (c *Conn) Start(floor ident.Position, maxAge time.Duration) {
-	c.heard = false
+	c.heard.Store(false)
 	if c.floor.Less(floor) || c.position.Less(c.floor) && c.floor != floor {
 		// A floor that the target has reached serves the next sessions too.
 		c.floor = floor
@@ -120,7 +121,7 @@
 // StartWrite begins a write. It needs no floor: the target of a write is the
 // primary, and the wait for the quorum covers a replaced one.
 func (c *Conn) StartWrite() {
-	c.heard = false
+	c.heard.Store(false)
 	if c.maxAge != 0 {
 		c.Start(ident.Position{}, 0)
 	}
@@ -212,7 +213,7 @@
 		if err != nil {
 			return nil, c.fail("receive", err, retry.Unknown)
 		}
-		c.heard = true
+		c.heard.Store(true)
 		mine := c.own > 0
 		switch m := m.(type) {
 		case *pgproto3.ParameterStatus:
--- a/internal/conns/conns_test.go
+++ b/internal/conns/conns_test.go
@@ -69,6 +69,13 @@
 	r.down = down
 }
 
+// counts returns the number of connections dialled and of suspicions.
+func (r *rig) counts() (dials, suspects int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dials, r.suspects
+}
+
 func (r *rig) get(t *testing.T) *Conn {
 	t.Helper()
 	c, err := r.pools.Get(t.Context(), "g", "a", "db")
@@ -210,7 +217,8 @@
 		}
 		fail()
 		is.True(!failed())
-		is.Equal(r.suspects, 0)
+		_, suspects := r.counts()
+		is.Equal(suspects, 0)
 		_, idle := r.pools.Size("g", "a")
 		is.Equal(idle, 0) // the other connection may be silent too
 		c := r.get(t)
@@ -221,7 +229,8 @@
 		r.pools.Put(c)
 		synctest.Wait()
 		is.True(failed())
-		is.Equal(r.suspects, 1)
+		_, suspects = r.counts()
+		is.Equal(suspects, 1)
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
 		g, _ := r.table.Group("g")
@@ -376,3 +385,34 @@
 		_, _ = c.Close(), d.Close()
 	}
 }
+
+// TestWatch guards against a slow read that is interrupted although its target
+// works, and against one that waits for its deadline at a target that does not.
+func TestWatch(t *testing.T) {
+	for name, test := range map[string]struct {
+		down bool
+		took time.Duration
+	}{"slow": {false, 3 * time.Second}, "dead": {true, 600 * time.Millisecond}} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(t *testing.T, is *is.I, r *rig) {
+				r.target.Handle = func(*wiretest.Call) wiretest.Reply {
+					time.Sleep(3 * time.Second)
+					return wiretest.Rows("1")
+				}
+				c := r.get(t)
+				r.setDown(test.down)
+				c.Start(ident.Position{}, 0)
+				start := time.Now()
+				stop := r.pools.Watch(c)
+				_, err := c.Exec("SELECT 1")
+				stop()
+				is.Equal(err != nil, test.down)
+				is.Equal(time.Since(start), test.took)
+				r.pools.Put(c)
+				dials, _ := r.counts()
+				is.Equal(dials, map[bool]int{false: 4, true: 1}[test.down]) // one probe a second
+				time.Sleep(3 * time.Second)                                 // until the target has answered
+			})
+		})
+	}
+}
--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -32,6 +32,8 @@
 	failed      bool
 	since       time.Time
 	probing     bool
+	// probed is when a read last had the target probed.
+	probed time.Time
 }
 
 // get returns a connection that nobody else uses.
@@ -196,6 +198,24 @@
 	return true
 }
 
+func (l *pool) hasFailed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.failed
+}
+
+// due reports whether a waiting read may have the target probed: not more often
+// than a failed target is probed.
+func (l *pool) due(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.probed) < probeEvery {
+		return false
+	}
+	l.probed = now
+	return true
+}
+
 // setProbing starts or ends probing; it reports false when it went on already.
 func (l *pool) setProbing(on bool) bool {
 	l.mu.Lock()
--- a/internal/conns/pools.go
+++ b/internal/conns/pools.go
@@ -162,7 +162,7 @@
 		c.Taint()
 	}
 	broken := c.broken != nil
-	if broken && !c.heard {
+	if broken && !c.heard.Load() {
 		// A silent connection says that the others of its time may be too.
 		c.pool.retire()
 	}
@@ -190,9 +190,14 @@
 	}
 }
 
-// probeEvery is the time between probes of a failed target; a jitter of up to
-// 20% is added.
-const probeEvery = time.Second
+const (
+	// probeEvery is the time between probes of a failed target; a jitter of up
+	// to 20% is added.
+	probeEvery = time.Second
+	// probeTimeout bounds a probe. A connection takes some 30 ms and a round
+	// trip between regions 60 ms.
+	probeTimeout = 500 * time.Millisecond
+)
 
 // pause waits; it reports false when the pools are closed.
 func (p *Pools) pause(d time.Duration) bool {
@@ -212,7 +217,9 @@
 	if err != nil {
 		return true // no longer in the catalogue
 	}
-	c, err := p.connect(p.ctx, l, row, database)
+	ctx, cancel := context.WithTimeout(p.ctx, probeTimeout)
+	defer cancel()
+	c, err := p.connect(ctx, l, row, database)
 	if err == nil {
 		c.close()
 	}
--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -78,6 +78,9 @@
 		return s.runKeyed(u, tx)
 	}
 	s.prepareConn(u, tx, read)
+	if u.reads && !u.begins {
+		defer s.srv.cfg.Pools.Watch(c)()
+	}
 	a, m := s.exchange(u, tx)
 	if m != nil {
 		return m
--- a/internal/wiretest/client.go
+++ b/internal/wiretest/client.go
@@ -44,8 +44,8 @@
 }
 
 func (c *client) serve() {
-	c.send(&pgproto3.AuthenticationOk{}, &pgproto3.BackendKeyData{ProcessID: uint32(c.id), SecretKey: []byte{1, 2, 3, 4}})
-	c.ready()
+	c.send(&pgproto3.AuthenticationOk{}, &pgproto3.BackendKeyData{ProcessID: uint32(c.id), SecretKey: []byte{1, 2, 3, 4}},
+		&pgproto3.ReadyForQuery{TxStatus: 'I'})
 	for {
 		m, err := c.be.Receive()
 		if err != nil || !c.handle(m) {
--- a/standin/e2e/e2e_test.go
+++ b/standin/e2e/e2e_test.go
@@ -278,3 +278,33 @@
 		k.exec(c, "COMMIT")
 	})
 }
+
+// TestFrozenReplica guards against reads that wait for their deadline at a
+// target that answers nothing, not even new connections.
+func TestFrozenReplica(t *testing.T) {
+	bubble(t, target.Config{}, func(t *testing.T, _ *is.I, k *kit) {
+		k.exec(k.connect(), "INSERT INTO orders VALUES ('1', 1)")
+		time.Sleep(time.Second)
+		var wg sync.WaitGroup
+		for range 6 {
+			c := k.connect()
+			wg.Go(func() {
+				for i := range 20 {
+					start := time.Now()
+					var n int64
+					if err := c.QueryRow(t.Context(), "SELECT count(*) FROM orders").Scan(&n); err != nil || n != 1 {
+						t.Errorf("read %d: %d rows, %v", i, n, err)
+					}
+					if d := time.Since(start); d > 1500*time.Millisecond {
+						t.Errorf("read %d took %v", i, d)
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+			})
+		}
+		time.Sleep(300 * time.Millisecond)
+		k.fault(1, target.FaultFreeze, "1")
+		wg.Wait()
+		k.fault(1, target.FaultFreeze, "0")
+	})
+}
