--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -78,6 +78,9 @@
 		return s.runKeyed(u, tx)
 	}
 	s.prepareConn(u, tx, read)
+	if u.reads && !u.begins {
+		defer s.srv.cfg.Pools.Watch(c)()
+	}
 	a, m := s.exchange(u, tx)
 	if m != nil {
 		return m
@@ -303,7 +306,7 @@
 	}
 	if tx.conn.Outstanding() > 0 || u.end == endFlush || tx.conn.Status() != conns.Idle {
 		tx.explicit = tx.explicit || u.end != endFlush || u.begins && !u.failed
-		return nil
+		return s.onceExplicit(u, tx)
 	}
 	committed := a.committed()
 	if !tx.explicit {
