--- a/standin/bench/cost.go
+++ b/standin/bench/cost.go
@@ -37,10 +37,23 @@
 	if err != nil {
 		return caseError("overhead", err)
 	}
+	pid := s.f.Daemons[0].Proc().Pid()
+	used, err := processorTime(pid)
+	if err != nil {
+		return caseError("overhead", err)
+	}
 	proxied, err := m.run(ctx, g, "overhead_proxied", cfg)
 	if err != nil {
 		return caseError("overhead", err)
 	}
+	after, err := processorTime(pid)
+	if err != nil {
+		return caseError("overhead", err)
+	}
+	perStatement := (after - used).Seconds() * 1e6 / float64(max(proxied.Total.Sent, 1))
+	if err := m.out.print(plain("overhead", "daemon_processor_time", perStatement, "us_per_statement")); err != nil {
+		return err
+	}
 	for _, class := range []string{"read", "write"} {
 		a, b := bare.Latency["/"+class], proxied.Latency["/"+class]
 		for _, l := range []Line{
@@ -99,3 +112,26 @@
 	}
 	return 0, fmt.Errorf("process %d has no VmRSS", pid)
 }
+
+// tick is the unit of processor time in /proc, which Linux fixes at 10 ms.
+const tick = 10 * time.Millisecond
+
+// processorTime returns the processor time that a process has used.
+func processorTime(pid int) (time.Duration, error) {
+	raw, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/stat")
+	if err != nil {
+		return 0, err
+	}
+	// The program's name, in parentheses, may hold spaces.
+	_, rest, _ := strings.Cut(string(raw), ") ")
+	fields := strings.Fields(rest)
+	if len(fields) < 13 {
+		return 0, fmt.Errorf("process %d has no times", pid)
+	}
+	user, err := strconv.ParseInt(fields[11], 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	system, err := strconv.ParseInt(fields[12], 10, 64)
+	return time.Duration(user+system) * tick, err
+}
--- a/standin/bench/failover.go
+++ b/standin/bench/failover.go
@@ -27,25 +27,27 @@
 
 // fault is a fault of a primary and its end.
 type fault struct {
-	name  string
-	begin func(ctx context.Context, s *stage, t *fleet.Target) error
-	end   func(ctx context.Context, s *stage, t *fleet.Target) error
+	name string
+	// idempotent runs write under idempotency keys.
+	idempotent bool
+	begin      func(ctx context.Context, s *stage, t *fleet.Target) error
+	end        func(ctx context.Context, s *stage, t *fleet.Target) error
 }
 
 func primaryFaults() []fault {
 	return []fault{
 		{
-			"kill",
+			"kill", false,
 			func(_ context.Context, _ *stage, t *fleet.Target) error { t.Proc().Kill(); return nil },
 			func(_ context.Context, s *stage, t *fleet.Target) error { return s.f.StartTarget(t) },
 		},
 		{
-			"freeze",
+			"freeze", true,
 			func(_ context.Context, _ *stage, t *fleet.Target) error { return t.Proc().Signal(syscall.SIGSTOP) },
 			func(_ context.Context, _ *stage, t *fleet.Target) error { return t.Proc().Signal(syscall.SIGCONT) },
 		},
 		{
-			"cut_from_replicas",
+			"cut_from_replicas", false,
 			func(ctx context.Context, s *stage, t *fleet.Target) error {
 				return s.fault(ctx, t, target.FaultCut, "*")
 			},
@@ -54,7 +56,7 @@
 			},
 		},
 		{
-			"silent_connections",
+			"silent_connections", false,
 			func(ctx context.Context, s *stage, t *fleet.Target) error {
 				return s.fault(ctx, t, target.FaultSilence, "1")
 			},
@@ -87,7 +89,9 @@
 		time.Sleep(faultAfter)
 		began <- f.begin(ctx, s, primary)
 	}()
-	r, err := load.Run(ctx, m.load(string(g), failoverRate, d, 1))
+	cfg := m.load(string(g), failoverRate, d, 1)
+	cfg.Idempotent = f.idempotent
+	r, err := load.Run(ctx, cfg)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/standin/cmd/chervilbench/main.go
+++ b/standin/cmd/chervilbench/main.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"os"
@@ -40,6 +42,7 @@
 	Route      string        `arg:"--route,required" help:"route that sessions connect to"`
 	RoamEvery  int           `arg:"--roam-every" help:"statements after which a session moves to the next daemon"`
 	Idempotent bool          `arg:"--idempotent" help:"give orders idempotency keys"`
+	CA         string        `arg:"--ca" help:"file with the certificate of the daemons' authority; empty means plain text"`
 	Deadline   time.Duration `arg:"--deadline" default:"5s" help:"deadline of a statement"`
 }
 
@@ -106,6 +109,17 @@
 	cfg := a.config()
 	cfg.Addresses, cfg.Route = a.Addresses, a.Route
 	cfg.RoamEvery, cfg.Idempotent, cfg.Deadline = a.RoamEvery, a.Idempotent, a.Deadline
+	if a.CA != "" {
+		raw, err := os.ReadFile(a.CA)
+		if err != nil {
+			return false, err
+		}
+		roots := x509.NewCertPool()
+		if !roots.AppendCertsFromPEM(raw) {
+			return false, fmt.Errorf("%s has no certificate", a.CA)
+		}
+		cfg.TLS = &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}
+	}
 	for _, w := range a.Workspaces {
 		name, key, _ := strings.Cut(w, ":")
 		cfg.Workspaces = append(cfg.Workspaces, load.Workspace{Name: name, Key: key})
--- a/standin/load/run.go
+++ b/standin/load/run.go
@@ -16,14 +16,14 @@
 	}
 	rec := newRecorder(cfg)
 	queues := make([]*queue, len(cfg.Workspaces))
-	var wg sync.WaitGroup
+	sessions := open(ctx, cfg, rec)
 	ctx, cancel := context.WithTimeout(ctx, cfg.Duration+cfg.Grace)
 	defer cancel()
 	rec.start = time.Now()
-	for i, ws := range cfg.Workspaces {
+	var wg sync.WaitGroup
+	for i, list := range sessions {
 		queues[i] = newQueue()
-		for n := range cfg.Sessions {
-			s := &session{cfg: cfg, rec: rec, ws: ws, id: int64(cfg.Seed<<20) + int64(i*cfg.Sessions+n+1), addr: i + n}
+		for _, s := range list {
 			wg.Go(func() { s.serve(ctx, queues[i]) })
 		}
 	}
@@ -40,6 +40,28 @@
 	return rec.report(time.Since(rec.start)), nil
 }
 
+// warmTimeout bounds the wait for the first connections.
+const warmTimeout = time.Second
+
+// open makes the sessions of each workspace and connects them, so that the
+// cost of the first connections is in no latency. A session that can't connect
+// tries again at its first statement.
+func open(ctx context.Context, cfg Config, rec *recorder) [][]*session {
+	ctx, cancel := context.WithTimeout(ctx, warmTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	out := make([][]*session, len(cfg.Workspaces))
+	for i, ws := range cfg.Workspaces {
+		for n := range cfg.Sessions {
+			s := &session{cfg: cfg, rec: rec, ws: ws, id: int64(cfg.Seed<<20) + int64(i*cfg.Sessions+n+1), addr: i + n}
+			out[i] = append(out[i], s)
+			wg.Go(func() { _ = s.connect(ctx) })
+		}
+	}
+	wg.Wait()
+	return out
+}
+
 // send puts each arrival into its workspace's queue at its time.
 func send(ctx context.Context, p *plan, start time.Time, queues []*queue) {
 	t := time.NewTimer(0)
--- a/standin/load/session.go
+++ b/standin/load/session.go
@@ -212,7 +212,11 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg.Host, cfg.Port, cfg.TLSConfig = host, uint16(n), l.tls
+	cfg.Host, cfg.Port = host, uint16(n)
+	if l.tls != nil {
+		cfg.TLSConfig = l.tls.Clone()
+		cfg.TLSConfig.ServerName = host
+	}
 	cfg.User, cfg.Password, cfg.Database = l.user, l.password, l.database
 	cfg.Fallbacks = nil
 	if d != nil {
