--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -125,12 +125,6 @@
 	delete(s.handshakes, c)
 }
 
-func (s *Server) isDraining() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.draining
-}
-
 func errDraining() *Error {
 	return fatal("drain", codeDrain, "the proxy is being stopped; connect again", nil)
 }
@@ -210,8 +204,11 @@
 				err = s.cfg.Access.Check(g)
 				checked[g] = err
 			}
-			if err != nil {
-				sess.end(keyError(err), true)
+			if err == nil {
+				continue
+			}
+			if e := keyError(err); e.Fatal {
+				sess.end(e, true)
 			}
 		}
 	}
--- a/internal/wiretest/client.go
+++ b/internal/wiretest/client.go
@@ -198,6 +198,9 @@
 
 func (c *client) call(sql string, params []string) Reply {
 	if c.t.Applied().Less(c.floor) {
+		c.t.mu.Lock()
+		c.t.refused++
+		c.t.mu.Unlock()
 		return Reply{Code: "CV001", Message: "behind the floor"}
 	}
 	if c.status == 'E' {
@@ -225,6 +228,9 @@
 		}
 		c.status = 'T'
 		return Reply{Tag: "BEGIN"}, true
+	case strings.HasPrefix(upper, "ROLLBACK TO"):
+		c.status = 'T'
+		return Reply{Tag: "ROLLBACK"}, true
 	case strings.HasPrefix(upper, "COMMIT"), strings.HasPrefix(upper, "ROLLBACK"):
 		return c.endTx(upper), true
 	case strings.HasPrefix(upper, "LISTEN"):
