Prepare the status statement of probes

Cause: each probe's answer described 13 columns anew; probes are most of what a watcher sends. Change: internal/dbctl prepares the statement with the first probe of a connection, in the same round trip.

--- /dev/null
+++ b/internal/dbctl/answer.go
@@ -0,0 +1,53 @@
+package dbctl
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// answer collects the messages that answer a query.
+type answer struct {
+	columns []string
+	rows    []map[string]string
+	refusal *pgproto3.ErrorResponse
+	// prepared is true for an answer to a prepared statement.
+	prepared bool
+	// described, unless nil, is given the columns when they arrive.
+	described func(columns []string)
+}
+
+func (a *answer) take(msg pgproto3.BackendMessage) error {
+	switch msg := msg.(type) {
+	case *pgproto3.RowDescription:
+		a.columns = nil
+		for _, f := range msg.Fields {
+			a.columns = append(a.columns, string(f.Name))
+		}
+		if a.described != nil {
+			a.described(a.columns)
+		}
+	case *pgproto3.DataRow:
+		if len(msg.Values) != len(a.columns) {
+			return fmt.Errorf("row of %d values for %d columns", len(msg.Values), len(a.columns))
+		}
+		row := make(map[string]string, len(a.columns))
+		for i, v := range msg.Values {
+			row[a.columns[i]] = string(v)
+		}
+		a.rows = append(a.rows, row)
+	case *pgproto3.ErrorResponse:
+		e := *msg
+		a.refusal = &e
+	}
+	return nil
+}
+
+// quote returns s as an SQL string literal.
+func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
+
+// quoteValue returns s as a value of a connection string.
+func quoteValue(s string) string {
+	return "'" + strings.NewReplacer(`\`, `\\`, `'`, `\'`).Replace(s) + "'"
+}
--- a/internal/dbctl/client.go
+++ b/internal/dbctl/client.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -16,7 +15,6 @@
 
 	"chervilspan.example/pkg/elect"
 	"chervilspan.example/pkg/ident"
-	"chervilspan.example/pkg/topo"
 )
 
 // DefaultTimeout bounds a call whose context has no deadline.
@@ -47,6 +45,8 @@
 	// The fields below belong to the holder of the token.
 	conn *pgconn.HijackedConn
 	used time.Time
+	// columns of the prepared status statement; nil when conn has none.
+	columns []string
 }
 
 var _ elect.Database = (*Client)(nil)
@@ -85,7 +85,7 @@
 func (c *Client) drop() {
 	if c.conn != nil {
 		_ = c.conn.Conn.Close()
-		c.conn = nil
+		c.conn, c.columns = nil, nil
 	}
 }
 
@@ -93,10 +93,18 @@
 	return &Error{Op: op, Kind: k, Target: c.cfg.Target, Err: err}
 }
 
-// query runs one statement and returns its rows by column name. It takes the
+// query runs one statement and returns its rows by column name.
+func (c *Client) query(ctx context.Context, op, sql string) ([]map[string]string, error) {
+	return c.call(ctx, op, func(f *pgproto3.Frontend) answer {
+		f.Send(&pgproto3.Query{String: sql})
+		return answer{}
+	})
+}
+
+// call sends what send does and returns the rows of the answer. It takes the
 // turn, connects when there is no connection, and closes the connection unless
 // the answer was complete.
-func (c *Client) query(ctx context.Context, op, sql string) ([]map[string]string, error) {
+func (c *Client) call(ctx context.Context, op string, send func(*pgproto3.Frontend) answer) ([]map[string]string, error) {
 	ctx, cancel := bounded(ctx)
 	defer cancel()
 	select {
@@ -113,18 +121,21 @@
 		}
 	}
 	c.used = time.Now()
-	rows, refusal, err := c.exchange(ctx, sql)
+	a, err := c.exchange(ctx, send)
 	if err != nil {
 		c.drop()
 		return nil, c.fail(op, KindLost, err)
 	}
-	if refusal != nil {
+	if a.refusal != nil {
+		if a.prepared {
+			c.drop() // the target may lack the statement, or have it already
+		}
 		return nil, &Error{
-			Op: op, Kind: kindOf(refusal.Code), Target: c.cfg.Target,
-			SQLState: refusal.Code, Err: errors.New(refusal.Message),
+			Op: op, Kind: kindOf(a.refusal.Code), Target: c.cfg.Target,
+			SQLState: a.refusal.Code, Err: errors.New(a.refusal.Message),
 		}
 	}
-	return rows, nil
+	return a.rows, nil
 }
 
 func bounded(ctx context.Context) (context.Context, context.CancelFunc) {
@@ -170,136 +181,38 @@
 	return err
 }
 
-// exchange sends a simple query and reads up to ReadyForQuery.
-func (c *Client) exchange(ctx context.Context, sql string) ([]map[string]string, *pgproto3.ErrorResponse, error) {
+// exchange sends a request and reads up to ReadyForQuery.
+func (c *Client) exchange(ctx context.Context, send func(*pgproto3.Frontend) answer) (answer, error) {
 	deadline, _ := ctx.Deadline()
-	if err := c.conn.Conn.SetDeadline(deadline); err != nil {
-		return nil, nil, err
-	}
 	conn := c.conn.Conn
+	if err := conn.SetDeadline(deadline); err != nil {
+		return answer{}, err
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
-	rows, refusal, err := c.receive(sql)
+	a := send(c.conn.Frontend)
+	err := c.receive(&a)
 	if !stop() && err == nil {
 		// The deadline may be set at any moment and would hit the next call.
 		err = ctx.Err()
 	}
-	return rows, refusal, err
+	return a, err
 }
 
-func (c *Client) receive(sql string) ([]map[string]string, *pgproto3.ErrorResponse, error) {
+func (c *Client) receive(a *answer) error {
 	f := c.conn.Frontend
-	f.Send(&pgproto3.Query{String: sql})
 	if err := f.Flush(); err != nil {
-		return nil, nil, err
+		return err
 	}
-	var a answer
 	for {
 		msg, err := f.Receive()
 		if err != nil {
-			return nil, nil, err
+			return err
 		}
 		if _, ok := msg.(*pgproto3.ReadyForQuery); ok {
-			return a.rows, a.refusal, nil
+			return nil
 		}
 		if err := a.take(msg); err != nil {
-			return nil, nil, err
-		}
-	}
-}
-
-// answer collects the messages that answer a query.
-type answer struct {
-	columns []string
-	rows    []map[string]string
-	refusal *pgproto3.ErrorResponse
-}
-
-func (a *answer) take(msg pgproto3.BackendMessage) error {
-	switch msg := msg.(type) {
-	case *pgproto3.RowDescription:
-		a.columns = nil
-		for _, f := range msg.Fields {
-			a.columns = append(a.columns, string(f.Name))
-		}
-	case *pgproto3.DataRow:
-		if len(msg.Values) != len(a.columns) {
-			return fmt.Errorf("row of %d values for %d columns", len(msg.Values), len(a.columns))
+			return err
 		}
-		row := make(map[string]string, len(a.columns))
-		for i, v := range msg.Values {
-			row[a.columns[i]] = string(v)
-		}
-		a.rows = append(a.rows, row)
-	case *pgproto3.ErrorResponse:
-		e := *msg
-		a.refusal = &e
-	}
-	return nil
-}
-
-// quote returns s as an SQL string literal.
-func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
-
-// quoteValue returns s as a value of a connection string.
-func quoteValue(s string) string {
-	return "'" + strings.NewReplacer(`\`, `\\`, `'`, `\'`).Replace(s) + "'"
-}
-
-// Status returns what the database says of itself (A1).
-func (c *Client) Status(ctx context.Context) (topo.Status, error) {
-	return c.status(ctx, "status", "SELECT * FROM chervil_status()")
-}
-
-// RaiseTerm promises a term (A2).
-func (c *Client) RaiseTerm(ctx context.Context, term ident.Term) (topo.Status, error) {
-	return c.status(ctx, "raise term", fmt.Sprintf("SELECT * FROM chervil_raise_term(%d)", term))
-}
-
-func (c *Client) status(ctx context.Context, op, sql string) (topo.Status, error) {
-	rows, err := c.query(ctx, op, sql)
-	if err != nil {
-		return topo.Status{}, err
-	}
-	if len(rows) != 1 {
-		return topo.Status{}, c.fail(op, KindProtocol, fmt.Errorf("%d rows", len(rows)))
-	}
-	s, err := parseStatus(rows[0])
-	if err != nil {
-		return topo.Status{}, c.fail(op, KindProtocol, err)
-	}
-	if s.Target != c.cfg.Target {
-		return topo.Status{}, c.fail(op, KindProtocol, fmt.Errorf("the address is that of target %q", s.Target))
-	}
-	return s, nil
-}
-
-// Promote makes the database the primary of the term it has promised (A3).
-func (c *Client) Promote(ctx context.Context, term ident.Term, members []elect.Member) error {
-	list := make([]string, len(members))
-	for i, m := range members {
-		list[i] = string(m.ID) + "=" + m.Address
-	}
-	_, err := c.query(ctx, "promote", fmt.Sprintf("SELECT chervil_promote(%d, %s)", term, quote(strings.Join(list, ","))))
-	return err
-}
-
-// Follow makes the database a replica of primary (A4).
-func (c *Client) Follow(ctx context.Context, term ident.Term, primary ident.Target, address string) error {
-	_, err := c.query(ctx, "follow", fmt.Sprintf("SELECT chervil_follow(%d, %s, %s)", term, quote(string(primary)), quote(address)))
-	return err
-}
-
-// Has reports whether the log holds the entry at p (A9).
-func (c *Client) Has(ctx context.Context, p ident.Position) (bool, error) {
-	rows, err := c.query(ctx, "has", "SELECT chervil_has("+quote(p.String())+")")
-	if err != nil {
-		return false, err
-	}
-	if len(rows) != 1 || len(rows[0]) != 1 {
-		return false, c.fail("has", KindProtocol, fmt.Errorf("%d rows", len(rows)))
-	}
-	for _, v := range rows[0] {
-		return parseBool(v), nil
 	}
-	return false, nil
 }
--- a/internal/dbctl/client_test.go
+++ b/internal/dbctl/client_test.go
@@ -44,23 +44,38 @@
 	if b.Flush() != nil {
 		return
 	}
+	var prepared string
 	for {
 		m, err := b.Receive()
 		if err != nil {
 			return
 		}
-		q, ok := m.(*pgproto3.Query)
-		if !ok {
-			return
+		var out []pgproto3.BackendMessage
+		switch m := m.(type) {
+		case *pgproto3.Query:
+			s.heard = append(s.heard, m.String)
+			out = append(s.reply(m.String), &pgproto3.ReadyForQuery{TxStatus: 'I'})
+		case *pgproto3.Parse:
+			prepared = m.Query
+		case *pgproto3.Describe:
+			if r := s.reply(prepared); len(r) > 1 {
+				out = r[:1]
+			}
+		case *pgproto3.Execute:
+			s.heard = append(s.heard, prepared)
+			out = s.reply(prepared)
+			if len(out) > 1 {
+				out = out[1:]
+			}
+		case *pgproto3.Sync:
+			out = []pgproto3.BackendMessage{&pgproto3.ReadyForQuery{TxStatus: 'I'}}
 		}
-		s.heard = append(s.heard, q.String)
 		if s.silent {
 			continue
 		}
-		for _, r := range s.reply(q.String) {
+		for _, r := range out {
 			b.Send(r)
 		}
-		b.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
 		if b.Flush() != nil {
 			return
 		}
@@ -122,6 +137,9 @@
 			"SELECT * FROM chervil_status()", "SELECT * FROM chervil_raise_term(4)",
 			"SELECT chervil_promote(4, 'a=h:1,b=h:2')", "SELECT chervil_follow(4, 'b', 'h:2')",
 		})
+		again, err := c.Status(ctx) // by the prepared statement
+		is.NoErr(err)
+		is.Equal(again, st)
 		is.Equal(s.conns, 1)
 	})
 }
