Test restarts, leaving primaries and changes of members

Cause: a planned switchover, a restart of a whole group and a change of members had no test against rows or faults. Change: standin/failover restarts a replaced primary and then all targets, and switches a leaving primary over; pkg/elect has TestMembers, and TestGroup marks members as leaving.

--- a/pkg/elect/machine_test.go
+++ b/pkg/elect/machine_test.go
@@ -61,6 +61,13 @@
 			},
 			"loss": func(t *rapid.T) { w.loss = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(t, "loss"); after() },
 			"heal": func(*rapid.T) { w.heal(); after() },
+			"leave": func(t *rapid.T) {
+				members := w.watchers[0].m.members()
+				m := &members[rapid.IntRange(0, len(members)-1).Draw(t, "member")]
+				m.Leaving = !m.Leaving
+				w.configure(members)
+				after()
+			},
 			"": func(t *rapid.T) {
 				if len(w.errs) > 0 {
 					t.Fatal(w.errs[0])
@@ -223,9 +230,7 @@
 		members[i].Leaving = members[i].ID == l.id
 	}
 	w.isolate(l, true) // no replica keeps up, yet an idle group must not move on a stale replica
-	for i := range w.watchers {
-		w.step(i, Configured{Members: members})
-	}
+	w.configure(members)
 	w.isolate(l, false)
 	w.advance(5 * time.Second)
 	is.True(w.leader() != l)
@@ -234,6 +239,27 @@
 	is.True(w.now.Sub(w.lastAck) < time.Second)
 }
 
+// TestMembers guards against a primary that stays after the catalogue has removed
+// it, and against one that goes on counting its quorum over former members.
+func TestMembers(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(13, 4, 3, PolicyEvidence)
+	w.advance(3 * time.Second)
+	l := w.leader()
+	all := w.watchers[0].m.members()
+	w.configure(slices.DeleteFunc(slices.Clone(all), func(m Member) bool { return m.ID == l.id }))
+	w.advance(5 * time.Second)
+	next := w.leader()
+	is.True(next != l)
+	is.Equal(next.members, 3)
+	w.configure(all)
+	w.advance(5 * time.Second)
+	is.Equal(w.leader().members, 4)
+	is.Equal(l.primary, w.leader().id)
+	is.True(w.now.Sub(w.lastAck) < time.Second)
+	is.Equal(len(w.errs), 0)
+}
+
 // TestAhead guards against a database that can't follow because an election was
 // abandoned after it had promised a higher term.
 func TestAhead(t *testing.T) {
--- a/pkg/elect/world_test.go
+++ b/pkg/elect/world_test.go
@@ -230,6 +230,12 @@
 	return best
 }
 
+func (w *world) configure(members []Member) {
+	for i := range w.watchers {
+		w.step(i, Configured{Members: members})
+	}
+}
+
 func (w *world) heal() {
 	clear(w.cut)
 	w.loss = 0
--- a/standin/failover/failover_test.go
+++ b/standin/failover/failover_test.go
@@ -66,13 +66,14 @@
 		fail   func(r *rig, id ident.Target)
 		within time.Duration
 	}{
-		"kill":   {fail: kill, within: limit},
-		"freeze": {fail: func(r *rig, id ident.Target) { _ = r.targets[id].Fault(target.FaultFreeze, "1") }, within: limit},
-		"cut":    {fail: func(r *rig, id ident.Target) { r.isolate(id, true) }, within: limit},
-		"race":   {o: options{alone: true}, fail: kill, within: limit},
-		"store":  {o: options{store: downStore{}}, fail: kill, within: limit},
-		"lost":   {fail: loseAll, within: 2 * limit},
-		"naive":  {o: options{policy: elect.PolicyTimeout}, fail: kill, within: 2 * limit},
+		"kill":    {fail: kill, within: limit},
+		"freeze":  {fail: func(r *rig, id ident.Target) { _ = r.targets[id].Fault(target.FaultFreeze, "1") }, within: limit},
+		"cut":     {fail: func(r *rig, id ident.Target) { r.isolate(id, true) }, within: limit},
+		"race":    {o: options{alone: true}, fail: kill, within: limit},
+		"store":   {o: options{store: downStore{}}, fail: kill, within: limit},
+		"lost":    {fail: loseAll, within: 2 * limit},
+		"leaving": {fail: func(r *rig, id ident.Target) { _ = r.targets[id].Fault(target.FaultLeaving, "1") }, within: limit},
+		"naive":   {o: options{policy: elect.PolicyTimeout}, fail: kill, within: 2 * limit},
 	} {
 		t.Run(name, func(t *testing.T) {
 			scenario(t, c.o, func(is *is.I, r *rig, primary ident.Target) {
@@ -170,6 +171,39 @@
 	})
 }
 
+// TestRestart guards against a former primary that takes up its old role when it
+// restarts after it was replaced, and against a group that stays without a
+// primary after all of its databases restarted.
+func TestRestart(t *testing.T) {
+	scenario(t, options{}, func(is *is.I, r *rig, primary ident.Target) {
+		address := r.targets[primary].Addr()
+		is.NoErr(r.targets[primary].Close())
+		time.Sleep(limit)
+		next := r.known()
+		is.True(next != primary && next != "")
+		r.start(primary, address)
+		time.Sleep(limit)
+		s, err := r.status(primary)
+		is.NoErr(err)
+		is.Equal(s.Primary, next)
+		for id, s := range r.targets {
+			address := s.Addr()
+			is.NoErr(s.Close())
+			r.start(id, address)
+		}
+		time.Sleep(2 * limit)
+		now, _ := r.leader()
+		is.Equal(r.known(), now)
+		is.NoErr(r.run(now, "INSERT INTO t (id) VALUES (2)"))
+		time.Sleep(limit)
+		for id := range r.targets {
+			ids, err := r.rows(id)
+			is.NoErr(err)
+			is.Equal(ids, []int64{1, 2})
+		}
+	})
+}
+
 // TestFlapping guards against a promotion for each flap of a link, and against
 // acknowledged writes that are lost on the way.
 func TestFlapping(t *testing.T) {
--- a/standin/failover/rig_test.go
+++ b/standin/failover/rig_test.go
@@ -30,6 +30,7 @@
 	t       *testing.T
 	net     memnet.Net
 	targets map[ident.Target]*target.Server
+	dirs    map[ident.Target]string
 	tables  []*topo.Table
 	vms     []*watch.Watcher
 	stop    func()
@@ -53,16 +54,13 @@
 func (f fleet) Live() []member.Info { return f }
 
 func newRig(t *testing.T, o options) *rig {
-	r := &rig{t: t, targets: map[ident.Target]*target.Server{}, cut: map[ident.Target]bool{}, lose: map[string]int{}}
+	r := &rig{t: t, targets: map[ident.Target]*target.Server{}, dirs: map[ident.Target]string{}, cut: map[ident.Target]bool{}, lose: map[string]int{}}
 	cat := &catal.Catalogue{Groups: map[ident.Group]catal.Group{group: {Targets: map[ident.Target]catal.Target{}}}}
 	for i := range 3 {
 		id := ident.Target(fmt.Sprintf("a%d", i+1))
 		address := fmt.Sprintf("10.0.0.%d:5432", i+1)
-		s, err := target.New(target.Config{ID: id, Listener: r.net.Listen(address), Dial: r.net.Dial, DataDir: t.TempDir()})
-		if err != nil {
-			t.Fatal(err)
-		}
-		r.targets[id] = s
+		r.dirs[id] = t.TempDir()
+		r.start(id, address)
 		cat.Groups[group].Targets[id] = catal.Target{Address: address}
 	}
 	all := fleet{{VM: "v1", Zone: "x"}, {VM: "v2", Zone: "x"}, {VM: "v3", Zone: "y"}}
@@ -96,6 +94,16 @@
 	return r
 }
 
+// start starts a target, again after it was closed: it keeps its log and
+// promises.
+func (r *rig) start(id ident.Target, address string) {
+	s, err := target.New(target.Config{ID: id, Listener: r.net.Listen(address), Dial: r.net.Dial, DataDir: r.dirs[id]})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	r.targets[id] = s
+}
+
 func (r *rig) client(id ident.Target, address string) *dbctl.Client {
 	return dbctl.New(dbctl.Config{
 		Target: id, Address: address, User: "chervild", Database: "db",
