Hash the roster without holding the watcher's lock

Cause: after a change of a large fleet the choice of watchers of all groups is computed anew, and reads and floors waited for it.

--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -227,15 +227,11 @@
 
 // review starts and stops guards after changes of the fleet or the catalogue.
 func (w *Watcher) review(now time.Time) {
-	live := w.alive()
-	groups := w.cfg.Table.Groups()
+	live, groups := w.alive(), w.cfg.Table.Groups()
+	roster := w.newRoster(live, groups)
 	w.mu.Lock()
-	if w.roster == nil || !slices.Equal(live, w.live) || !slices.Equal(groups, w.groups) {
-		w.live, w.groups = live, groups
-		w.roster = make(map[ident.Group][]ident.VM, len(groups))
-		for _, id := range groups {
-			w.roster[id] = watchersOf(id, live, w.cfg.Watchers)
-		}
+	if roster != nil {
+		w.live, w.groups, w.roster = live, groups, roster
 	}
 	var ended []*guard
 	for id, g := range w.guards {
@@ -268,6 +264,20 @@
 	}
 }
 
+// newRoster returns the watchers of each group, nil when neither the fleet nor
+// the groups have changed. Only the loop of Run changes the roster, so it may be
+// read here without the lock; hashing a large fleet takes too long to hold it.
+func (w *Watcher) newRoster(live []member.Info, groups []ident.Group) map[ident.Group][]ident.VM {
+	if w.roster != nil && slices.Equal(live, w.live) && slices.Equal(groups, w.groups) {
+		return nil
+	}
+	roster := make(map[ident.Group][]ident.VM, len(groups))
+	for _, id := range groups {
+		roster[id] = watchersOf(id, live, w.cfg.Watchers)
+	}
+	return roster
+}
+
 // rank returns this VM's place among the watchers of a group, -1 when it is
 // none. The caller holds mu.
 func (w *Watcher) rank(id ident.Group, now time.Time) int {
--- a/pkg/elect/machine_test.go
+++ b/pkg/elect/machine_test.go
@@ -260,6 +260,24 @@
 	is.Equal(len(w.errs), 0)
 }
 
+// TestSizes guards against groups of other sizes than three that never get a
+// primary, at first or after all their databases restarted.
+func TestSizes(t *testing.T) {
+	for _, n := range []int{1, 2, 4, 5} {
+		is := is.New(t)
+		w := newWorld(uint64(n), n, 3, PolicyEvidence)
+		for range 2 {
+			w.advance(5 * time.Second)
+			is.True(w.leader() != nil)
+			is.True(w.now.Sub(w.lastAck) < time.Second)
+			for _, d := range w.dbs {
+				d.crash()
+				d.restart()
+			}
+		}
+	}
+}
+
 // TestAhead guards against a database that can't follow because an election was
 // abandoned after it had promised a higher term.
 func TestAhead(t *testing.T) {
