--- a/internal/spread/edit.go
+++ b/internal/spread/edit.go
@@ -232,6 +232,11 @@
 	if v == 0 || v == now.Version {
 		return now, nil
 	}
+	return s.Former(ctx, v)
+}
+
+// Former returns a version that another one has replaced.
+func (s *Spread) Former(ctx context.Context, v ident.Version) (Record, error) {
 	r, err := s.read(ctx, HistoryKey(v))
 	if err == nil && r.Version == 0 {
 		return Record{}, &Error{Op: "history", Kind: KindMissing, Text: "the version is no longer kept"}
