--- /dev/null
+++ b/cmd/chervilctl/main.go
@@ -0,0 +1,19 @@
+// Command chervilctl is the operators' program. Package ctl has its commands;
+// chervilctl --help lists them with the exit statuses.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"chervilspan.example/internal/ctl"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	status := ctl.Main(ctx, os.Args[1:], ctl.Std())
+	stop()
+	os.Exit(status)
+}
--- /dev/null
+++ b/internal/ctl/keys.go
@@ -0,0 +1,222 @@
+package ctl
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"chervilspan.example/pkg/catal"
+	"chervilspan.example/pkg/ident"
+)
+
+func (c *command) keys(ctx context.Context, a *keysArgs) error {
+	switch {
+	case a.Give != nil:
+		return c.giveKey(ctx, a.Give)
+	case a.Withdraw != nil:
+		return c.withdrawKey(ctx, a.Withdraw)
+	case a.List != nil:
+		return c.listKeys(ctx, a.List)
+	}
+	return badInput("keys", "give, withdraw or list is needed")
+}
+
+// raceTries is how often an edit of one key is made again after a lost race:
+// it doesn't depend on what others changed.
+const raceTries = 5
+
+// change edits the catalogue in force by f.
+func (c *command) change(ctx context.Context, op string, w waitArgs, f func(*catal.Catalogue) error) (uint64, error) {
+	for try := 1; ; try++ {
+		now, err := c.fetch(ctx, op, 0)
+		if err != nil {
+			return 0, err
+		}
+		if now.Version == 0 {
+			return 0, failed(op, errors.New("there is no catalogue yet"))
+		}
+		cat, err := parse(op, "the catalogue in force", now.Document)
+		if err != nil {
+			return 0, err
+		}
+		if err := f(cat); err != nil {
+			return 0, err
+		}
+		doc, err := catal.Encode(cat)
+		if err != nil {
+			return 0, failed(op, err)
+		}
+		version, err := c.store(ctx, op, now.Version, doc, w)
+		if exitCode(err) != ExitRace || err == nil || try == raceTries {
+			return version, err
+		}
+		// The daemon that was asked may learn of the version that won later.
+		if !sleep(ctx, time.Duration(try)*200*time.Millisecond) {
+			return 0, err
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// workspaceOf returns a workspace with a map of keys that can be written.
+func workspaceOf(op string, cat *catal.Catalogue, id string) (catal.Workspace, error) {
+	w, ok := cat.Workspaces[ident.Workspace(id)]
+	if !ok {
+		return w, badInput(op, fmt.Sprintf("workspace %q is not in the catalogue", id))
+	}
+	if w.Keys == nil {
+		w.Keys = map[string]catal.Key{}
+	}
+	return w, nil
+}
+
+func (c *command) giveKey(ctx context.Context, a *giveArgs) error {
+	const op = "keys give"
+	id := a.ID
+	if id == "" {
+		id = "k" + strings.ToLower(rand.Text()[:10])
+	}
+	text, key, err := catal.NewKey(id)
+	if err != nil {
+		return badInput(op, err.Error())
+	}
+	key.Label = a.Label
+	now := time.Now().UTC().Truncate(time.Second)
+	if a.NotBefore > 0 {
+		key.NotBefore = now.Add(a.NotBefore)
+	}
+	if a.Expires > 0 {
+		key.Expires = now.Add(a.Expires)
+	}
+	version, err := c.change(ctx, op, a.waitArgs, func(cat *catal.Catalogue) error {
+		w, err := workspaceOf(op, cat, a.Workspace)
+		if err != nil {
+			return err
+		}
+		if _, ok := w.Keys[id]; ok {
+			return badInput(op, fmt.Sprintf("key %q exists; choose another id", id))
+		}
+		w.Keys[id] = key
+		cat.Workspaces[ident.Workspace(a.Workspace)] = w
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	// The key is printed before the wait: it is stored and can't be shown again.
+	out := result{Version: version, Key: text, KeyID: id}
+	if !c.args.JSON {
+		if err := c.print(nil, text+"\n"); err != nil {
+			return err
+		}
+	}
+	var waited error
+	if a.Wait {
+		waited = c.wait(ctx, op, version, a.Timeout)
+		out.InForce = waited == nil
+	}
+	if c.args.JSON {
+		return errors.Join(c.print(out, ""), waited)
+	}
+	return waited
+}
+
+func (c *command) withdrawKey(ctx context.Context, a *withdrawArgs) error {
+	const op = "keys withdraw"
+	version, err := c.change(ctx, op, a.waitArgs, func(cat *catal.Catalogue) error {
+		w, err := workspaceOf(op, cat, a.Workspace)
+		if err != nil {
+			return err
+		}
+		k, ok := w.Keys[a.ID]
+		if !ok {
+			return badInput(op, fmt.Sprintf("workspace %q has no key %q", a.Workspace, a.ID))
+		}
+		k.Withdrawn = true
+		w.Keys[a.ID] = k
+		cat.Workspaces[ident.Workspace(a.Workspace)] = w
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	return c.finish(ctx, op, version, a.waitArgs)
+}
+
+func (c *command) listKeys(ctx context.Context, a *listArgs) error {
+	const op = "keys list"
+	now, err := c.fetch(ctx, op, 0)
+	if err != nil {
+		return err
+	}
+	cat := &catal.Catalogue{}
+	if now.Version > 0 {
+		if cat, err = parse(op, "the catalogue in force", now.Document); err != nil {
+			return err
+		}
+	}
+	if a.Workspace != "" {
+		if _, err := workspaceOf(op, cat, a.Workspace); err != nil {
+			return err
+		}
+	}
+	type row struct {
+		Workspace ident.Workspace `json:"workspace"`
+		ID        string          `json:"id"`
+		Label     string          `json:"label"`
+		State     string          `json:"state"`
+		Expires   time.Time       `json:"expires,omitzero"`
+	}
+	rows := []row{}
+	var b strings.Builder
+	t := tabwriter.NewWriter(&b, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(t, "WORKSPACE\tKEY\tSTATE\tEXPIRES\tLABEL")
+	for _, ws := range slices.Sorted(maps.Keys(cat.Workspaces)) {
+		if a.Workspace != "" && ws != ident.Workspace(a.Workspace) {
+			continue
+		}
+		keys := cat.Workspaces[ws].Keys
+		for _, id := range slices.Sorted(maps.Keys(keys)) {
+			k := keys[id]
+			r := row{ws, id, k.Label, keyState(k, time.Now()), k.Expires}
+			rows = append(rows, r)
+			expires := "never"
+			if !k.Expires.IsZero() {
+				expires = k.Expires.Format(time.RFC3339)
+			}
+			_, _ = fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\n", ws, id, r.State, expires, k.Label)
+		}
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return c.print(rows, b.String())
+}
+
+func keyState(k catal.Key, now time.Time) string {
+	switch {
+	case k.Withdrawn:
+		return "withdrawn"
+	case k.Usable(now):
+		return "valid"
+	case now.Before(k.NotBefore):
+		return "not yet"
+	}
+	return "expired"
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,260 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"chervilspan.example/internal/proto/adminpb"
+)
+
+func (c *command) vms(ctx context.Context, op string) ([]*adminpb.VMStatus, error) {
+	client, err := c.client(op)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, 5*time.Second)
+	defer cancel()
+	reply, err := client.Status(ctx, &adminpb.StatusRequest{})
+	if err != nil {
+		return nil, failed(op, err)
+	}
+	return reply.Vms, nil
+}
+
+// waitPeriod is the time between looks at the VMs' versions.
+const waitPeriod = 250 * time.Millisecond
+
+// wait waits until a version is in force on all VMs that are not dead. It
+// writes a line whenever the number changes; on a timeout the error names the
+// VMs that lack the version.
+func (c *command) wait(ctx context.Context, op string, version uint64, limit time.Duration) error {
+	deadline := time.Now().Add(limit)
+	last := ""
+	for {
+		vms, err := c.vms(ctx, op)
+		if err != nil {
+			return err
+		}
+		missing, line := progress(vms, version)
+		if line != last && !c.args.JSON {
+			_, _ = fmt.Fprintln(c.env.Err, line)
+		}
+		last = line
+		switch {
+		case len(missing) == 0:
+			return nil
+		case time.Now().After(deadline) || !sleep(ctx, waitPeriod):
+			text := fmt.Sprintf("version %d is stored, but after %s it is not in force on %s", version, limit, strings.Join(missing, ", "))
+			return &Error{Op: op, Kind: KindFailed, Lines: []string{text}}
+		}
+	}
+}
+
+// progress returns the VMs on which the version is not in force, with the
+// reason, and the progress line.
+func progress(vms []*adminpb.VMStatus, version uint64) (missing []string, line string) {
+	var dead []string
+	done := 0
+	for _, v := range vms {
+		switch {
+		case v.Reachable && v.Version >= version:
+			done++
+		case v.State == "dead":
+			dead = append(dead, v.Vm)
+		case !v.Reachable:
+			missing = append(missing, v.Vm+" (not reachable)")
+		case v.RefusedVersion >= version:
+			missing = append(missing, v.Vm+" (refused: "+v.RefusedReason+")")
+		default:
+			missing = append(missing, fmt.Sprintf("%s (version %d)", v.Vm, v.Version))
+		}
+	}
+	line = fmt.Sprintf("version %d in force on %d of %d VMs", version, done, len(vms)-len(dead))
+	if len(missing) > 0 {
+		line += "; not on " + strings.Join(missing, ", ")
+	}
+	if len(dead) > 0 {
+		line += "; dead and not waited for: " + strings.Join(dead, ", ")
+	}
+	return missing, line
+}
+
+func (c *command) status(ctx context.Context) error {
+	vms, err := c.vms(ctx, "status")
+	if err != nil {
+		return err
+	}
+	if c.args.JSON {
+		raw, err := protojson.MarshalOptions{Multiline: true, UseProtoNames: true, EmitUnpopulated: true}.Marshal(&adminpb.StatusReply{Vms: vms})
+		if err != nil {
+			return failed("status", err)
+		}
+		_, err = fmt.Fprintf(c.env.Out, "%s\n", raw)
+		return err
+	}
+	return c.print(nil, vmTable(vms))
+}
+
+func vmTable(vms []*adminpb.VMStatus) string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "VM\tZONE\tSTATE\tVERSION\tAGE\tSTORE\tSESSIONS\tNOTES")
+	for _, v := range vms {
+		if !v.Reachable {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t-\t-\t-\t-\tnot reachable\n", v.Vm, v.Zone, v.State)
+			continue
+		}
+		age := "never"
+		if v.StaleMs >= 0 {
+			age = (time.Duration(v.StaleMs) * time.Millisecond).String()
+		}
+		store := "down"
+		if v.StoreReachable {
+			store = "up"
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%s\n", v.Vm, v.Zone, v.State, v.Version, age, store, v.Sessions, notes(v))
+	}
+	_ = w.Flush() // a strings.Builder takes every write
+	return b.String()
+}
+
+func notes(v *adminpb.VMStatus) string {
+	var list []string
+	for _, n := range []struct {
+		on   bool
+		text string
+	}{
+		{v.Relay, "relay"},
+		{v.Draining, "draining"},
+		{v.CutOff, "cut off"},
+		{v.RefusedVersion > 0, fmt.Sprintf("refused version %d: %s", v.RefusedVersion, v.RefusedReason)},
+	} {
+		if n.on {
+			list = append(list, n.text)
+		}
+	}
+	return strings.Join(list, ", ")
+}
+
+// top shows the state again and again until ctx ends.
+func (c *command) top(ctx context.Context, a *topArgs) error {
+	for n := 1; ; n++ {
+		vms, err := c.vms(ctx, "top")
+		if err != nil {
+			return err
+		}
+		if c.args.JSON {
+			if err := c.status(ctx); err != nil {
+				return err
+			}
+		} else {
+			const clearScreen = "\x1b[H\x1b[2J"
+			if err := c.print(nil, clearScreen+vmTable(vms)+"\n"+groupTable(vms)+"\n"+workspaceTable(vms)); err != nil {
+				return err
+			}
+		}
+		if n == a.Count || !sleep(ctx, a.Every) {
+			return nil
+		}
+	}
+}
+
+// groupTable shows each group as the VM with the highest term sees it.
+func groupTable(vms []*adminpb.VMStatus) string {
+	groups := map[string]*adminpb.GroupStatus{}
+	for _, v := range vms {
+		for _, g := range v.Groups {
+			if have := groups[g.Group]; have == nil || g.Term > have.Term {
+				groups[g.Group] = g
+			}
+		}
+	}
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "GROUP\tTERM\tTARGET\tROLE\tPOSITION\tLAG\tSLOTS\tNOTES")
+	for _, id := range sorted(groups) {
+		g := groups[id]
+		for _, t := range g.Targets {
+			note := ""
+			switch {
+			case !t.Reachable:
+				note = "not reachable"
+			case t.Leaving:
+				note = "leaving"
+			}
+			_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%dms\t%d\t%s\n", g.Group, g.Term, t.Target, t.Role, t.Position, t.LagMs, t.SlotsInUse, note)
+		}
+	}
+	_ = w.Flush() // a strings.Builder takes every write
+	return b.String()
+}
+
+// workspaceTable adds up each workspace's counts over the VMs; the latencies
+// are the worst of any VM.
+func workspaceTable(vms []*adminpb.VMStatus) string {
+	sums := map[string]*adminpb.WorkspaceStatus{}
+	for _, v := range vms {
+		for _, s := range v.Workspaces {
+			sum := sums[s.Workspace]
+			if sum == nil {
+				sum = &adminpb.WorkspaceStatus{Workspace: s.Workspace}
+				sums[s.Workspace] = sum
+			}
+			sum.RateLimit = max(sum.RateLimit, s.RateLimit)
+			sum.RateUsed += s.RateUsed
+			sum.Admitted += s.Admitted
+			sum.Refused += s.Refused
+			sum.Queued += s.Queued
+			sum.P50Ms, sum.P99Ms = max(sum.P50Ms, s.P50Ms), max(sum.P99Ms, s.P99Ms)
+		}
+	}
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "WORKSPACE\tRATE\tLIMIT\tADMITTED\tREFUSED\tQUEUED\tP50\tP99")
+	for _, id := range sorted(sums) {
+		s := sums[id]
+		_, _ = fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%d\t%d\t%d\t%.1fms\t%.1fms\n", id, s.RateUsed, s.RateLimit, s.Admitted, s.Refused, s.Queued, s.P50Ms, s.P99Ms)
+	}
+	_ = w.Flush() // a strings.Builder takes every write
+	return b.String()
+}
+
+func sorted[V any](m map[string]V) []string {
+	out := make([]string, 0, len(m))
+	for k := range m {
+		out = append(out, k)
+	}
+	slices.Sort(out)
+	return out
+}
+
+func (c *command) drain(ctx context.Context, a *drainArgs) error {
+	client, err := c.client("drain")
+	if err != nil {
+		return err
+	}
+	if a.VM != "" {
+		vms, err := c.vms(ctx, "drain")
+		if err != nil {
+			return err
+		}
+		i := slices.IndexFunc(vms, func(v *adminpb.VMStatus) bool { return v.Vm == a.VM })
+		if i < 0 {
+			return badInput("drain", fmt.Sprintf("VM %q is not known; status lists the VMs", a.VM))
+		}
+		if client, err = c.env.Dial(vms[i].Address); err != nil {
+			return failed("drain", err)
+		}
+	}
+	reply, err := client.Drain(ctx, &adminpb.DrainRequest{})
+	if err != nil {
+		return failed("drain", err)
+	}
+	return c.print(map[string]any{"sessions": reply.Sessions}, fmt.Sprintf("drain started with %d sessions\n", reply.Sessions))
+}
--- a/internal/peer/cache.go
+++ b/internal/peer/cache.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
@@ -199,5 +200,5 @@
 	if keys != nil || plain && a.Addr().IsLoopback() {
 		return nil
 	}
-	return &Error{Op: op, Kind: KindPlain, Subject: address}
+	return &Error{Op: op, Kind: KindPlain, Subject: address, Err: eris.New("plain text is not allowed here")}
 }
