Ignore statuses that are older than the group's term

Cause: a VM that had watched a group before its first primary kept the statuses of that time. Ruled out: slots, the floor query and the limit of connections. Change: the table notes since when a term is known, and a status from before does not exclude a target; the floor at the target still does.

--- a/pkg/sessn/choice.go
+++ b/pkg/sessn/choice.go
@@ -63,7 +63,12 @@
 	if t.Seen.IsZero() || now.Sub(t.Seen) > statusLife {
 		return true
 	}
-	return !t.Status.Leaving && t.Status.Role != topo.RoleRebuild && t.Status.Term >= g.Term
+	if t.Status.Leaving || t.Status.Role == topo.RoleRebuild {
+		return false
+	}
+	// A lower term says that the target has not followed yet, unless it was
+	// reported before the group's term became known here.
+	return t.Status.Term >= g.Term || t.Seen.Before(g.Since)
 }
 
 // tiers of candidates, best first.
--- a/pkg/sessn/sessn_test.go
+++ b/pkg/sessn/sessn_test.go
@@ -95,6 +95,18 @@
 	is.Equal(Candidates(r), []ident.Target{"b", "a"})
 }
 
+// TestStatusBeforeTerm guards against a VM that finds no target after it has
+// learned of a new term, because all it heard from the targets is older.
+func TestStatusBeforeTerm(t *testing.T) {
+	is := is.New(t)
+	r := read(target("a", "z1", at(2, 9)), target("b", "z1", at(1, 9)))
+	r.Group.Targets[1].Status.Term = 1
+	r.Group.Since = r.Group.Targets[1].Seen.Add(time.Millisecond)
+	is.Equal(Candidates(r), []ident.Target{"b", "a"})
+	r.Group.Since = r.Group.Targets[1].Seen
+	is.Equal(Candidates(r), []ident.Target{"a"})
+}
+
 // TestChoice guards against a busy target that is chosen over an idle one, and
 // against candidates that are lost or doubled.
 func TestChoice(t *testing.T) {
--- a/pkg/topo/topo.go
+++ b/pkg/topo/topo.go
@@ -62,7 +62,10 @@
 	ID      ident.Group
 	Term    ident.Term
 	Primary ident.Target
-	Ack     catal.Ack
+	// Since is when the term became known here. What a target said before
+	// does not tell whether it has followed the primary of the term.
+	Since time.Time
+	Ack   catal.Ack
 	// Targets in the order of their ids.
 	Targets []Target
 }
@@ -103,7 +106,7 @@
 		g := &Group{ID: id, Ack: cmp.Or(cfg.Ack, catal.AckMajority)}
 		old := t.groups[id]
 		if old != nil {
-			g.Term, g.Primary = old.Term, old.Primary
+			g.Term, g.Primary, g.Since = old.Term, old.Primary, old.Since
 		}
 		for _, tid := range slices.Sorted(maps.Keys(cfg.Targets)) {
 			row := Target{ID: tid, Config: cfg.Targets[tid]}
@@ -152,7 +155,7 @@
 	if h.Term < g.Term || h.Term == g.Term && g.Primary != "" {
 		return false
 	}
-	g.Term, g.Primary = h.Term, h.Primary
+	g.Term, g.Primary, g.Since = h.Term, h.Primary, time.Now()
 	return true
 }
 
@@ -182,7 +185,7 @@
 	row.Status, row.Seen, row.Failed = s, now, time.Time{}
 	row.Applied = s.Log
 	if s.Role == RolePrimary && (s.Term > g.Term || s.Term == g.Term && g.Primary == "") {
-		g.Term, g.Primary = s.Term, s.Target
+		g.Term, g.Primary, g.Since = s.Term, s.Target, now
 	}
 }
 
