Pass on errors of a keyed COMMIT; hide other callers' statements

A deferred constraint that failed at the COMMIT of a write under a key was taken for a lost target and tried again until the deadline. It is passed on now, and a COMMIT that failed no longer counts as committed.

All callers share the proxy's user at a target, so the views and functions that show its prepared statements and its activity are refused. Target connections set the variables that callers are told at login, so that drivers may set them too, among them the time zone UTC.

--- a/internal/conns/connect.go
+++ b/internal/conns/connect.go
@@ -71,7 +71,12 @@
 	cfg.DialFunc = p.cfg.Dial
 	cfg.ConnectTimeout = p.cfg.ConnectTimeout
 	cfg.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
-	cfg.RuntimeParams = map[string]string{"application_name": "chervilspan"}
+	cfg.RuntimeParams = map[string]string{
+		"application_name": "chervilspan",
+		// What callers are told at login, and stmt.Settled lets them set.
+		"client_encoding": "UTF8", "DateStyle": "ISO, MDY", "IntervalStyle": "postgres", "TimeZone": "UTC",
+		"extra_float_digits": "1", "statement_timeout": "0", "lock_timeout": "0",
+	}
 	cfg.OnNotice = func(*pgconn.PgConn, *pgconn.Notice) {}
 	return cfg, nil
 }
--- a/internal/wire/once.go
+++ b/internal/wire/once.go
@@ -88,7 +88,11 @@
 func (s *session) commitFailed(err error) *miss {
 	o := retry.Unknown
 	var refused *pgconn.PgError
-	if errors.As(err, &refused) && refused.Severity == "ERROR" || conns.Is(err, conns.KindBroken) && retry.Of(err) == retry.NotRun {
+	answered := errors.As(err, &refused) && refused.Severity == "ERROR"
+	if answered && !stateRefusal(refused.Code) {
+		return &miss{err: refuse("commit", refused.Code, refused.Message, err)}
+	}
+	if answered || conns.Is(err, conns.KindBroken) && retry.Of(err) == retry.NotRun {
 		o = retry.NotRun
 	}
 	return &miss{err: lost("commit", "the target was lost while the transaction committed", o, err), again: true, reached: true}
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -44,7 +44,7 @@
 
 // committed reports whether the transaction that has just ended was committed,
 // as far as its command tags say.
-func (a *answer) committed() bool { return a.commits > 0 || a.rollbacks == 0 }
+func (a *answer) committed() bool { return a.commits > 0 || a.rollbacks == 0 && a.refused == nil }
 
 // send queues a unit on a connection and returns what the target will answer.
 func (s *session) send(c *conns.Conn, u *unit) []step {
--- a/internal/wiretest/client.go
+++ b/internal/wiretest/client.go
@@ -256,6 +256,10 @@
 }
 
 func (c *client) endTx(upper string) Reply {
+	if upper == "COMMIT" && c.t.refuseCommit() {
+		c.status, c.wrote, c.once = 'I', false, nil
+		return Reply{Code: "23505", Message: "a deferred constraint is violated"}
+	}
 	if upper == "COMMIT" && c.status == 'T' {
 		c.status = 'I'
 		return Reply{Tag: "COMMIT"}
--- a/internal/wiretest/target.go
+++ b/internal/wiretest/target.go
@@ -64,6 +64,7 @@
 	next      int
 	log       []Call
 	refused   int
+	violate   bool
 	listeners []*client
 }
 
@@ -83,6 +84,19 @@
 	t.manual = true
 }
 
+// Violate makes every COMMIT fail, as by a deferred constraint.
+func (t *Target) Violate() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.violate = true
+}
+
+func (t *Target) refuseCommit() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.violate
+}
+
 // SetQuorum sets the quorum position and notifies the listeners.
 func (t *Target) SetQuorum(p ident.Position) {
 	t.mu.Lock()
--- a/pkg/stmt/class.go
+++ b/pkg/stmt/class.go
@@ -108,13 +108,17 @@
 	VarApplication    = "application_name"
 )
 
-// settled holds ordinary variables whose usual values are the targets' own, so
-// that drivers may set them when they connect.
+// settled holds ordinary variables with the values that every connection to a
+// target has, so that drivers may set them when they connect.
 var settled = map[string][]string{
 	"client_encoding":             {"utf8", "utf-8", "unicode"},
 	"standard_conforming_strings": {"on", "true", "1"},
-	"extra_float_digits":          {"1", "2", "3"},
+	"extra_float_digits":          {"1", "2", "3"}, // all mean the shortest exact output
 	"datestyle":                   {"iso", "iso, mdy"},
+	"intervalstyle":               {"postgres"},
+	"timezone":                    {"utc"},
+	"statement_timeout":           {"0"},
+	"lock_timeout":                {"0"},
 }
 
 func set(s *pg.VariableSetStmt) Info {
--- a/pkg/stmt/stmt_test.go
+++ b/pkg/stmt/stmt_test.go
@@ -51,6 +51,7 @@
 		{"SET application_name TO app", Info{Kind: KindSet, ReadOnly: true, Name: VarApplication, Value: "app", Tag: "SET"}},
 		{"SET client_encoding = 'UTF8'", Info{Kind: KindIgnored, ReadOnly: true, Tag: "SET"}},
 		{"SET extra_float_digits = 3", Info{Kind: KindIgnored, ReadOnly: true, Tag: "SET"}},
+		{"SET TIME ZONE 'UTC'", Info{Kind: KindIgnored, ReadOnly: true, Tag: "SET"}},
 		{"SHOW chervil.position", Info{Kind: KindShow, ReadOnly: true, Name: VarPosition, Tag: "SHOW"}},
 		{"SHOW server_version", read},
 		{"DEALLOCATE a", Info{Kind: KindDeallocate, ReadOnly: true, Name: "a", Tag: "DEALLOCATE"}},
@@ -79,7 +80,8 @@
 		"SELECT chervil_promote(1, '')", "SELECT * FROM chervil_raise_term(9)", "PREPARE TRANSACTION 'a'",
 		"COMMIT PREPARED 'a'", "COMMIT AND CHAIN", "SELECT pg_terminate_backend(1)",
 		"SET SESSION CHARACTERISTICS AS TRANSACTION READ ONLY", "EXPLAIN EXECUTE p",
-		"SELECT 1; SET application_name = 'a'",
+		"SELECT 1; SET application_name = 'a'", "SELECT statement FROM pg_prepared_statements",
+		"SELECT query FROM pg_catalog.pg_stat_activity", "SELECT * FROM pg_prepared_statement()", "SET TIME ZONE 'Asia/Tokyo'",
 	} {
 		t.Run(sql, func(t *testing.T) {
 			is := is.New(t)
--- a/pkg/stmt/walk.go
+++ b/pkg/stmt/walk.go
@@ -84,6 +84,11 @@
 	if s.Relpersistence == temporary || strings.HasPrefix(s.Schemaname, "pg_temp") {
 		w.reason = "temporary tables belong to a session"
 	}
+	switch s.Relname {
+	case "pg_prepared_statements", "pg_cursors", "pg_stat_activity":
+		// All callers share the proxy's user at the targets.
+		w.reason = s.Relname + " shows the statements of other callers"
+	}
 }
 
 func (w *walker) function(s *pg.FuncCall) {
@@ -115,6 +120,8 @@
 	switch name {
 	case "set_config", "currval", "lastval", "setseed":
 		return "the function " + name + " needs a session of its own"
+	case "pg_prepared_statement", "pg_cursor", "pg_stat_get_activity", "pg_stat_get_backend_activity":
+		return "the function " + name + " shows the statements of other callers"
 	case "pg_terminate_backend", "pg_cancel_backend", "pg_reload_conf", "pg_promote":
 		return "the function " + name + " acts on other sessions"
 	}
