Test the choice of a new primary and pauses of targets

Cause: ties, regions and leaving members were not tested apart, and no test had pauses of real targets. Change: TestChoose in pkg/elect; pauses of 200 ms in standin/failover's TestKept.

--- a/pkg/elect/machine_test.go
+++ b/pkg/elect/machine_test.go
@@ -278,6 +278,41 @@
 	}
 }
 
+// TestChoose guards against a new primary that lacks entries, that is far from
+// the former one's callers, or that is about to leave, although a better one is
+// there.
+func TestChoose(t *testing.T) {
+	type db struct {
+		region  ident.Region
+		index   uint64
+		leaving bool
+	}
+	for _, c := range []struct {
+		name string
+		dbs  [3]db
+		want ident.Target
+	}{
+		{"highest log", [3]db{{"r", 5, false}, {"s", 6, false}, {"r", 5, false}}, "b"},
+		{"region of the former primary", [3]db{{"s", 5, false}, {"s", 5, false}, {"r", 5, false}}, "c"},
+		{"lowest id", [3]db{{"s", 5, false}, {"r", 5, false}, {"r", 5, false}}, "b"},
+		{"one that stays", [3]db{{"r", 9, true}, {"s", 5, false}, {"s", 6, false}}, "c"},
+		{"no majority without those that leave", [3]db{{"r", 9, true}, {"s", 5, true}, {"s", 5, false}}, "a"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := Machine{home: "r", vote: election{promises: map[ident.Target]topo.Status{}}}
+			var members []Member
+			for i, d := range c.dbs {
+				id := ident.Target(rune('a' + i))
+				members = append(members, Member{ID: id, Region: d.region, Leaving: d.leaving})
+				m.vote.promises[id] = topo.Status{Log: ident.Position{Term: 1, Index: d.index}}
+			}
+			m.configure(members)
+			is.Equal(m.choose(), c.want)
+		})
+	}
+}
+
 // TestAhead guards against a database that can't follow because an election was
 // abandoned after it had promised a higher term.
 func TestAhead(t *testing.T) {
--- a/standin/failover/failover_test.go
+++ b/standin/failover/failover_test.go
@@ -111,6 +111,16 @@
 	for name, fault := range map[string]func(r *rig, id ident.Target){
 		"watchers cut": func(r *rig, id ident.Target) { r.setCut(id, true) },
 		"silent":       func(r *rig, id ident.Target) { _ = r.targets[id].Fault(target.FaultSilence, "1") },
+		"pauses of 200 ms": func(r *rig, _ ident.Target) {
+			for range 10 {
+				for _, s := range r.targets {
+					_ = s.Fault(target.FaultFreeze, "1")
+					time.Sleep(200 * time.Millisecond)
+					_ = s.Fault(target.FaultFreeze, "0")
+					time.Sleep(300 * time.Millisecond)
+				}
+			}
+		},
 		"replica frozen": func(r *rig, id ident.Target) {
 			for other, s := range r.targets {
 				if other != id {
