Say yes to a commit's survival only when a majority has it

Cause: Has may be asked with a term below that of the commit; then the primary that took the commit answers for itself and could say yes too early. VMs that drain were still chosen as watchers. Change: internal/watch compares the quorum position with the commit's, and passes over leaving VMs. Conclusion: Has is safe for every value of after.

--- a/internal/watch/choose.go
+++ b/internal/watch/choose.go
@@ -9,15 +9,15 @@
 	"chervilspan.example/pkg/rendez"
 )
 
-// alive returns the live VMs in the order of their names, this one included.
-// Only what the choice of watchers depends on is filled in.
+// alive returns the live VMs that stay, in the order of their names, this one
+// included. Only what the choice of watchers depends on is filled in.
 func (w *Watcher) alive() []member.Info {
 	if w.cfg.Fleet == nil {
 		return []member.Info{{VM: w.cfg.Self}}
 	}
 	var out []member.Info
 	for _, i := range w.cfg.Fleet.Live() {
-		if i.State == member.StateDead {
+		if i.State == member.StateDead || i.State == member.StateLeaving {
 			continue
 		}
 		out = append(out, member.Info{VM: i.VM, Zone: i.Zone})
--- a/internal/watch/has.go
+++ b/internal/watch/has.go
@@ -13,7 +13,9 @@
 //
 // An answer counts only when that primary has an entry of its own term on a
 // majority, before and after the question. Until then another database could
-// still be elected, which has p or lacks it, and the answer would turn wrong.
+// still be elected, which has p or lacks it, and the answer would turn wrong. For
+// the same reason yes is only said when p itself is on a majority, which matters
+// when after is below p's own term.
 func (w *Watcher) Has(ctx context.Context, g ident.Group, p ident.Position, after ident.Term) (bool, error) {
 	w.Suspect(g)
 	for {
@@ -43,26 +45,30 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, hasTimeout)
 	defer cancel()
-	if err := w.settled(ctx, g, c, term); err != nil {
+	if _, err := w.settled(ctx, g, c, term); err != nil {
 		return false, err
 	}
 	has, err := c.Has(ctx, p)
 	if err != nil {
 		return false, err
 	}
-	return has, w.settled(ctx, g, c, term)
+	quorum, err := w.settled(ctx, g, c, term)
+	if err == nil && has && quorum.Less(p) {
+		err = &Error{Op: "has", Kind: KindNoMajority, Group: g}
+	}
+	return has, err
 }
 
-// settled returns an error unless the database leads term and a majority has
-// one of the term's entries.
-func (w *Watcher) settled(ctx context.Context, g ident.Group, c Conn, term ident.Term) error {
+// settled returns the quorum position, or an error unless the database leads
+// term and a majority has one of the term's entries.
+func (w *Watcher) settled(ctx context.Context, g ident.Group, c Conn, term ident.Term) (ident.Position, error) {
 	s, err := c.Status(ctx)
 	if err != nil {
-		return err
+		return ident.Position{}, err
 	}
 	w.cfg.Table.Observe(g, s, time.Now())
 	if s.Role != topo.RolePrimary || s.Term != term || s.Quorum.Term != term {
-		return &Error{Op: "has", Kind: KindNoMajority, Group: g}
+		return ident.Position{}, &Error{Op: "has", Kind: KindNoMajority, Group: g}
 	}
-	return nil
+	return s.Quorum, nil
 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -223,6 +223,9 @@
 		g.has = true
 		has, err = ask()
 		is.True(err == nil && has)
+		p = ident.Position{Term: 2, Index: 6} // of the new primary itself, not yet on a majority
+		_, err = ask()
+		is.True(errors.As(err, &e) && e.Kind == KindTimeout)
 	})
 }
 
