--- a/internal/limit/rate_test.go
+++ b/internal/limit/rate_test.go
@@ -149,7 +149,7 @@
 		is := is.New(t)
 		w := newWorld(6, rates(map[ident.Workspace][2]int{"w": {60, 60}}), func(w *world) {
 			n := 0
-			w.store.lose = func(string) bool { n++; return n%4 == 0 }
+			w.store.lose = func(string) bool { n++; return n%5 < 2 } // also that of reading back
 			w.store.twice = func() bool { return n%3 == 0 }
 		})
 		defer w.stop()
@@ -177,7 +177,7 @@
 }
 
 // TestCutOffHolder guards against a VM that goes on minting after its lease,
-// when the others have taken over its slices.
+// when the others have taken over its slices, or when it reaches the store again.
 func TestCutOffHolder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -194,6 +194,12 @@
 		is.True(d.excess(40, 40) < slack)
 		is.True(!time.Now().Before(cut.deadline()))
 		is.Equal(w.store.keys(), 16*12)
+		cut.store.cut.Store(false)
+		d.send(200, time.Minute, cut, w.vms[1])
+		for _, n := range w.holders(t) {
+			is.Equal(n, 1) // it knows that its lease has ended
+		}
+		is.True(d.excess(40, 40) < slack)
 	})
 }
 
