--- /dev/null
+++ b/internal/limit/memory_test.go
@@ -0,0 +1,161 @@
+package limit
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chervilspan.example/pkg/store"
+)
+
+// memory is a store that answers at once, is down, or loses answers.
+type memory struct {
+	store.Store
+	mu       sync.Mutex
+	entries  map[string]store.Entry
+	leases   map[store.LeaseID]time.Time
+	ttl      map[store.LeaseID]time.Duration
+	revision store.Revision
+	lease    store.LeaseID
+	down     bool
+	lose     func(op string) bool
+	twice    func() bool // a write arrives twice
+	writes   []time.Time
+}
+
+func newMemory() *memory {
+	return &memory{
+		entries: map[string]store.Entry{}, leases: map[store.LeaseID]time.Time{}, ttl: map[store.LeaseID]time.Duration{},
+		lose: func(string) bool { return false }, twice: func() bool { return false },
+	}
+}
+
+func (m *memory) begin(op string, write bool) error {
+	if m.down {
+		return &store.Error{Op: op, Kind: store.KindUnavailable, Err: errDown}
+	}
+	if write {
+		m.writes = append(m.writes, time.Now())
+	}
+	for id, end := range m.leases {
+		if time.Now().Before(end) {
+			continue
+		}
+		delete(m.leases, id)
+		for k, e := range m.entries {
+			if e.Lease == id {
+				delete(m.entries, k)
+			}
+		}
+	}
+	return nil
+}
+
+func (m *memory) end(op string) error {
+	if m.lose(op) {
+		return &store.Error{Op: op, Kind: store.KindUnavailable, Err: errDown}
+	}
+	return nil
+}
+
+func (m *memory) Get(_ context.Context, key string) (store.Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin("get", false); err != nil {
+		return store.Entry{}, err
+	}
+	return m.entries[key], m.end("get")
+}
+
+func (m *memory) Put(_ context.Context, w store.Write) (store.Result, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin("put", true); err != nil {
+		return store.Result{}, err
+	}
+	res := m.put(w)
+	if m.twice() {
+		res = m.put(w)
+	}
+	return res, m.end("put")
+}
+
+func (m *memory) put(w store.Write) store.Result {
+	if _, ok := m.leases[w.Lease]; !ok || m.entries[w.Key].Revision != w.Expected {
+		return store.Result{Current: m.entries[w.Key]}
+	}
+	m.revision++
+	m.entries[w.Key] = store.Entry{Key: w.Key, Value: w.Value, Revision: m.revision, Lease: w.Lease}
+	return store.Result{Done: true, Current: m.entries[w.Key]}
+}
+
+func (m *memory) Delete(_ context.Context, key string, expected store.Revision) (store.Result, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin("delete", true); err != nil {
+		return store.Result{}, err
+	}
+	if m.entries[key].Revision != expected {
+		return store.Result{Current: m.entries[key]}, m.end("delete")
+	}
+	delete(m.entries, key)
+	return store.Result{Done: true}, m.end("delete")
+}
+
+func (m *memory) GrantLease(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin("grant", true); err != nil {
+		return 0, err
+	}
+	m.lease++
+	m.leases[m.lease], m.ttl[m.lease] = time.Now().Add(ttl), ttl
+	return m.lease, m.end("grant")
+}
+
+func (m *memory) RenewLease(_ context.Context, id store.LeaseID) (bool, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin("renew", true); err != nil {
+		return false, err
+	}
+	_, ok := m.leases[id]
+	if ok {
+		m.leases[id] = time.Now().Add(m.ttl[id])
+	}
+	return ok, m.end("renew")
+}
+
+func (m *memory) set(f func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	f()
+}
+
+// keys returns how many slices have a key.
+func (m *memory) keys() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.entries)
+}
+
+// access is one VM's way to the store.
+type access struct {
+	*memory
+	cut atomic.Bool
+}
+
+func (a *access) GrantLease(ctx context.Context, ttl time.Duration) (store.LeaseID, error) {
+	if a.cut.Load() {
+		return 0, &store.Error{Op: "grant", Kind: store.KindUnavailable, Err: errDown}
+	}
+	return a.memory.GrantLease(ctx, ttl)
+}
+
+func (a *access) RenewLease(ctx context.Context, id store.LeaseID) (bool, error) {
+	if a.cut.Load() {
+		return false, &store.Error{Op: "renew", Kind: store.KindUnavailable, Err: errDown}
+	}
+	return a.memory.RenewLease(ctx, id)
+}
--- a/internal/limit/view.go
+++ b/internal/limit/view.go
@@ -38,7 +38,7 @@
 		return
 	}
 	live := usable(l.cfg.Fleet.Live())
-	self := l.cfg.Fleet.Self()
+	self := place(l.cfg.Fleet.Self())
 	if cat == old.cat && slices.Equal(live, old.live) && self == old.self && !l.takeHints() {
 		return
 	}
@@ -57,11 +57,20 @@
 	signal(l.kick)
 }
 
+// place returns where a VM is, without what changes while it is live, such as
+// its incarnation: such changes don't move slices.
+func place(m member.Info) member.Info {
+	return member.Info{VM: m.VM, Zone: m.Zone, Region: m.Region}
+}
+
 // usable returns the VMs that may hold slices and gates, in a fixed order.
 func usable(live []member.Info) []member.Info {
 	out := slices.DeleteFunc(slices.Clone(live), func(m member.Info) bool {
 		return m.State == member.StateDead || m.State == member.StateLeaving
 	})
+	for i, m := range out {
+		out[i] = place(m)
+	}
 	slices.SortFunc(out, func(a, b member.Info) int { return cmp.Compare(a.VM, b.VM) })
 	return out
 }
@@ -69,13 +78,13 @@
 // prefer computes the slices that this VM should hold and the VMs to ask for
 // tokens of each shard.
 func (l *Limiter) prefer(v *view) {
-	zones := slices.Sorted(maps.Keys(v.cat.Zones))
+	placement := quota.NewPlacement(slices.Sorted(maps.Keys(v.cat.Zones)), v.live)
 	v.holders = make(map[quota.Shard][]ident.VM, v.shards)
 	for shard := range quota.Shard(v.shards) {
 		var vms []ident.VM
 		for i := range v.slices {
 			s := quota.Slice{Shard: shard, Index: quota.Index(i)}
-			vm, ok := quota.Preferred(s, zones, v.live)
+			vm, ok := placement.Preferred(s)
 			if !ok {
 				continue
 			}
@@ -87,7 +96,7 @@
 		l.hintsMu.Lock()
 		vms = slices.AppendSeq(vms, maps.Keys(l.hints[shard]))
 		l.hintsMu.Unlock()
-		v.holders[shard] = quota.Order((quota.Slice{Shard: shard}).Key(), v.self, vms, v.live)
+		v.holders[shard] = placement.Order((quota.Slice{Shard: shard}).Key(), v.self, vms)
 	}
 }
 
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -16,7 +16,7 @@
 	Offset uint32
 	// Held are the slices of the workspace's shard that this VM holds.
 	Held []Held
-	// Holders are the other VMs to ask, in the order of Order.
+	// Holders are the other VMs to ask, in the order of Placement.Order.
 	Holders []ident.VM
 	// Since is when the workspace was first seen in the catalogue; no bucket
 	// mints for the time before.
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -178,13 +178,14 @@
 		{VM: "c1", Zone: "c", Region: "r", State: member.StateDead},
 	}
 	zones := []ident.Zone{"a", "b", "c"}
-	vm, ok := Preferred(Slice{3, 1}, zones, live)
+	place := NewPlacement(zones, live)
+	vm, ok := place.Preferred(Slice{3, 1})
 	is.True(ok)
 	is.Equal(vm, ident.VM("b1"))
-	vm, ok = Preferred(Slice{3, 2}, zones, live)
+	vm, ok = place.Preferred(Slice{3, 2})
 	is.True(ok)
 	is.True(vm != "c1")
-	order := Order("k", live[0], []ident.VM{"d1", "b1", "a2", "a1", "a2", "gone"}, live)
+	order := place.Order("k", live[0], []ident.VM{"d1", "b1", "a2", "a1", "a2", "gone"})
 	is.Equal(order, []ident.VM{"a2", "b1", "d1"})
 }
 
--- a/pkg/quota/sim_test.go
+++ b/pkg/quota/sim_test.go
@@ -111,7 +111,7 @@
 	}
 	v.account.Configure(Setup{
 		Limit: s.limit, Slices: s.slices, Held: v.holdings.Held(),
-		Holders: Order("shard/0", v.info, holders, s.live(v)),
+		Holders: NewPlacement(s.zones, s.live(v)).Order("shard/0", v.info, holders),
 	}, s.now)
 }
 
@@ -150,9 +150,10 @@
 
 func (s *sim) claim(v *simVM) {
 	var wanted []Slice
+	place := NewPlacement(s.zones, s.live(v))
 	for i := range s.slices {
 		sl := Slice{0, Index(i)}
-		if vm, _ := Preferred(sl, s.zones, s.live(v)); vm == v.info.VM {
+		if vm, _ := place.Preferred(sl); vm == v.info.VM {
 			wanted = append(wanted, sl)
 		}
 	}
