End waits at a replaced primary that gives no answer

A write in flight at a frozen primary waited for its deadline of 5 s although a new primary was there after one. 300 ms after the replacement is known the statement is now interrupted; the grace lets an answer come that tells the position of the commit, and with it its fate.

--- a/internal/conns/quorum_test.go
+++ b/internal/conns/quorum_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -141,7 +142,7 @@
 				r.setDown(test.down)
 				c.Start(ident.Position{}, 0)
 				start := time.Now()
-				stop := r.pools.Watch(c)
+				stop := r.pools.WatchRead(c)
 				_, err := c.Exec("SELECT 1")
 				stop()
 				is.Equal(err != nil, test.down)
@@ -154,3 +155,36 @@
 		})
 	}
 }
+
+// TestWatchWrite guards against a write that waits for its deadline at a
+// primary that was replaced, and against one that is given up before.
+func TestWatchWrite(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, r *rig) {
+		var answer atomic.Int64
+		answer.Store(int64(3 * time.Second))
+		r.target.Handle = func(*wiretest.Call) wiretest.Reply {
+			time.Sleep(time.Duration(answer.Load()))
+			return wiretest.Wrote()
+		}
+		write := func() (time.Duration, error) {
+			c := r.get(t)
+			defer r.pools.Put(c)
+			start := time.Now()
+			defer r.pools.WatchWrite(c)()
+			_, err := c.Exec("INSERT INTO t VALUES (1)")
+			return time.Since(start), err
+		}
+		took, err := write()
+		is.NoErr(err) // slow, but not replaced
+		is.Equal(took, 3*time.Second)
+		time.AfterFunc(time.Second, func() { r.table.Learn(topo.Hint{Group: "g", Term: 2, Primary: "a"}) })
+		took, err = write()
+		is.Equal(retry.Of(err), retry.Unknown)
+		is.True(took > time.Second && took < 2*time.Second)
+		time.Sleep(3 * time.Second) // until the target has answered
+		answer.Store(int64(1250 * time.Millisecond))
+		time.AfterFunc(time.Second, func() { r.table.Learn(topo.Hint{Group: "g", Term: 3, Primary: "a"}) })
+		_, err = write()
+		is.NoErr(err) // soon enough to tell its position
+	})
+}
--- a/internal/conns/watch.go
+++ b/internal/conns/watch.go
@@ -10,26 +10,42 @@
 	// and watchEvery how often the result is looked at.
 	watchAfter = 500 * time.Millisecond
 	watchEvery = 100 * time.Millisecond
+	// watchGrace is what an answer of a replaced primary is waited for. One
+	// that comes tells the position of the commit, and so its fate.
+	watchGrace = 300 * time.Millisecond
 )
 
-// watch follows a read that waits for its target.
+// watch follows a statement that waits for its target.
 type watch struct {
 	p     *Pools
 	c     *Conn
 	mu    sync.Mutex
 	timer *time.Timer
 	done  bool
+	// replaced is when the target was first seen to be a replaced primary.
+	replaced time.Time
 }
 
-// Watch interrupts a read on the connection when its target stays silent and a
-// new connection to it fails, so that the read can go elsewhere before its
-// deadline. The caller calls stop when the answer is complete. Writes are not
-// watched: an interruption would make their outcome unknown.
-func (p *Pools) Watch(c *Conn) (stop func()) {
+// WatchRead interrupts a read on the connection when its target stays silent
+// and a new connection to it fails, so that the read can go elsewhere before its
+// deadline. The caller calls stop when the answer is complete.
+func (p *Pools) WatchRead(c *Conn) (stop func()) {
 	w := &watch{p: p, c: c}
+	return w.start(watchAfter, w.lookRead)
+}
+
+// WatchWrite interrupts a statement on the connection to a primary when the
+// primary was replaced and still gives no answer. A failed probe alone is no
+// reason, because an interruption makes the outcome of a write unknown.
+func (p *Pools) WatchWrite(c *Conn) (stop func()) {
+	w := &watch{p: p, c: c}
+	return w.start(watchEvery, w.lookWrite)
+}
+
+func (w *watch) start(after time.Duration, look func()) (stop func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(watchAfter, w.look)
+	w.timer = time.AfterFunc(after, look)
 	return w.stop
 }
 
@@ -40,15 +56,17 @@
 	w.timer.Stop()
 }
 
-// look interrupts the read when the target has failed, else has it probed.
-func (w *watch) look() {
+func (w *watch) interrupt() { _ = w.c.net.SetReadDeadline(time.Unix(1, 0)) }
+
+// lookRead interrupts the read when the target has failed, else has it probed.
+func (w *watch) lookRead() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.done || w.c.heard.Load() {
 		return
 	}
 	if w.c.pool.hasFailed() {
-		_ = w.c.net.SetReadDeadline(time.Unix(1, 0))
+		w.interrupt()
 		return
 	}
 	if w.c.pool.due(time.Now()) {
@@ -56,3 +74,22 @@
 	}
 	w.timer.Reset(watchEvery)
 }
+
+// lookWrite interrupts the statement a while after the primary was replaced.
+func (w *watch) lookWrite() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.done {
+		return
+	}
+	g, _ := w.p.cfg.Groups.Group(w.c.group)
+	switch now := time.Now(); {
+	case g.Term <= w.c.term:
+	case w.replaced.IsZero():
+		w.replaced = now
+	case now.Sub(w.replaced) >= watchGrace:
+		w.interrupt()
+		return
+	}
+	w.timer.Reset(watchEvery)
+}
--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -74,13 +74,11 @@
 	if u.taints {
 		c.Taint()
 	}
+	defer s.watch(u, tx)()
 	if s.keyed(u) {
 		return s.runKeyed(u, tx)
 	}
 	s.prepareConn(u, tx, read)
-	if u.reads && !u.begins {
-		defer s.srv.cfg.Pools.Watch(c)()
-	}
 	a, m := s.exchange(u, tx)
 	if m != nil {
 		return m
@@ -88,6 +86,17 @@
 	return s.judge(u, tx, a)
 }
 
+// watch ends the wait for a target that will not answer before the deadline.
+func (s *session) watch(u *unit, tx *txn) (stop func()) {
+	switch {
+	case u.reads && !u.begins && s.tx == nil:
+		return s.srv.cfg.Pools.WatchRead(tx.conn)
+	case !tx.replica:
+		return s.srv.cfg.Pools.WatchWrite(tx.conn)
+	}
+	return func() {}
+}
+
 // prepareConn sets the session's floor on the connection of a new transaction.
 func (s *session) prepareConn(u *unit, tx *txn, read bool) {
 	switch {
@@ -296,7 +305,9 @@
 	if u.taints {
 		tx.conn.Taint()
 	}
+	stop := s.watch(u, tx)
 	a, m := s.exchange(u, tx)
+	stop()
 	s.clearRunning(tx.conn)
 	if m != nil {
 		return s.loseTx(u, m)
--- a/standin/e2e/e2e_test.go
+++ b/standin/e2e/e2e_test.go
@@ -117,45 +117,60 @@
 }
 
 // TestFailover guards against an acknowledged order that is lost, one that is
-// called not run and is there, and one that is there twice, while the primary
-// is cut off in the middle of writes and replaced.
+// called not run and is there, one that is there twice, and one that waits much
+// longer than the failover, while the primary is cut off or frozen in the middle
+// of writes and replaced.
 func TestFailover(t *testing.T) {
-	bubble(t, target.Config{}, func(t *testing.T, is *is.I, k *kit) {
-		fates := map[string]string{}
-		var mu sync.Mutex
-		var wg sync.WaitGroup
-		for w := range 6 {
-			c := k.connect()
-			wg.Go(func() {
-				for i := range 40 {
-					id := fmt.Sprintf("%d-%d", w, i)
-					_, err := c.Exec(t.Context(), "INSERT INTO orders VALUES ($1, 1)", id)
-					mu.Lock()
-					fates[id] = fate(err)
-					mu.Unlock()
-					time.Sleep(time.Duration(rand.IntN(100)) * time.Millisecond)
+	for name, fault := range map[string][2]string{
+		"cut":    {target.FaultCut, "*"}, // the proxy still reaches it
+		"frozen": {target.FaultFreeze, "1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, target.Config{}, func(t *testing.T, is *is.I, k *kit) { failover(t, is, k, fault) })
+		})
+	}
+}
+
+func failover(t *testing.T, is *is.I, k *kit, fault [2]string) {
+	fates := map[string]string{}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for w := range 6 {
+		c := k.connect()
+		wg.Go(func() {
+			for i := range 40 {
+				id := fmt.Sprintf("%d-%d", w, i)
+				start := time.Now()
+				_, err := c.Exec(t.Context(), "INSERT INTO orders VALUES ($1, 1)", id)
+				if d := time.Since(start); d > 2*time.Second {
+					t.Errorf("order %s took %v", id, d)
 				}
-			})
-		}
-		time.Sleep(500 * time.Millisecond)
-		k.fault(0, target.FaultCut, "*") // the proxy still reaches it
-		time.Sleep(700 * time.Millisecond)
-		k.elect(2, 1, 2)
-		wg.Wait()
-		there := k.orders(is)
-		counts := map[string]int{}
-		for id, f := range fates {
-			counts[f]++
-			switch {
-			case f == "done" && there[id] != 1:
-				t.Errorf("order %s was acknowledged and is there %d times", id, there[id])
-			case f == "not run" && there[id] != 0:
-				t.Errorf("order %s was called not run and is there", id)
+				mu.Lock()
+				fates[id] = fate(err)
+				mu.Unlock()
+				time.Sleep(time.Duration(rand.IntN(100)) * time.Millisecond)
 			}
+		})
+	}
+	time.Sleep(500 * time.Millisecond)
+	k.fault(0, fault[0], fault[1])
+	time.Sleep(700 * time.Millisecond)
+	k.elect(2, 1, 2)
+	wg.Wait()
+	there := k.orders(is)
+	counts := map[string]int{}
+	for id, f := range fates {
+		counts[f]++
+		switch {
+		case f == "done" && there[id] != 1:
+			t.Errorf("order %s was acknowledged and is there %d times", id, there[id])
+		case f == "not run" && there[id] != 0:
+			t.Errorf("order %s was called not run and is there", id)
 		}
-		t.Log(counts)
-		is.True(counts["done"] > 200)
-	})
+	}
+	t.Log(counts)
+	is.True(counts["done"] > 200)
+	k.fault(0, target.FaultFreeze, "0")
 }
 
 // fate returns what a caller was told about its order.
