Pass over the former primary in an election when the others are a majority

Cause: a primary that is cut from its replicas but reaches the proxies has entries that no replica has. Its log is the highest, so that the watchers elected it again and again and writes stayed without a quorum: with standin_fault cut '*' all six callers waited 5 s and got 08007. TestGap did not notice, because any new term ended its measurement. Change: the former primary is a candidate only when the promises of the others are no majority and no other watcher competes; the others' majority has every acknowledged entry. TestGap now waits for another database to lead.

--- a/pkg/elect/election.go
+++ b/pkg/elect/election.go
@@ -22,6 +22,12 @@
 	reason  Reason
 	term    ident.Term
 	started time.Time
+	// passed is the former primary, which the others do not hear or which was
+	// abandoned. It may have entries that no replica has, so that its log would
+	// be chosen again and again.
+	passed ident.Target
+	// refused tells that another watcher has raised the term of some member.
+	refused bool
 	// waiting has the members whose promise is outstanding.
 	waiting  map[ident.Target]bool
 	promises map[ident.Target]topo.Status
@@ -39,6 +45,10 @@
 		phase: phaseRaising, reason: reason, term: m.seen, started: now,
 		waiting: map[ident.Target]bool{}, promises: map[ident.Target]topo.Status{},
 	}
+	switch reason {
+	case ReasonSilent, ReasonStalled, ReasonAbsent:
+		m.vote.passed = m.primary
+	}
 	m.emit(Noted{Note: NoteElection, Reason: reason, Term: m.vote.term})
 	for _, r := range m.rows {
 		if r.seenAt.IsZero() || r.oldFailed {
@@ -59,6 +69,7 @@
 		return
 	}
 	delete(v.waiting, e.Target)
+	v.refused = v.refused || e.Outcome == OutcomeRefused
 	if e.Outcome == OutcomeDone && e.Status.Term == v.term {
 		v.promises[e.Target] = e.Status
 	}
@@ -72,6 +83,9 @@
 	return ok && s.Role != topo.RoleRebuild
 }
 
+// wanted reports whether a member's promise counts and it may become primary.
+func (v *election) wanted(id ident.Target) bool { return id != v.passed && v.counts(id) }
+
 // drive moves the election on.
 func (m *Machine) drive(now time.Time) {
 	v := &m.vote
@@ -81,7 +95,9 @@
 		}
 		return
 	}
-	enough := m.majority(v.counts)
+	// Without the former primary the others may be no majority. Then it is a
+	// candidate too, unless the promises are split between two watchers.
+	enough := m.majority(v.wanted) || len(v.waiting) == 0 && !v.refused && m.majority(v.counts)
 	if enough && v.enoughAt.IsZero() {
 		v.enoughAt = now
 	}
@@ -114,10 +130,10 @@
 }
 
 // choose returns the promised database with the highest log. Leaving members
-// are passed over when the promises of the others are a majority by themselves:
-// then these have every acknowledged entry.
+// and the former primary are passed over when the promises of the others are a
+// majority by themselves: then these have every acknowledged entry.
 func (m *Machine) choose() ident.Target {
-	stays := func(id ident.Target) bool { return m.vote.counts(id) && m.stays(id) }
+	stays := func(id ident.Target) bool { return m.vote.wanted(id) && m.stays(id) }
 	allowed := m.vote.counts
 	if m.majority(stays) {
 		allowed = stays
--- a/pkg/elect/machine_test.go
+++ b/pkg/elect/machine_test.go
@@ -148,7 +148,7 @@
 	w.notes, w.notedAt = nil, nil
 	start := w.now
 	fail(w, l)
-	for w.leader() == nil || w.leader().promised == term {
+	for !w.replaced(l, term) {
 		w.advance(time.Millisecond)
 		if w.now.Sub(start) > time.Minute {
 			return time.Minute, time.Minute, w
@@ -162,6 +162,13 @@
 	return w.now.Sub(start), 0, w
 }
 
+// replaced reports whether another database than l leads a term above term. A
+// primary that its replicas do not hear has not been replaced by itself.
+func (w *world) replaced(l *database, term ident.Term) bool {
+	now := w.leader()
+	return now != nil && now != l && now.promised > term
+}
+
 var faults = map[string]func(w *world, d *database){
 	"crash":  func(_ *world, d *database) { d.crash() },
 	"freeze": func(w *world, d *database) { d.frozen = w.now.Add(time.Hour) },
