--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -100,7 +100,7 @@
 		return nil, toStatus(err)
 	}
 	reply := &adminpb.ApplyCatalogueReply{
-		Accepted: out.Accepted, Version: uint64(out.Version),
+		Accepted: out.Accepted, Confirmed: out.Confirmed, Version: uint64(out.Version),
 		Won: out.Won.Document, WonOperator: out.Won.Operator,
 	}
 	for _, p := range out.Problems {
--- a/internal/ctl/catalogue.go
+++ b/internal/ctl/catalogue.go
@@ -132,6 +132,8 @@
 		return 0, badInput(op, reply.Errors...)
 	case !reply.Accepted:
 		return 0, lostRace(op, base, doc, reply)
+	case !reply.Confirmed && !c.args.JSON:
+		_, _ = fmt.Fprintf(c.env.Err, "chervilctl: %s: version %d is stored, but no other VM has confirmed it yet; status shows where it is in force\n", op, reply.Version)
 	}
 	return reply.Version, nil
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -64,7 +64,7 @@
 		return &adminpb.ApplyCatalogueReply{Version: uint64(len(d.versions)), Won: d.versions[len(d.versions)-1], WonOperator: "bo"}, nil
 	}
 	d.add(r.Document)
-	return &adminpb.ApplyCatalogueReply{Accepted: true, Version: uint64(len(d.versions))}, nil
+	return &adminpb.ApplyCatalogueReply{Accepted: true, Confirmed: true, Version: uint64(len(d.versions))}, nil
 }
 
 func (d *daemon) add(doc []byte) {
--- a/internal/spread/edit.go
+++ b/internal/spread/edit.go
@@ -26,6 +26,9 @@
 // Outcome of an Edit.
 type Outcome struct {
 	Accepted bool
+	// Confirmed tells that another VM has the accepted version, or that there
+	// is no other.
+	Confirmed bool
 	// Version that the edit made, or the one that won.
 	Version ident.Version
 	// Problems are the rules that the document breaks.
@@ -133,7 +136,7 @@
 	s.take(r.catalogue, "edit")
 	s.tryStart()
 	s.background(func(ctx context.Context) { s.prune(ctx, r.Version) })
-	return Outcome{Accepted: true, Version: r.Version}, nil
+	return Outcome{Accepted: true, Version: r.Version, Confirmed: s.confirm(ctx, r.Version)}, nil
 }
 
 // keep stores a copy of a version under its history key.
--- a/internal/spread/ping.go
+++ b/internal/spread/ping.go
@@ -104,7 +104,8 @@
 	s.state.Lock()
 	s.lastPeer = now
 	from, ok := s.node.Lookup(ident.VM(d.GetVm()))
-	if ok {
+	// A VM that is still starting doesn't know what its zone knows.
+	if ok && d.GetServing() {
 		s.fresh.Answer(reportOf(d), from.Zone, sent, now)
 	} else {
 		s.fresh.Request(reportOf(d), now)
--- a/internal/spread/pull.go
+++ b/internal/spread/pull.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"google.golang.org/grpc/codes"
@@ -20,6 +22,9 @@
 // fanOut is the number of VMs that a new version is pushed to.
 const fanOut = 3
 
+// pushTimeout bounds a push, in which the receiver pulls the version.
+const pushTimeout = 2 * time.Second
+
 // pullTimeout bounds the transfer of a catalogue.
 const pullTimeout = 5 * time.Second
 
@@ -35,22 +40,76 @@
 	s.rng.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 	s.state.Unlock()
 	for _, p := range peers[:min(len(peers), fanOut)] {
-		s.background(func(ctx context.Context) { s.sendPush(ctx, p, v) })
+		s.background(func(ctx context.Context) { _ = s.sendPush(ctx, p, v) })
 	}
 }
 
-func (s *Spread) sendPush(ctx context.Context, to member.Info, v ident.Version) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// sendPush pushes a version and reports whether the peer has it then.
+func (s *Spread) sendPush(ctx context.Context, to member.Info, v ident.Version) bool {
+	ctx, cancel := context.WithTimeout(ctx, pushTimeout)
 	defer cancel()
 	client, err := s.cfg.Peers.Client(to.Address)
 	if err != nil {
-		return
+		return false
 	}
 	// A lost push is made good by the version in the next ping.
 	reply, err := client.PushCatalogue(ctx, &peerpb.PushCatalogueRequest{Version: uint64(v), Vm: string(s.cfg.Self.VM)})
-	if err == nil {
-		s.noteVersion(to.VM, to.Address, ident.Version(reply.GetVersion()))
+	if err != nil {
+		return false
+	}
+	s.noteVersion(to.VM, to.Address, ident.Version(reply.GetVersion()))
+	return ident.Version(reply.GetVersion()) >= v
+}
+
+// confirm pushes a version until another VM has it and reports whether one
+// has. An edit is reported to its operator after that: when the VM that
+// accepted it and the store fail together, the others still know of it.
+func (s *Spread) confirm(ctx context.Context, v ident.Version) bool {
+	s.state.Lock()
+	links := s.node.Links()
+	alone := len(s.node.Members()) == 1
+	s.rng.Shuffle(len(links), func(i, j int) { links[i], links[j] = links[j], links[i] })
+	region := s.cfg.Self.Region
+	s.state.Unlock()
+	slices.SortStableFunc(links, func(a, b member.Info) int {
+		return cmp.Compare(distance(a, region), distance(b, region))
+	})
+	for chunk := range slices.Chunk(links, fanOut) {
+		done := make(chan bool, len(chunk))
+		for _, to := range chunk {
+			s.background(func(ctx context.Context) { done <- s.sendPush(ctx, to, v) })
+		}
+		if anyTrue(ctx, done, len(chunk)) {
+			return true
+		}
 	}
+	return alone
+}
+
+func distance(i member.Info, region ident.Region) int {
+	if i.Region == region {
+		return 0
+	}
+	return 1
+}
+
+// anyTrue waits for the first true of n results.
+func anyTrue(ctx context.Context, results <-chan bool, n int) bool {
+	timer := time.NewTimer(pushTimeout)
+	defer timer.Stop()
+	for range n {
+		select {
+		case ok := <-results:
+			if ok {
+				return true
+			}
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return false
 }
 
 // noteVersion pulls from a peer that has a higher version. A VM of another
@@ -212,14 +271,35 @@
 	return nil
 }
 
-// PushCatalogue implements peer.Catalogue.
-func (s *Spread) PushCatalogue(_ context.Context, r *peerpb.PushCatalogueRequest) (*peerpb.PushCatalogueReply, error) {
+// PushCatalogue implements peer.Catalogue. It answers when the version has been
+// pulled, or could not be.
+func (s *Spread) PushCatalogue(ctx context.Context, r *peerpb.PushCatalogueRequest) (*peerpb.PushCatalogueReply, error) {
+	v := ident.Version(r.GetVersion())
 	s.state.Lock()
 	from, ok := s.node.Lookup(ident.VM(r.GetVm()))
-	v := s.fresh.Version()
+	mine := ok && v > s.fresh.Version() && !s.pulling[from.VM]
+	if mine {
+		s.pulling[from.VM] = true
+	}
 	s.state.Unlock()
-	if ok {
-		s.noteVersion(from.VM, from.Address, ident.Version(r.GetVersion()))
+	if mine {
+		// After an error the next ping tells of the version again.
+		err := s.pull(ctx, from.Address)
+		s.state.Lock()
+		delete(s.pulling, from.VM)
+		s.state.Unlock()
+		if err == nil {
+			s.tryStart()
+		}
+	}
+	for ok && s.version() < v {
+		// Another goroutine pulls it.
+		s.state.Lock()
+		busy := s.pulling[from.VM]
+		s.state.Unlock()
+		if !busy || !pause(ctx, 10*time.Millisecond) {
+			break
+		}
 	}
-	return &peerpb.PushCatalogueReply{Version: uint64(v)}, nil
+	return &peerpb.PushCatalogueReply{Version: uint64(s.version())}, nil
 }
--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -336,6 +336,61 @@
 	})
 }
 
+// TestConfirmed guards against an edit that is reported and then known to no
+// running VM, because the VM that accepted it and the store fail at once.
+func TestConfirmed(t *testing.T) {
+	run(t, func(is *is.I, w *world, key string) {
+		out, err := w.edit(w.all[0], withdraw)
+		is.NoErr(err)
+		is.True(out.Accepted && out.Confirmed)
+		w.setCut(apart("store"))
+		w.stop(w.all[0])
+		for _, v := range w.all[1:] {
+			is.True(until(6*time.Second, func() bool {
+				_, err := v.Authenticate("w", "keyed", key)
+				return sqlState(err) == "28P01"
+			}) >= 0)
+		}
+	})
+	run(t, func(is *is.I, w *world, _ string) {
+		// The editor's last contact with others is recent, but they are gone.
+		w.setCut(func(a, b ident.Zone) bool { return a != "store" && b != "store" })
+		w.stop(w.all[3])
+		w.stop(w.all[6])
+		out, err := w.edit(w.all[0], withdraw)
+		is.NoErr(err)
+		is.True(out.Accepted && !out.Confirmed)
+	})
+}
+
+// TestStartingPeer guards against a zone that counts as heard by a VM that has
+// only just started there and knows nothing.
+func TestStartingPeer(t *testing.T) {
+	run(t, func(is *is.I, w *world, _ string) {
+		v := w.all[0]
+		now := time.Now()
+		v.state.Lock()
+		before := v.fresh.Report(now)
+		v.state.Unlock()
+		time.Sleep(time.Minute)
+		v.cancel()
+		<-v.done
+		at := time.Now()
+		for _, serving := range []bool{false, true} {
+			v.answer(&peerpb.Digest{Vm: "vm-2", Serving: serving, ConfirmedMs: -1}, "10.0.0.2:1", at)
+			v.state.Lock()
+			after := v.fresh.Report(at)
+			v.state.Unlock()
+			is.True(len(before.Zones) > 0)
+			for _, z := range after.Zones {
+				if z.Zone == "costa" {
+					is.Equal(z.Heard == 0, serving)
+				}
+			}
+		}
+	})
+}
+
 // TestRules guards against documents that are stored although they break rules.
 func TestRules(t *testing.T) {
 	run(t, func(is *is.I, w *world, _ string) {
