--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -8,26 +8,41 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
+	"github.com/alexflint/go-arg"
+
 	"chervilspan.example/standin/fleet"
 )
 
-// limit bounds the whole run.
+// limit bounds the steps.
 const limit = 60 * time.Second
 
+type args struct {
+	Keep bool `arg:"--keep" help:"after the steps, leave everything running until an interrupt"`
+}
+
+// Description is shown by --help.
+func (args) Description() string {
+	return "Starts a small deployment on loopback, runs an order flow through it and prints what happened."
+}
+
 func main() {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	if err := run(ctx); err != nil {
+	var a args
+	arg.MustParse(&a)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := run(ctx, a.Keep); err != nil {
 		fmt.Println("FAILED:", err)
 		os.Exit(1)
 	}
 	fmt.Println("demo: all steps went as promised")
 }
 
-func run(ctx context.Context) (err error) {
+func run(ctx context.Context, keep bool) (err error) {
 	exe, err := os.Executable()
 	if err != nil {
 		return err
@@ -43,6 +58,17 @@
 			err = stopErr
 		}
 	}()
+	if err := steps(ctx, f, layout); err != nil || !keep {
+		return err
+	}
+	explain(f, filepath.Dir(exe))
+	<-ctx.Done()
+	return nil
+}
+
+func steps(ctx context.Context, f *fleet.Fleet, layout fleet.Layout) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	s := &script{fleet: f, started: time.Now(), ws: layout.Workspaces[0], route: "taller-1"}
 	for _, step := range s.steps() {
 		text, err := step.run(ctx)
@@ -53,3 +79,13 @@
 	}
 	return nil
 }
+
+// explain tells how to reach the running deployment.
+func explain(f *fleet.Fleet, bin string) {
+	cert, key, ca := f.OperatorFiles()
+	fmt.Printf("\nstill running until an interrupt; operate it with\n  export CHERVIL_SERVER=%s CHERVIL_CERT=%s CHERVIL_KEY=%s CHERVIL_CA=%s\n  %s status\n",
+		f.Daemons[0].Peers, cert, key, ca, filepath.Join(bin, "chervilctl"))
+	for _, d := range f.Daemons {
+		fmt.Printf("  %-16s callers %s, peers %s, admin http://%s\n", d.Settings.VM, d.Callers, d.Peers, d.Admin)
+	}
+}
--- a/standin/fleet/catalogue.go
+++ b/standin/fleet/catalogue.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -30,6 +31,11 @@
 	return peer.NewCache(peer.CacheConfig{Keys: keys}), nil
 }
 
+// OperatorFiles names the operators' certificate, its key and the authority.
+func (f *Fleet) OperatorFiles() (cert, key, ca string) {
+	return filepath.Join(f.Dir, "operator.pem"), filepath.Join(f.Dir, "operator.key"), f.ca.file
+}
+
 // Apply makes f.Catalogue the next version through daemon d and returns that
 // version.
 func (f *Fleet) Apply(ctx context.Context, d *Daemon) (ident.Version, error) {
