--- a/standin/bench/stage.go
+++ b/standin/bench/stage.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -41,20 +42,44 @@
 	seed     uint64
 }
 
+// startAttempts is how often a fleet is started when one of its processes
+// exits at once: its port may have been taken since it was chosen.
+const startAttempts = 3
+
 // newStage starts a fleet and waits until all groups work.
 func newStage(ctx context.Context, bin string, seed uint64) (*stage, error) {
 	layout := fleet.Workshop()
 	layout.Rate, layout.Burst = rate, burst
-	f, err := fleet.New(fleet.Config{Bin: bin, Layout: layout})
-	if err != nil {
-		return nil, &Error{Op: "prepare the fleet", Kind: KindFleet, Text: err.Error()}
-	}
-	s := &stage{f: f, seed: seed}
-	if err := s.start(ctx); err != nil {
+	for n := 1; ; n++ {
+		f, err := fleet.New(fleet.Config{Bin: bin, Layout: layout})
+		if err != nil {
+			return nil, &Error{Op: "prepare the fleet", Kind: KindFleet, Text: err.Error()}
+		}
+		s := &stage{f: f, seed: seed}
+		if err = s.start(ctx); err == nil {
+			return s, nil
+		}
+		again := n < startAttempts && s.exited()
 		_ = f.Stop()
-		return nil, &Error{Op: "start the fleet", Kind: KindFleet, Text: err.Error()}
+		if !again {
+			return nil, &Error{Op: "start the fleet", Kind: KindFleet, Text: err.Error()}
+		}
+	}
+}
+
+// exited reports whether a process of the fleet has ended by itself.
+func (s *stage) exited() bool {
+	for _, t := range s.f.Targets {
+		if t.Proc() != nil && t.Proc().Exited() {
+			return true
+		}
 	}
-	return s, nil
+	for _, d := range s.f.Daemons {
+		if d.Proc() != nil && d.Proc().Exited() {
+			return true
+		}
+	}
+	return false
 }
 
 func (s *stage) start(ctx context.Context) error {
@@ -68,6 +93,9 @@
 	if err := f.Start(ctx); err != nil {
 		return err
 	}
+	if s.exited() {
+		return errors.New("a process ended at its start")
+	}
 	if err := f.Publish(ctx); err != nil {
 		return err
 	}
