Measure how fast a withdrawn key stops on open connections

Change: each edit that adds a key is followed by one that withdraws it; the time ends when a statement on an open connection to each daemon gets 28P01.

--- a/standin/bench/config.go
+++ b/standin/bench/config.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
@@ -24,55 +26,105 @@
 const inForce = 1.0
 
 // configuration measures the time from an edit until every daemon accepts the
-// key that it adds.
+// key that it adds, or refuses the key that it withdraws.
 func (m *meter) configuration(ctx context.Context) error {
 	n := 30
 	if m.cfg.Quick {
 		n = 2
 	}
-	var times []float64
+	var added, withdrawn []float64
 	how := ""
 	for i := range n {
-		d, by, err := m.edit(ctx, i)
+		id := fmt.Sprintf("edit-%d", i)
+		text, d, by, err := m.edit(ctx, id)
 		if err != nil {
 			return caseError("configuration", err)
 		}
 		how = by
-		times = append(times, d.Seconds())
+		added = append(added, d.Seconds())
+		if d, err = m.withdraw(ctx, id, text); err != nil {
+			return caseError("configuration", err)
+		}
+		withdrawn = append(withdrawn, d.Seconds())
+	}
+	name := fmt.Sprintf("%s_p99_of_%d", how, n)
+	if err := m.out.print(atMost("configuration", "key_added_"+name, nearestRank(added, 0.99), "s", inForce)); err != nil {
+		return err
+	}
+	return m.out.print(atMost("configuration", "key_withdrawn_from_open_connections_"+name, nearestRank(withdrawn, 0.99), "s", inForce))
+}
+
+// withdraw withdraws a key and waits until a connection to each daemon that was
+// opened with it gets no more answers.
+func (m *meter) withdraw(ctx context.Context, id, text string) (time.Duration, error) {
+	f := m.stage.f
+	ws := f.Workspaces()[0]
+	conns := make([]*pgx.Conn, len(f.Daemons))
+	for i, d := range f.Daemons {
+		cfg, err := f.ConnConfig(d, ws, "taller-1", text)
+		if err != nil {
+			return 0, err
+		}
+		if conns[i], err = pgx.ConnectConfig(ctx, cfg); err != nil {
+			return 0, err
+		}
+		defer func() { _ = conns[i].Close(ctx) }()
+	}
+	key := f.Catalogue.Workspaces[ws].Keys[id]
+	key.Withdrawn = true
+	f.Catalogue.Workspaces[ws].Keys[id] = key
+	start := time.Now()
+	if _, err := apply(ctx, f); err != nil {
+		return 0, err
+	}
+	err := each(f.Daemons, func(i int, _ *fleet.Daemon) error {
+		return until(ctx, settleTimeout, func(ctx context.Context) error { return refused(ctx, conns[i]) })
+	})
+	return time.Since(start), err
+}
+
+// refused returns nil when a statement on conn is refused because of its key.
+func refused(ctx context.Context, conn *pgx.Conn) error {
+	_, err := conn.Exec(ctx, "SELECT count(*) FROM orders")
+	var p *pgconn.PgError
+	switch {
+	case err == nil:
+		return errors.New("the withdrawn key still works")
+	case errors.As(err, &p) && p.Code == "28P01":
+		return nil
+	}
+	return err
+}
+
+// each runs f for all daemons at once and returns the first error.
+func each(daemons []*fleet.Daemon, f func(int, *fleet.Daemon) error) error {
+	errs := make([]error, len(daemons))
+	var wg sync.WaitGroup
+	for i, d := range daemons {
+		wg.Go(func() { errs[i] = f(i, d) })
 	}
-	return m.out.print(atMost("configuration", fmt.Sprintf("%s_p99_of_%d", how, n), nearestRank(times, 0.99), "s", inForce))
+	wg.Wait()
+	return errors.Join(errs...)
 }
 
 // edit adds a key and waits until it works on every daemon. by says whether a
 // daemon took the edit, or it went to the store because none did.
-func (m *meter) edit(ctx context.Context, i int) (took time.Duration, by string, err error) {
+func (m *meter) edit(ctx context.Context, id string) (text string, took time.Duration, by string, err error) {
 	f := m.stage.f
 	ws := f.Workspaces()[0]
-	id := fmt.Sprintf("edit-%d", i)
 	text, key, err := catal.NewKey(id)
 	if err != nil {
-		return 0, "", err
+		return "", 0, "", err
 	}
-	w := f.Catalogue.Workspaces[ws]
-	w.Keys[id] = key
+	f.Catalogue.Workspaces[ws].Keys[id] = key
 	start := time.Now()
 	if by, err = apply(ctx, f); err != nil {
-		return 0, "", err
+		return "", 0, "", err
 	}
-	errs := make([]error, len(f.Daemons))
-	var wg sync.WaitGroup
-	for n, d := range f.Daemons {
-		wg.Go(func() {
-			errs[n] = until(ctx, settleTimeout, func(ctx context.Context) error { return login(ctx, f, d, ws, text) })
-		})
-	}
-	wg.Wait()
-	for _, err := range errs {
-		if err != nil {
-			return 0, "", err
-		}
-	}
-	return time.Since(start), by, nil
+	err = each(f.Daemons, func(_ int, d *fleet.Daemon) error {
+		return until(ctx, settleTimeout, func(ctx context.Context) error { return login(ctx, f, d, ws, text) })
+	})
+	return text, time.Since(start), by, err
 }
 
 func login(ctx context.Context, f *fleet.Fleet, d *fleet.Daemon, ws ident.Workspace, key string) error {
