Make TestWarm see a missing bound

Cause: with two workspaces the bound on connections in advance was never reached. Change: the test has eight workspaces, whose holders are more than 16 VMs. Conclusion: the test fails without the bound.

--- a/internal/limit/slots_test.go
+++ b/internal/limit/slots_test.go
@@ -220,7 +220,7 @@
 func TestWarm(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		w := newWorld(27, rates(map[ident.Workspace][2]int{"w": {40, 40}, "x": {40, 40}}))
+		w := newWorld(27, withTarget(3, 8)) // the holders of 8 shards are more than 16 VMs
 		defer w.stop()
 		time.Sleep(20 * time.Second)
 		n := w.messages()
