--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -188,7 +188,7 @@
 			case t.Leaving:
 				note = "leaving"
 			}
-			_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%dms\t%d\t%s\n", g.Group, g.Term, t.Target, t.Role, t.Position, t.LagMs, t.SlotsInUse, note)
+			_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%d\t%d\t%s\n", g.Group, g.Term, t.Target, t.Role, t.Position, t.LagEntries, t.SlotsInUse, note)
 		}
 	}
 	_ = w.Flush() // a strings.Builder takes every write
--- a/internal/entry/status.go
+++ b/internal/entry/status.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"time"
-
 	"chervilspan.example/internal/proto/adminpb"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/member"
@@ -20,19 +18,18 @@
 		})
 		v.Slices += uint32(u.Slices)
 	}
-	now := time.Now()
 	for _, id := range d.table.Groups() {
 		if g, ok := d.table.Group(id); ok {
-			v.Groups = append(v.Groups, d.groupStatus(&g, now))
+			v.Groups = append(v.Groups, d.groupStatus(&g))
 		}
 	}
 }
 
-func (d *Daemon) groupStatus(g *topo.Group, now time.Time) *adminpb.GroupStatus {
+func (d *Daemon) groupStatus(g *topo.Group) *adminpb.GroupStatus {
 	out := &adminpb.GroupStatus{Group: string(g.ID), Term: uint64(g.Term), Primary: string(g.Primary)}
 	end := groupEnd(g)
 	for i := range g.Targets {
-		out.Targets = append(out.Targets, d.targetStatus(g.ID, &g.Targets[i], end, now))
+		out.Targets = append(out.Targets, d.targetStatus(g.ID, &g.Targets[i], end))
 	}
 	return out
 }
@@ -46,7 +43,7 @@
 	return end
 }
 
-func (d *Daemon) targetStatus(g ident.Group, t *topo.Target, end ident.Position, now time.Time) *adminpb.TargetStatus {
+func (d *Daemon) targetStatus(g ident.Group, t *topo.Target, end ident.Position) *adminpb.TargetStatus {
 	open, _ := d.pools.Size(g, t.ID)
 	s := &adminpb.TargetStatus{
 		Target: string(t.ID), Zone: string(t.Config.Zone), Role: string(t.Status.Role),
@@ -54,10 +51,8 @@
 		Leaving: t.Config.Leaving || t.Status.Leaving, Connections: uint32(open),
 		SlotsInUse: uint32(d.pools.Load(g, t.ID).Outstanding),
 	}
-	// A replica at the group's end has no lag; the age of what a replica
-	// behind it has is not known here.
-	if t.Applied.Less(end) && !t.Seen.IsZero() {
-		s.LagMs = now.Sub(t.Seen).Milliseconds()
+	if t.Applied.Less(end) && !t.Applied.IsZero() {
+		s.LagEntries = end.Index - min(end.Index, t.Applied.Index)
 	}
 	return s
 }
