--- a/standin/fleet/query.go
+++ b/standin/fleet/query.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -58,3 +60,21 @@
 	role, _ = status["role"].(string)
 	return term, role, nil
 }
+
+// StoreFaults replaces the faults of the store's stand-in by a JSON document as
+// strsrv.Faults has it; "{}" ends all.
+func (f *Fleet) StoreFaults(ctx context.Context, doc string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+f.StoreCtl+"/faults", strings.NewReader(doc))
+	if err != nil {
+		return err
+	}
+	r, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = r.Body.Close() }()
+	if r.StatusCode != http.StatusOK {
+		return fmt.Errorf("the store refused the faults: status %d", r.StatusCode)
+	}
+	return nil
+}
