--- a/pkg/member/member_test.go
+++ b/pkg/member/member_test.go
@@ -235,6 +235,31 @@
 	}
 }
 
+// TestHealVerdict guards against a verdict of the other side that kills a live
+// member while a cut heals.
+func TestHealVerdict(t *testing.T) {
+	is := is.New(t)
+	all := infos(4, 2, 2)
+	now := time.Unix(1e9, 0)
+	n := New(Config{Self: all[0]}, now)
+	n.mergeAll(all, now)
+	dead := func(i Info) Info {
+		i.State = StateDead
+		return i
+	}
+	n.merge(dead(all[1]), now)
+	back := all[1]
+	back.Incarnation++
+	n.merge(back, now)
+	n.merge(dead(all[2]), now)
+	i, _ := n.Lookup(all[2].VM)
+	is.Equal(i.State, StateAlive)
+	is.Equal(n.verify, []ident.VM{all[2].VM})
+	n.merge(dead(all[2]), now.Add(time.Minute)) // the cut has healed long ago
+	i, _ = n.Lookup(all[2].VM)
+	is.Equal(i.State, StateDead)
+}
+
 // TestRefute guards against statements about the own VM that stand although
 // they are wrong, and against a lowered incarnation.
 func TestRefute(t *testing.T) {
