Add benchmarks with sizes and chervilbench capacity

Cause: CAPACITY.md needs slopes of each part at several sizes, and of whole daemons as processes; only some parts had benchmarks.

Package standin/capac and chervilbench capacity start fleets of 3, 6 and 12 daemons and measure idle cost, client connections, statements and edits.

--- a/pkg/rendez/rendez_test.go
+++ b/pkg/rendez/rendez_test.go
@@ -62,3 +62,23 @@
 		})
 	}
 }
+
+// BenchmarkChange measures the choices that a VM makes anew after a change of
+// the membership: the watchers of each group and the gate of each target, with
+// three targets in a group.
+func BenchmarkChange(b *testing.B) {
+	for _, s := range []struct{ vms, groups int }{{9, 3}, {48, 37}, {480, 367}} {
+		b.Run(fmt.Sprintf("vms=%d/groups=%d", s.vms, s.groups), func(b *testing.B) {
+			all := vms(s.vms)
+			zone := all[:max(1, s.vms/10)]
+			for b.Loop() {
+				for g := range s.groups {
+					Top(fmt.Sprint("group/", g), all, 3)
+					for t := range 3 {
+						First(fmt.Sprint("gate/", g, "-", t), zone)
+					}
+				}
+			}
+		})
+	}
+}
--- a/standin/cmd/chervilbench/main.go
+++ b/standin/cmd/chervilbench/main.go
@@ -18,6 +18,7 @@
 	"github.com/alexflint/go-arg"
 
 	"chervilspan.example/standin/bench"
+	"chervilspan.example/standin/capac"
 	"chervilspan.example/standin/load"
 	"chervilspan.example/standin/target"
 )
@@ -58,10 +59,16 @@
 	Only  string `arg:"--only" help:"run one measure: overhead, memory, reads, isolation, configuration, promotions, failover, refusals"`
 }
 
+type capacityArgs struct {
+	Only    string `arg:"--only" help:"run one measure: idle, connections, statements, edits"`
+	Daemons int    `arg:"--daemons" help:"only fleets of so many daemons in idle and edits: 3, 6 or 12"`
+}
+
 type args struct {
-	Measure *measureArgs `arg:"subcommand:measure" help:"start a fleet and measure the objectives"`
-	Run     *runArgs     `arg:"subcommand:run" help:"send load to daemons"`
-	Target  *targetArgs  `arg:"subcommand:target" help:"send load straight to the primary of a group"`
+	Capacity *capacityArgs `arg:"subcommand:capacity" help:"start fleets of several sizes and measure what a daemon costs"`
+	Measure  *measureArgs  `arg:"subcommand:measure" help:"start a fleet and measure the objectives"`
+	Run      *runArgs      `arg:"subcommand:run" help:"send load to daemons"`
+	Target   *targetArgs   `arg:"subcommand:target" help:"send load straight to the primary of a group"`
 }
 
 // Description is shown by --help.
@@ -83,6 +90,8 @@
 		ok, err = straight(ctx, *a.Target)
 	case a.Measure != nil:
 		ok, err = measure(ctx, *a.Measure)
+	case a.Capacity != nil:
+		ok, err = capacity(ctx, *a.Capacity)
 	default:
 		p.Fail("a subcommand is needed")
 	}
@@ -160,6 +169,21 @@
 	return bench.Measure(ctx, bench.Config{Bin: filepath.Dir(exe), Seed: a.Seed, Quick: a.Quick, Only: a.Only, Out: os.Stdout})
 }
 
+// capacity takes the programs from the folder of its own.
+func capacity(ctx context.Context, a capacityArgs) (bool, error) {
+	exe, err := os.Executable()
+	if err != nil {
+		return false, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, capacityLimit)
+	defer cancel()
+	err = capac.Measure(ctx, capac.Config{Bin: filepath.Dir(exe), Only: a.Only, Daemons: a.Daemons, Out: os.Stdout})
+	return err == nil, err
+}
+
+// capacityLimit bounds the whole of the capacity measures.
+const capacityLimit = 8 * time.Minute
+
 func send(ctx context.Context, access load.Access, cfg load.Config) (bool, error) {
 	if err := load.Prepare(ctx, access); err != nil {
 		return false, err
