Interrupt statements on connections that the network has lost

Cause: when open connections went silent while new ones worked, each statement waited for its deadline, and the idle connections of the same time were handed out one after the other.

Change: after 250 ms without an answer an idle connection that was open before is asked for the status, or the quorum listener when none is idle. When it stays silent for 250 ms and a new connection then answers, the connections opened before it was last heard are lost: idle ones and the listener are closed, statements in flight are interrupted. When the new connection gives no answer either, nothing is interrupted. The listener waits 250 ms for an answer in place of 500 ms.

A target without idle connection and without listener still waits for TCP_USER_TIMEOUT or the deadline.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -39,6 +39,12 @@
 	term       ident.Term
 	generation uint64
 	used       time.Time
+	// opened and last are when the connection was opened and last heard, as
+	// times of the Pools. sent is since when an answer is awaited, 0 when one
+	// has begun.
+	opened time.Duration
+	sent   atomic.Int64
+	last   atomic.Int64
 
 	// floor and maxAge are the values set on the connection.
 	floor  ident.Position
@@ -189,6 +195,7 @@
 	if c.broken != nil {
 		return c.fail("send", c.broken, retry.NotRun)
 	}
+	c.sent.Store(int64(c.pool.p.elapsed()))
 	if err := c.fe.Flush(); err != nil {
 		outcome := retry.Unknown
 		if pgconn.SafeToRetry(err) {
@@ -215,6 +222,7 @@
 		}
 		c.heard.Store(true)
 		mine := c.own > 0
+		c.hear(mine || precedes(m))
 		switch m := m.(type) {
 		case *pgproto3.ParameterStatus:
 			if m.Name == paramPosition {
--- a/internal/conns/connect.go
+++ b/internal/conns/connect.go
@@ -35,8 +35,9 @@
 	c := &Conn{
 		net: h.Conn, fe: h.Frontend, pool: l, group: l.group, target: l.target,
 		address: row.Config.Address, database: database, pid: h.PID, secret: h.SecretKey,
-		status: h.TxStatus, used: time.Now(),
+		status: h.TxStatus, used: time.Now(), opened: p.elapsed(),
 	}
+	c.hear(false)
 	c.stmts, err = simplelru.NewLRU(p.cfg.Statements, func(name string, _ bool) { c.surplus = append(c.surplus, name) })
 	if err != nil {
 		c.close()
--- a/internal/conns/doc.go
+++ b/internal/conns/doc.go
@@ -8,7 +8,11 @@
 // reaches nobody.
 //
 // Connections can go silent while new ones work. A target is judged failed only
-// after a new connection to it failed as well.
+// after a new connection to it failed as well. When a statement has no answer
+// for a while, an idle connection that was open before, or else the listener for
+// the quorum position, is asked for the status. If it stays silent and a new
+// connection answers, the connections of that time are lost: idle ones are
+// closed and the statements on the others interrupted.
 //
 // The acknowledgement of a commit waits for the quorum position of its own
 // term. A quorum position of a later term says nothing about the entries of
--- a/internal/conns/pool.go
+++ b/internal/conns/pool.go
@@ -34,6 +34,13 @@
 	probing     bool
 	// probed is when a read last had the target probed.
 	probed time.Time
+	// testing tells that a path is being tested, and tested when the last
+	// test began.
+	testing bool
+	tested  time.Duration
+	finding finding
+	// listener, unless nil, is the connection that follows the quorum position.
+	listener *Conn
 }
 
 // get returns a connection that nobody else uses.
@@ -239,6 +246,20 @@
 func (l *pool) retire() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.renew()
+}
+
+// retireAs retires a generation unless that was done before.
+func (l *pool) retireAs(generation uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.generation == generation {
+		l.renew()
+	}
+}
+
+// renew begins a generation; the caller holds the lock.
+func (l *pool) renew() {
 	l.generation++
 	for _, c := range l.idle {
 		l.drop(c)
--- a/internal/conns/pools.go
+++ b/internal/conns/pools.go
@@ -20,8 +20,9 @@
 // Pools has the connections to all targets. Its methods may be called from
 // several goroutines.
 type Pools struct {
-	cfg  Config
-	work pond.Pool
+	cfg   Config
+	start time.Time
+	work  pond.Pool
 	// tasks counts the background work. The pool's own stop waits through a
 	// pool that is global to the process, which tests with a paused clock can't.
 	tasks sync.WaitGroup
@@ -46,7 +47,7 @@
 func New(cfg Config) *Pools {
 	ctx, stop := context.WithCancel(context.Background())
 	p := &Pools{
-		cfg: cfg.withDefaults(), work: pond.NewPool(0), ctx: ctx, stop: stop,
+		cfg: cfg.withDefaults(), start: time.Now(), work: pond.NewPool(0), ctx: ctx, stop: stop,
 		pools: map[poolKey]*pool{}, quorum: map[ident.Group]*quorum{},
 	}
 	p.background(p.sweep)
@@ -164,7 +165,7 @@
 	broken := c.broken != nil
 	if broken && !c.heard.Load() {
 		// A silent connection says that the others of its time may be too.
-		c.pool.retire()
+		c.pool.retireAs(c.generation)
 	}
 	c.pool.put(c, row, term, time.Now())
 	if broken {
--- a/internal/conns/quorum.go
+++ b/internal/conns/quorum.go
@@ -20,7 +20,7 @@
 	// it asks the primary, which also shows a connection that went silent.
 	quorumSilence = 250 * time.Millisecond
 	// quorumAnswer bounds the answer to that question.
-	quorumAnswer = 500 * time.Millisecond
+	quorumAnswer = pathAnswer
 	// quorumRetry is the wait before a listener is opened again.
 	quorumRetry = 50 * time.Millisecond
 	// quorumChannel is where a primary notifies its quorum position.
@@ -36,6 +36,8 @@
 	// wanted is when somebody last waited.
 	wanted  time.Time
 	running bool
+	// tested tells that a silent statement wants the path to be tested.
+	tested bool
 }
 
 func (q *quorum) advance(p ident.Position) {
@@ -139,6 +141,8 @@
 	stop := context.AfterFunc(p.ctx, c.close)
 	defer stop()
 	defer c.close()
+	l.listens(c)
+	defer l.listens(nil)
 	evlog.At(p.cfg.Log, evlog.QuorumListened).Str("group", string(group)).Str("target", string(g.Primary)).Send()
 	if err := p.read(c, g, q); err != nil && p.ctx.Err() == nil {
 		evlog.At(p.cfg.Log, evlog.QuorumLost).Str("group", string(group)).Str("target", string(g.Primary)).Err(err).Send()
@@ -154,6 +158,7 @@
 		return err
 	}
 	asked := true
+	f := finding{asked: p.elapsed()}
 	for {
 		wait := quorumSilence
 		if asked {
@@ -165,18 +170,25 @@
 			if now, ok := p.cfg.Groups.Group(g.ID); !ok || now.Primary != g.Primary || now.Term != g.Term || q.unneeded() {
 				return nil
 			}
-			if !q.waited() {
+			if !q.takeTest() && !q.waited() {
 				continue
 			}
+			f.asked = p.elapsed()
 			if err := ask(c); err != nil {
 				return err
 			}
 			asked = true
 			continue
 		}
+		if isTimeout(err) {
+			f.before = time.Duration(c.last.Load())
+			f.asked = max(f.asked, f.before)
+			p.compare(c, f)
+		}
 		if err != nil {
 			return err
 		}
+		c.hear(false)
 		if answer(m, q) {
 			c.outstanding--
 		}
--- a/internal/conns/watch.go
+++ b/internal/conns/watch.go
@@ -9,7 +9,7 @@
 	// watchAfter is how long a read may be silent before its target is probed,
 	// and watchEvery how often the result is looked at.
 	watchAfter = 500 * time.Millisecond
-	watchEvery = 100 * time.Millisecond
+	watchEvery = 50 * time.Millisecond
 	// watchGrace is what an answer of a replaced primary is waited for. One
 	// that comes tells the position of the commit, and so its fate.
 	watchGrace = 300 * time.Millisecond
@@ -22,6 +22,8 @@
 	mu    sync.Mutex
 	timer *time.Timer
 	done  bool
+	// probe is when a read that is still silent has its target probed.
+	probe time.Time
 	// replaced is when the target was first seen to be a replaced primary.
 	replaced time.Time
 }
@@ -31,17 +33,25 @@
 // deadline. The caller calls stop when the answer is complete.
 func (p *Pools) WatchRead(c *Conn) (stop func()) {
 	w := &watch{p: p, c: c}
-	return w.start(watchAfter, w.lookRead)
+	w.probe = time.Now().Add(watchAfter)
+	return w.start(pathSilence, w.lookRead)
 }
 
 // WatchWrite interrupts a statement on the connection to a primary when the
-// primary was replaced and still gives no answer. A failed probe alone is no
-// reason, because an interruption makes the outcome of a write unknown.
+// primary was replaced and still gives no answer, or when the connection was
+// lost on the way. A failed probe alone is no reason, because an interruption
+// makes the outcome of a write unknown.
 func (p *Pools) WatchWrite(c *Conn) (stop func()) {
 	w := &watch{p: p, c: c}
 	return w.start(watchEvery, w.lookWrite)
 }
 
+// WatchPath interrupts a statement when its connection was lost on the way.
+func (p *Pools) WatchPath(c *Conn) (stop func()) {
+	w := &watch{p: p, c: c}
+	return w.start(pathSilence, w.lookPath)
+}
+
 func (w *watch) start(after time.Duration, look func()) (stop func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -62,14 +72,15 @@
 func (w *watch) lookRead() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.done || w.c.heard.Load() {
+	if w.done {
 		return
 	}
-	if w.c.pool.hasFailed() {
+	now, silent := time.Now(), !w.c.heard.Load()
+	if w.lostPath() || silent && w.c.pool.hasFailed() {
 		w.interrupt()
 		return
 	}
-	if w.c.pool.due(time.Now()) {
+	if silent && !now.Before(w.probe) && w.c.pool.due(now) {
 		w.p.judge(w.c.pool, w.c.database, 0)
 	}
 	w.timer.Reset(watchEvery)
@@ -82,6 +93,10 @@
 	if w.done {
 		return
 	}
+	if w.lostPath() {
+		w.interrupt()
+		return
+	}
 	g, _ := w.p.cfg.Groups.Group(w.c.group)
 	switch now := time.Now(); {
 	case g.Term <= w.c.term:
@@ -93,3 +108,30 @@
 	}
 	w.timer.Reset(watchEvery)
 }
+
+// lookPath interrupts the statement when its connection is lost.
+func (w *watch) lookPath() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.done {
+		return
+	}
+	if w.lostPath() {
+		w.interrupt()
+		return
+	}
+	w.timer.Reset(watchEvery)
+}
+
+// lostPath reports whether the connection of a silent statement is known to be
+// lost. If that is not known its path is tested.
+func (w *watch) lostPath() bool {
+	if w.c.silence() < pathSilence {
+		return false
+	}
+	if w.c.pool.lost(w.c) {
+		return true
+	}
+	w.p.testPath(w.c)
+	return false
+}
--- a/internal/wire/txn.go
+++ b/internal/wire/txn.go
@@ -94,7 +94,7 @@
 	case !tx.replica:
 		return s.srv.cfg.Pools.WatchWrite(tx.conn)
 	}
-	return func() {}
+	return s.srv.cfg.Pools.WatchPath(tx.conn)
 }
 
 // prepareConn sets the session's floor on the connection of a new transaction.
--- a/internal/wiretest/client.go
+++ b/internal/wiretest/client.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
@@ -32,9 +33,14 @@
 	portals   map[string]portal
 	skipping  bool
 	cancelled chan struct{}
+	// silent drops whatever is received and sent.
+	silent atomic.Bool
 }
 
 func (c *client) send(list ...pgproto3.BackendMessage) {
+	if c.silent.Load() {
+		return
+	}
 	c.out.Lock()
 	defer c.out.Unlock()
 	for _, m := range list {
@@ -48,7 +54,10 @@
 		&pgproto3.ReadyForQuery{TxStatus: 'I'})
 	for {
 		m, err := c.be.Receive()
-		if err != nil || !c.handle(m) {
+		if err != nil {
+			return
+		}
+		if !c.silent.Load() && !c.handle(m) {
 			return
 		}
 	}
--- a/internal/wiretest/target.go
+++ b/internal/wiretest/target.go
@@ -167,6 +167,16 @@
 	}
 }
 
+// Silence makes the open connections silent for good, as a middlebox that lost
+// them does; new connections work.
+func (t *Target) Silence() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range t.conns {
+		c.silent.Store(true)
+	}
+}
+
 // Serve accepts connections until the listener closes.
 func (t *Target) Serve(l net.Listener) {
 	for {
--- a/standin/e2e/e2e_test.go
+++ b/standin/e2e/e2e_test.go
@@ -214,6 +214,41 @@
 	})
 }
 
+// TestSilenceOfMany guards against callers that wait for their deadline, one
+// after the other, on pooled connections that went silent together.
+func TestSilenceOfMany(t *testing.T) {
+	bubble(t, target.Config{Slots: 6}, func(t *testing.T, _ *is.I, k *kit) {
+		const callers = 6
+		var list []*pgx.Conn
+		for range callers {
+			c := k.connect()
+			k.exec(c, "BEGIN") // each takes a connection of its own to the primary
+			k.exec(c, "SELECT count(*) FROM orders")
+			list = append(list, c)
+		}
+		for _, c := range list {
+			k.exec(c, "COMMIT")
+		}
+		k.fault(0, target.FaultSilence, "1")
+		var wg sync.WaitGroup
+		for i, c := range list {
+			wg.Go(func() {
+				start := time.Now()
+				for n := 0; ; n++ {
+					_, err := c.Exec(t.Context(), "INSERT INTO orders VALUES ($1, 1)", fmt.Sprintf("%d/%d", i, n))
+					if err == nil {
+						break
+					}
+				}
+				if took := time.Since(start); took > time.Second {
+					t.Errorf("caller %d waited %v", i, took)
+				}
+			})
+		}
+		wg.Wait()
+	})
+}
+
 // TestSmallPieces guards against answers that are taken apart wrongly when they
 // arrive byte by byte, and against crossed answers under many callers.
 func TestSmallPieces(t *testing.T) {
