Show groups and workspaces in the status by the latest reports

Tried as an operator: after a failover the killed target still stood as a primary, because the table took what a VM that does not watch the group had heard long ago; latencies were always 0; status left groups and workspaces to top.

--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -98,16 +98,21 @@
 		_, err = fmt.Fprintf(c.env.Out, "%s\n", raw)
 		return err
 	}
-	return c.print(nil, vmTable(vms))
+	return c.print(nil, tables(vms))
+}
+
+// tables shows VMs, groups and workspaces.
+func tables(vms []*adminpb.VMStatus) string {
+	return vmTable(vms) + "\n" + groupTable(vms) + "\n" + workspaceTable(vms)
 }
 
 func vmTable(vms []*adminpb.VMStatus) string {
 	var b strings.Builder
 	w := tabwriter.NewWriter(&b, 0, 4, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "VM\tZONE\tSTATE\tVERSION\tAGE\tSTORE\tSESSIONS\tNOTES")
+	_, _ = fmt.Fprintln(w, "VM\tZONE\tSTATE\tVERSION\tAGE\tSTORE\tSESSIONS\tSLICES\tNOTES")
 	for _, v := range vms {
 		if !v.Reachable {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t-\t-\t-\t-\tnot reachable\n", v.Vm, v.Zone, v.State)
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t-\t-\t-\t-\t-\tnot reachable\n", v.Vm, v.Zone, v.State)
 			continue
 		}
 		age := "never"
@@ -118,7 +123,7 @@
 		if v.StoreReachable {
 			store = "up"
 		}
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%s\n", v.Vm, v.Zone, v.State, v.Version, age, store, v.Sessions, notes(v))
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%d\t%s\n", v.Vm, v.Zone, v.State, v.Version, age, store, v.Sessions, v.Slices, notes(v))
 	}
 	_ = w.Flush() // a strings.Builder takes every write
 	return b.String()
@@ -155,7 +160,7 @@
 			}
 		} else {
 			const clearScreen = "\x1b[H\x1b[2J"
-			if err := c.print(nil, clearScreen+vmTable(vms)+"\n"+groupTable(vms)+"\n"+workspaceTable(vms)); err != nil {
+			if err := c.print(nil, clearScreen+tables(vms)); err != nil {
 				return err
 			}
 		}
@@ -165,14 +170,27 @@
 	}
 }
 
-// groupTable shows each group as the VM with the highest term sees it.
+// recentStatus is the age up to which a target's status says what it is now.
+// Watchers hear one several times a second.
+const recentStatus = 5 * time.Second
+
+// groupTable shows each group with the highest term that any VM knows, and each
+// target by the latest status that any VM has heard.
 func groupTable(vms []*adminpb.VMStatus) string {
 	groups := map[string]*adminpb.GroupStatus{}
+	targets := map[string]*adminpb.TargetStatus{}
+	slots := map[string]uint32{}
 	for _, v := range vms {
 		for _, g := range v.Groups {
 			if have := groups[g.Group]; have == nil || g.Term > have.Term {
 				groups[g.Group] = g
 			}
+			for _, t := range g.Targets {
+				slots[t.Target] += t.SlotsInUse
+				if have := targets[t.Target]; have == nil || heardLater(t, have) {
+					targets[t.Target] = t
+				}
+			}
 		}
 	}
 	var b strings.Builder
@@ -180,23 +198,48 @@
 	_, _ = fmt.Fprintln(w, "GROUP\tTERM\tTARGET\tROLE\tPOSITION\tLAG\tSLOTS\tNOTES")
 	for _, id := range sorted(groups) {
 		g := groups[id]
-		for _, t := range g.Targets {
-			note := ""
-			switch {
-			case !t.Reachable:
-				note = "not reachable"
-			case t.Leaving:
-				note = "leaving"
-			}
-			_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%d\t%d\t%s\n", g.Group, g.Term, t.Target, t.Role, t.Position, t.LagEntries, t.SlotsInUse, note)
+		for _, own := range g.Targets {
+			t := targets[own.Target]
+			_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%d\t%d\t%s\n", g.Group, g.Term, t.Target, role(g, t), t.Position, t.LagEntries, slots[t.Target], targetNote(t))
 		}
 	}
 	_ = w.Flush() // a strings.Builder takes every write
 	return b.String()
 }
 
-// workspaceTable adds up each workspace's counts over the VMs; the latencies
-// are the worst of any VM.
+func heardLater(a, b *adminpb.TargetStatus) bool {
+	return a.AgeMs >= 0 && (b.AgeMs < 0 || a.AgeMs < b.AgeMs)
+}
+
+func recent(t *adminpb.TargetStatus) bool {
+	return t.AgeMs >= 0 && t.AgeMs <= recentStatus.Milliseconds()
+}
+
+// role returns what a target is now: the group's primary, or what it said
+// lately.
+func role(g *adminpb.GroupStatus, t *adminpb.TargetStatus) string {
+	switch {
+	case t.Target == g.Primary:
+		return "primary"
+	case recent(t) && t.Role != "primary":
+		return t.Role
+	}
+	return "-"
+}
+
+func targetNote(t *adminpb.TargetStatus) string {
+	switch {
+	case !recent(t):
+		return "not reachable"
+	case t.Leaving:
+		return "leaving"
+	case !t.Reachable:
+		return "fails"
+	}
+	return ""
+}
+
+// workspaceTable adds up each workspace's counts over the VMs.
 func workspaceTable(vms []*adminpb.VMStatus) string {
 	sums := map[string]*adminpb.WorkspaceStatus{}
 	for _, v := range vms {
@@ -211,15 +254,14 @@
 			sum.Admitted += s.Admitted
 			sum.Refused += s.Refused
 			sum.Queued += s.Queued
-			sum.P50Ms, sum.P99Ms = max(sum.P50Ms, s.P50Ms), max(sum.P99Ms, s.P99Ms)
 		}
 	}
 	var b strings.Builder
 	w := tabwriter.NewWriter(&b, 0, 4, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "WORKSPACE\tRATE\tLIMIT\tADMITTED\tREFUSED\tQUEUED\tP50\tP99")
+	_, _ = fmt.Fprintln(w, "WORKSPACE\tRATE\tLIMIT\tADMITTED\tREFUSED\tQUEUED")
 	for _, id := range sorted(sums) {
 		s := sums[id]
-		_, _ = fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%d\t%d\t%d\t%.1fms\t%.1fms\n", id, s.RateUsed, s.RateLimit, s.Admitted, s.Refused, s.Queued, s.P50Ms, s.P99Ms)
+		_, _ = fmt.Fprintf(w, "%s\t%.1f\t%.1f\t%d\t%d\t%d\n", id, s.RateUsed, s.RateLimit, s.Admitted, s.Refused, s.Queued)
 	}
 	_ = w.Flush() // a strings.Builder takes every write
 	return b.String()
--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -86,12 +86,17 @@
 const controlPerVM = 2
 
 // connectionShare returns the number of connections for statements that this
-// VM may keep to a target: its part of what is left when the control
-// connections of all VMs and of the group's watchers are taken off.
+// VM may keep to a target.
 func (d *Daemon) connectionShare(t topo.Target) int {
-	vms := max(1, len(d.spread.Live()))
-	left := int(t.Config.Connections) - d.cfg.Load().Failover.WatcherCount() - controlPerVM*vms
-	return max(1, left/vms)
+	return connectionShare(int(t.Config.Connections), d.cfg.Load().Failover.WatcherCount(), len(d.spread.Live()))
+}
+
+// connectionShare divides the connections that a target accepts, less those of
+// the group's watchers and the control connections of all VMs, by the VMs. Each
+// VM gets at least one.
+func connectionShare(connections, watchers, vms int) int {
+	vms = max(1, vms)
+	return max(1, (connections-watchers-controlPerVM*vms)/vms)
 }
 
 // connectionLimit returns the number of connections for statements that this VM
