Compare the key's hash on open sessions; drop Grant.MaxQueue

Cause: Check knew a key by its id only. Grant.MaxQueue was filled and read by nobody: the limiter takes the length of the queue from the class.

Change: Grant.KeyHash holds the hash of the proved key; Check and Refresh refuse another one, also after the route was open for a while. MaxQueue is gone from Grant.

TestCheck/given_again and TestRefresh fail without the comparison.

Conclusion: a session lives as long as its own secret.

--- a/pkg/access/access.go
+++ b/pkg/access/access.go
@@ -19,7 +19,7 @@
 		return Grant{}, err
 	}
 	if r.Open {
-		return grant(c, ws, w, route, r, "")
+		return grant(c, ws, w, route, r, "", "")
 	}
 	id, ok := catal.KeyID(key)
 	k, known := w.Keys[id]
@@ -29,13 +29,13 @@
 	if !ok || !known || !matches || !k.Usable(now) {
 		return Grant{}, &Error{Op: op, Kind: KindKey, Text: fmt.Sprintf("the key for workspace %q was not accepted", printable(string(ws)))}
 	}
-	return grant(c, ws, w, route, r, id)
+	return grant(c, ws, w, route, r, id, k.SHA256)
 }
 
 // Check tells whether a session with grant g may start another statement. It
-// returns an *Error when the key was withdrawn, removed or has expired, when
-// the route or the workspace is gone, or when the route is no longer open to
-// a session without a key.
+// returns an *Error when the key was withdrawn, removed, replaced by another of
+// the same id or has expired, when the route or the workspace is gone, or when
+// the route is no longer open to a session without a key.
 func Check(c *catal.Catalogue, g Grant, now time.Time) error {
 	const op = "check"
 	r, w, err := find(c, op, g.Workspace, g.Route)
@@ -45,7 +45,7 @@
 	if r.Open {
 		return allowed(op, r, g.Workspace, g.Route)
 	}
-	if k, ok := w.Keys[g.KeyID]; !ok || !k.Usable(now) {
+	if k, ok := w.Keys[g.KeyID]; !ok || k.SHA256 != g.KeyHash || !k.Usable(now) {
 		return &Error{Op: op, Kind: KindKey, Text: fmt.Sprintf("the key %q of workspace %q is no longer accepted", g.KeyID, g.Workspace)}
 	}
 	return allowed(op, r, g.Workspace, g.Route)
@@ -56,7 +56,7 @@
 	if err := Check(c, g, now); err != nil {
 		return Grant{}, err
 	}
-	return grant(c, g.Workspace, c.Workspaces[g.Workspace], g.Route, c.Routes[g.Route], g.KeyID)
+	return grant(c, g.Workspace, c.Workspaces[g.Workspace], g.Route, c.Routes[g.Route], g.KeyID, g.KeyHash)
 }
 
 func find(c *catal.Catalogue, op string, ws ident.Workspace, route ident.Route) (r catal.Route, w catal.Workspace, err error) {
@@ -97,7 +97,7 @@
 	return s[:min(len(s), ident.MaxLen)]
 }
 
-func grant(c *catal.Catalogue, ws ident.Workspace, w catal.Workspace, route ident.Route, r catal.Route, keyID string) (Grant, error) {
+func grant(c *catal.Catalogue, ws ident.Workspace, w catal.Workspace, route ident.Route, r catal.Route, keyID, keyHash string) (Grant, error) {
 	if err := allowed("grant", r, ws, route); err != nil {
 		return Grant{}, err
 	}
@@ -113,13 +113,13 @@
 		Workspace: ws,
 		Route:     route,
 		KeyID:     keyID,
+		KeyHash:   keyHash,
 		Open:      r.Open,
 		Group:     r.Group,
 		ReadOnly:  r.ReadOnly(),
 		MaxAge:    r.MaxAge(),
 		Deadline:  deadline,
 		Weight:    limits.FairWeight(),
-		MaxQueue:  limits.QueueLimit(),
 		Class:     class,
 		Database:  r.Database,
 	}, nil
--- a/pkg/access/access_test.go
+++ b/pkg/access/access_test.go
@@ -93,10 +93,10 @@
 	c, key := catalogue(t)
 	g, err := Authenticate(c, "w", "r", key, start)
 	is.NoErr(err)
-	is.Equal(g, Grant{Workspace: "w", Route: "r", KeyID: "k1", Group: "g", Deadline: time.Minute, Weight: 4, MaxQueue: 64, Class: "gold"})
+	is.Equal(g, Grant{Workspace: "w", Route: "r", KeyID: "k1", KeyHash: c.Workspaces["w"].Keys["k1"].SHA256, Group: "g", Deadline: time.Minute, Weight: 4, Class: "gold"})
 	g, err = Authenticate(c, "x", "public", "", start)
 	is.NoErr(err)
-	is.Equal(g, Grant{Workspace: "x", Route: "public", Open: true, Group: "g", ReadOnly: true, MaxAge: 250 * time.Millisecond, Deadline: 5 * time.Second, Weight: 1, MaxQueue: 64, Database: "db"})
+	is.Equal(g, Grant{Workspace: "x", Route: "public", Open: true, Group: "g", ReadOnly: true, MaxAge: 250 * time.Millisecond, Deadline: 5 * time.Second, Weight: 1, Database: "db"})
 }
 
 // TestCheck guards against open sessions that outlive their key, their route
@@ -111,6 +111,7 @@
 		{"unchanged", func(*catal.Catalogue) {}, start, ""},
 		{"withdrawn", func(c *catal.Catalogue) { editKey(c, func(k *catal.Key) { k.Withdrawn = true }) }, start, "28P01"},
 		{"removed", func(c *catal.Catalogue) { delete(c.Workspaces["w"].Keys, "k1") }, start, "28P01"},
+		{"given again", func(c *catal.Catalogue) { _, c.Workspaces["w"].Keys["k1"], _ = catal.NewKey("k1") }, start, "28P01"},
 		{"expired", func(c *catal.Catalogue) { editKey(c, func(k *catal.Key) { k.Expires = start.Add(time.Hour) }) }, start.Add(time.Hour), "28P01"},
 		{"not yet valid", func(c *catal.Catalogue) { editKey(c, func(k *catal.Key) { k.NotBefore = start.Add(time.Hour) }) }, start, "28P01"},
 		{"workspace gone", func(c *catal.Catalogue) { delete(c.Workspaces, "w") }, start, "28P01"},
@@ -154,6 +155,17 @@
 	is.NoErr(err)
 	is.True(g.ReadOnly)
 	is.Equal(g.KeyID, "k1")
+	_, again, err := catal.NewKey("k1")
+	is.NoErr(err)
+	c.Workspaces["w"].Keys["k1"] = again
+	_, err = Refresh(c, g, start)
+	is.Equal(state(err), "28P01") // another secret under the same id
+	c.Routes["r"] = catal.Route{Group: "g", Open: true}
+	g, err = Refresh(c, g, start)
+	is.NoErr(err)
+	c.Routes["r"] = r
+	_, err = Refresh(c, g, start)
+	is.Equal(state(err), "28P01") // also after the route was open for a while
 }
 
 // TestNoKeyInErrors guards against errors, which reach logs, that repeat a key
--- a/pkg/access/types.go
+++ b/pkg/access/types.go
@@ -12,6 +12,9 @@
 	Route     ident.Route
 	// KeyID names the key that the session proved; empty on open routes.
 	KeyID string
+	// KeyHash is the hash of that key (catal.Key.SHA256). An id may be given
+	// again with another secret, which must not revive sessions of the former.
+	KeyHash string
 	// Open routes need no key.
 	Open     bool
 	Group    ident.Group
@@ -20,9 +23,8 @@
 	MaxAge time.Duration
 	// Deadline is the time a statement may wait and run.
 	Deadline time.Duration
-	// Weight and MaxQueue are the workspace's in fair queues.
-	Weight   uint32
-	MaxQueue uint32
+	// Weight is the workspace's in fair queues.
+	Weight uint32
 	// Class of the workspace, or of the route when the workspace has none.
 	Class ident.Class
 	// Database is the name at the targets; empty stands for the adapter's own.
