--- a/standin/fleet/daemon.go
+++ b/standin/fleet/daemon.go
@@ -164,3 +164,9 @@
 	}
 	return pgx.ConnectConfig(ctx, cfg)
 }
+
+// Reissue writes a new certificate into the files that a daemon's settings name.
+func (f *Fleet) Reissue(d *Daemon) error {
+	_, _, err := f.ca.issue(f.Dir, string(d.Settings.VM))
+	return err
+}
--- a/standin/procs/procs_test.go
+++ b/standin/procs/procs_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"os"
 	"os/exec"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -232,3 +234,53 @@
 	r.is.NoErr(r.f.StoreFaults(r.ctx, `{}`))
 	r.is.NoErr(r.f.Publish(r.ctx)) // edits work again
 }
+
+// TestReload guards against certificates that need a restart, and against wrong
+// settings that stop a daemon or are taken in part on SIGHUP.
+func TestReload(t *testing.T) {
+	r := newRig(t)
+	d := r.f.Daemons[0]
+	first := r.serial(d)
+	r.is.NoErr(r.f.Reissue(d))
+	r.is.NoErr(d.Proc().Signal(syscall.SIGHUP))
+	r.until(func() error {
+		if r.serial(d) == first {
+			return errors.New("the former certificate is still shown")
+		}
+		return nil
+	})
+	second := r.serial(d)
+	r.is.NoErr(os.WriteFile(d.File(), []byte(`{"vm": "truncated`), 0o600))
+	r.is.NoErr(r.f.Reissue(d))
+	r.is.NoErr(d.Proc().Signal(syscall.SIGHUP))
+	r.until(func() error {
+		log, err := os.ReadFile(d.Proc().Log)
+		if err == nil && !strings.Contains(string(log), `"event":121`) {
+			err = errors.New("the failed reload is not logged yet")
+		}
+		return err
+	})
+	r.is.Equal(r.serial(d), second)
+	r.order(0, "served")
+}
+
+// serial returns the serial number of the certificate that a daemon shows to
+// callers.
+func (r *rig) serial(d *fleet.Daemon) string {
+	r.t.Helper()
+	cfg, err := r.f.ConnConfig(d, r.ws, route, r.f.Keys[r.ws])
+	r.is.NoErr(err)
+	var serial string
+	cfg.TLSConfig.VerifyConnection = func(cs tls.ConnectionState) error {
+		serial = cs.PeerCertificates[0].SerialNumber.String()
+		return nil
+	}
+	r.until(func() error {
+		c, err := pgx.ConnectConfig(r.ctx, cfg)
+		if err == nil {
+			err = c.Close(r.ctx)
+		}
+		return err
+	})
+	return serial
+}
