--- a/standin/capac/capac.go
+++ b/standin/capac/capac.go
@@ -44,7 +44,7 @@
 		name string
 		run  func(context.Context) error
 	}{
-		{"idle", m.idle}, {"connections", m.connections}, {"statements", m.statements}, {"edits", m.edits}, {"catalogue", m.catalogue},
+		{"idle", m.idle}, {"connections", m.connections}, {"statements", m.statements}, {"edits", m.edits}, {"catalogue", m.catalogue}, {"serving", m.serving},
 	} {
 		if cfg.Only != "" && cfg.Only != c.name {
 			continue
--- a/standin/capac/measures.go
+++ b/standin/capac/measures.go
@@ -3,20 +3,14 @@
 import (
 	"context"
 	"fmt"
-	"os"
-	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5"
-
-	"chervilspan.example/standin/load"
 )
 
 // Sizes and times of the measures.
 const (
 	idleTime  = 10 * time.Second
-	loadTime  = 5 * time.Second
-	cpuRuns   = 3
 	editCount = 10
 	editPause = 500 * time.Millisecond
 )
@@ -128,71 +122,6 @@
 	return p.print("heap_and_stack_MB", n, float64(used)/1e6)
 }
 
-// statements measures the processor time of one daemon under load.
-func (m *meter) statements(ctx context.Context) error {
-	return m.with(ctx, "statements", 3, 1, func(ctx context.Context, p *point) error {
-		raw, err := os.ReadFile(p.f.Daemons[0].Settings.Targets.PasswordFile)
-		if err != nil {
-			return fail("read the password", KindLoad, err)
-		}
-		var targets []string
-		for _, t := range p.f.Targets {
-			targets = append(targets, t.Address)
-		}
-		access := load.Access{Addresses: targets, User: "proxy", Password: strings.TrimSpace(string(raw))}
-		if err := load.Prepare(ctx, access); err != nil {
-			return fail("create the table", KindLoad, err)
-		}
-		for _, rate := range []int{75, 150, 300, 600} {
-			if err := p.least(ctx, rate); err != nil {
-				return err
-			}
-		}
-		return nil
-	})
-}
-
-// least prints the least processor time of several runs at a rate.
-func (p *point) least(ctx context.Context, rate int) error {
-	cfg, err := p.f.ConnConfig(p.f.Daemons[0], "", "", "")
-	if err != nil {
-		return fail("configure the load", KindLoad, err)
-	}
-	c := load.Config{
-		Addresses: []string{p.f.Daemons[0].Callers}, Route: string(p.route()), TLS: cfg.TLSConfig,
-		Rate: float64(rate), Duration: loadTime, WriteShare: 0.1, Seed: uint64(rate),
-	}
-	for _, ws := range p.f.Workspaces() {
-		c.Workspaces = append(c.Workspaces, load.Workspace{Name: string(ws), Key: p.f.Keys[ws], Weight: 1})
-	}
-	var best, bytes float64
-	for i := range cpuRuns {
-		before, err := read(p.f.Daemons[0].Proc())
-		if err != nil {
-			return err
-		}
-		r, err := load.Run(ctx, c)
-		if err != nil {
-			return fail("send statements", KindLoad, err)
-		}
-		after, err := read(p.f.Daemons[0].Proc())
-		if err != nil {
-			return err
-		}
-		if r.Total.Done < r.Total.Sent*99/100 {
-			return fail("send statements", KindLoad, fmt.Errorf("%d of %d done: %v", r.Total.Done, r.Total.Sent, r.Total.Codes))
-		}
-		cpu := float64((after.cpu - before.cpu).Microseconds()) / float64(r.Total.Done)
-		if i == 0 || cpu < best {
-			best, bytes = cpu, float64(after.sent-before.sent)/float64(r.Total.Done)
-		}
-	}
-	if err := p.print("cpu_us_per_statement", rate, best); err != nil {
-		return err
-	}
-	return p.print("sent_bytes_per_statement", rate, bytes)
-}
-
 // edits measures the bytes and store calls of a change of one workspace's rate
 // above those of the idle fleet.
 func (m *meter) edits(ctx context.Context) error {
--- a/standin/cmd/chervilbench/main.go
+++ b/standin/cmd/chervilbench/main.go
@@ -60,8 +60,8 @@
 }
 
 type capacityArgs struct {
-	Only    string `arg:"--only" help:"run one measure: idle, connections, statements, edits, catalogue"`
-	Daemons int    `arg:"--daemons" help:"only fleets of so many daemons in idle and edits: 3, 6 or 12"`
+	Only    string `arg:"--only" help:"run one measure: idle, connections, statements, edits, catalogue, serving"`
+	Daemons int    `arg:"--daemons" help:"only fleets of so many daemons in idle, edits and serving: 3, 6, 9, 12 or 15"`
 }
 
 type args struct {
