Measure serving at one rate for all fleet sizes

Cause: the first version raised the rate with the number of daemons, so the effect of the connections was mixed with that of the rate.

Change: serving sends 360 statements/s over all daemons at each size.

--- a/standin/capac/load.go
+++ b/standin/capac/load.go
@@ -113,14 +113,15 @@
 	return nil
 }
 
-// servingRate is the rate of each daemon in statements a second.
-const servingRate = 40
+// servingRate is the rate of all daemons together in statements a second, the
+// same for each size.
+const servingRate = 360
 
 func servingFleet(ctx context.Context, p *point) error {
 	if err := p.prepare(ctx); err != nil {
 		return err
 	}
-	c, err := p.load(servingRate * len(p.f.Daemons))
+	c, err := p.load(servingRate)
 	if err != nil {
 		return err
 	}
@@ -138,7 +139,7 @@
 		{"read_p99_ms", r.Latency["/read"].P99},
 		{"write_p99_ms", r.Latency["/write"].P99},
 	} {
-		if err := p.print(l.unit, servingRate*len(p.f.Daemons), l.value); err != nil {
+		if err := p.print(l.unit, servingRate, l.value); err != nil {
 			return err
 		}
 	}
