Stop waiting for a replaced primary's connections and slots

Cause: a frozen primary accepts TCP connections and never answers the login. A write, and the listener for the quorum position, that had begun to connect waited for the connect time-out of 2 s although a new primary was known after about 0.9 s; a wait for a slot or a pooled connection of the former primary went on in the same way.

Change: Pools.WhilePrimary gives a context that ends when the group has another primary. Writes wait for slot and connection under it and go on at the new primary at once, without a charge to the retry budget, because nothing was sent. The listener connects under it too.

Conclusion: nobody waits for the connect time-out of a replaced primary any more. What remains is the promotion, the 300 ms in which the former primary may still answer, and the opening of new connections.

--- a/internal/conns/quorum.go
+++ b/internal/conns/quorum.go
@@ -130,9 +130,12 @@
 		return
 	}
 	l := p.pool(group, g.Primary)
-	c, err := p.connect(p.ctx, l, row, "")
+	ctx, end := p.WhilePrimary(p.ctx, group, g.Primary)
+	c, err := p.connect(ctx, l, row, "")
+	superseded := Is(context.Cause(ctx), KindSuperseded)
+	end()
 	if err != nil {
-		if !answered(err) && p.ctx.Err() == nil {
+		if !answered(err) && !superseded && p.ctx.Err() == nil {
 			p.failed(l)
 			p.judge(l, "", probeEvery)
 		}
--- a/internal/wire/execute.go
+++ b/internal/wire/execute.go
@@ -292,13 +292,25 @@
 
 // attempt runs a unit on a target. It returns nil when the answer is queued.
 func (s *session) attempt(ctx context.Context, u *unit, target ident.Target, p *plan) *miss {
-	release, err := s.srv.cfg.Limiter.Acquire(ctx, target, s.grant.Workspace, s.grant.Weight)
+	wait, stop := ctx, func() {}
+	if !p.read {
+		wait, stop = s.srv.cfg.Pools.WhilePrimary(ctx, s.grant.Group, target)
+	}
+	defer stop()
+	release, err := s.srv.cfg.Limiter.Acquire(wait, target, s.grant.Workspace, s.grant.Weight)
 	if err != nil {
+		if m := replaced(wait); m != nil {
+			return m
+		}
 		return &miss{err: fromLimit(ctx, "acquire", err), again: len(p.queue) > 0}
 	}
-	c, err := s.srv.cfg.Pools.Get(ctx, s.grant.Group, target, s.grant.Database)
+	c, err := s.srv.cfg.Pools.Get(wait, s.grant.Group, target, s.grant.Database)
+	stop()
 	if err != nil {
 		release()
+		if m := replaced(wait); m != nil {
+			return m
+		}
 		if errors.Is(context.Cause(ctx), errCancelled) {
 			return &miss{err: fromLimit(ctx, "connect", err)}
 		}
@@ -309,6 +321,16 @@
 	return s.first(ctx, u, tx, p)
 }
 
+// replaced returns the miss of a write that waited for a primary until another
+// one was known, so that it goes on there; nil when that is not the reason.
+func replaced(wait context.Context) *miss {
+	err := context.Cause(wait)
+	if !conns.Is(err, conns.KindSuperseded) {
+		return nil
+	}
+	return &miss{err: refuse("wait", codeNotReady, "the primary was replaced while the statement waited for it", err), again: true}
+}
+
 // unreachable says why there is no connection to a target.
 func unreachable(err error) *Error {
 	if conns.Is(err, conns.KindLimit) {
--- a/internal/wire/kit_test.go
+++ b/internal/wire/kit_test.go
@@ -53,6 +53,10 @@
 	forward  []uint32
 	down     map[ident.Target]bool
 	busy     map[ident.Target]bool
+	// frozen targets accept no connection, and the slots of taken ones never
+	// come free; both make callers wait.
+	frozen map[ident.Target]bool
+	taken  map[ident.Target]bool
 }
 
 func (k *kit) Authenticate(ws ident.Workspace, route ident.Route, key string) (access.Grant, error) {
@@ -87,9 +91,15 @@
 	return k.admit
 }
 
-func (k *kit) Acquire(_ context.Context, t ident.Target, _ ident.Workspace, _ uint32) (func(), error) {
+func (k *kit) Acquire(ctx context.Context, t ident.Target, _ ident.Workspace, _ uint32) (func(), error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.taken[t] {
+		k.mu.Unlock()
+		<-ctx.Done()
+		k.mu.Lock()
+		return nil, stateError{"53300", "no slot came free"}
+	}
 	if k.busy[t] {
 		return nil, stateError{"53300", "the queue is full"}
 	}
@@ -182,13 +192,19 @@
 
 func (c memConn) RemoteAddr() net.Addr { return &c.remote }
 
-func (k *kit) dialTarget(_ context.Context, _, address string) (net.Conn, error) {
+func (k *kit) dialTarget(ctx context.Context, _, address string) (net.Conn, error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for id, tg := range k.targets {
 		if targetAddress(id) != address {
 			continue
 		}
+		if k.frozen[id] {
+			k.mu.Unlock()
+			<-ctx.Done()
+			k.mu.Lock()
+			return nil, ctx.Err()
+		}
 		if k.down[id] {
 			return nil, errors.New("no route to host")
 		}
