Lift the limit for unacknowledged data while long messages wait

Cause: TCP_USER_TIMEOUT also counts while the receiver's window is full. A target that lives but had not read a message of some megabytes for a second lost the connection.

Change: the limit of 1 s is lifted when more than 64 KiB were sent without an answer, and set again with the next answer. Until then the test of the path and the deadline find a loss.

An answer to an earlier message sets the limit again although later ones may still wait.

--- a/internal/conns/config.go
+++ b/internal/conns/config.go
@@ -49,8 +49,8 @@
 	// Statements bounds the prepared statements of a connection; 0 stands for
 	// 256.
 	Statements int
-	// Dial opens network connections; nil stands for a net.Dialer that breaks
-	// connections whose packets are not acknowledged for a second.
+	// Dial opens network connections; nil stands for a net.Dialer that makes
+	// connections whose packets are not acknowledged for a second break.
 	Dial  func(ctx context.Context, network, address string) (net.Conn, error)
 	Log   zerolog.Logger
 	Scope tally.Scope
@@ -61,7 +61,7 @@
 	c.IdleClose = cmp.Or(c.IdleClose, 30*time.Second)
 	c.Statements = cmp.Or(c.Statements, 256)
 	if c.Dial == nil {
-		c.Dial = dialer().DialContext
+		c.Dial = dial
 	}
 	if c.Limit == nil {
 		c.Limit = func(t topo.Target) int { return int(max(t.Config.Connections, t.Status.Connections)) }
