Test silent connections under transactions on replicas

Cause: only transactions on the primary were covered.

Change: TestSilentReplica; it fails without WatchPath.

Conclusion: statements in transactions on replicas are interrupted too.

--- a/internal/wire/silent_test.go
+++ b/internal/wire/silent_test.go
@@ -84,6 +84,28 @@
 	})
 }
 
+// TestSilentReplica guards against a transaction on a replica that waits for its
+// deadline on a lost connection.
+func TestSilentReplica(t *testing.T) {
+	bubble(t, func(t *testing.T, is *is.I, k *kit) {
+		c, d := k.connect(), k.connect()
+		for _, sql := range []string{"BEGIN READ ONLY", "SELECT 1"} {
+			for _, c := range []*pgx.Conn{c, d} {
+				_, err := c.Exec(t.Context(), sql)
+				is.NoErr(err)
+			}
+		}
+		is.Equal(k.targets["b"].Open(), 2)
+		_, err := d.Exec(t.Context(), "COMMIT")
+		is.NoErr(err)
+		k.targets["b"].Silence()
+		start := time.Now()
+		_, err = c.Exec(t.Context(), "SELECT 2")
+		is.Equal(code(err), "40001")
+		is.True(time.Since(start) < time.Second)
+	})
+}
+
 // TestSlowStatement guards against a slow write that is given up, or sent again,
 // although the connections beside it answer.
 func TestSlowStatement(t *testing.T) {
