Give each fleet its own loopback address, and mend races in a test kit

Cause: starts of a fleet failed now and then with 'connection refused' while other fleets ran, because a free port of 127.0.0.1 was taken, by another fleet or as the source of an outgoing connection, before its process bound it. Change: each fleet takes a random address of the loopback range, where nobody else looks for ports.

The race detector found two reads without the lock in the test kit of internal/limit; the package passes under -race now.

--- a/internal/limit/fake_test.go
+++ b/internal/limit/fake_test.go
@@ -112,7 +112,7 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	r, err := c.to.Borrow(ctx, req)
+	r, err := c.to.limiter().Borrow(ctx, req)
 	time.Sleep(c.delay)
 	return r, err
 }
@@ -122,7 +122,7 @@
 	s := &stream{ctx: ctx, up: make(chan late[*peerpb.SlotDemand], 64), down: make(chan late[*peerpb.SlotLoan], 64), delay: c.delay}
 	go func() {
 		defer cancel()
-		_ = c.to.Slots(serverSide{stream: s})
+		_ = c.to.limiter().Slots(serverSide{stream: s})
 	}()
 	return clientSide{stream: s}, nil
 }
@@ -198,18 +198,38 @@
 		z := zones[i%len(zones)]
 		w.vms = append(w.vms, &node{w: w, info: member.Info{VM: ident.VM(fmt.Sprintf("vm%d", i)), Zone: z.z, Region: z.r}})
 	}
+	// All are made before one runs and calls the others.
 	for _, v := range w.vms {
-		w.start(v)
+		w.make(v)
+	}
+	for _, v := range w.vms {
+		w.run(v)
 	}
 	return w
 }
 
+// start starts a VM that was killed.
 func (w *world) start(v *node) {
-	w.mu.Lock()
-	v.dead = false
-	w.mu.Unlock()
+	w.make(v)
+	w.run(v)
+}
+
+func (w *world) make(v *node) {
 	v.store = &access{memory: w.store}
-	v.Limiter = New(Config{Catalogue: w, Fleet: v, Peers: v, Store: v.store, Static: w.static, ShareLease: w.lease})
+	l := New(Config{Catalogue: w, Fleet: v, Peers: v, Store: v.store, Static: w.static, ShareLease: w.lease})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v.dead, v.Limiter = false, l
+}
+
+// limiter returns the VM's present Limiter.
+func (v *node) limiter() *Limiter {
+	v.w.mu.Lock()
+	defer v.w.mu.Unlock()
+	return v.Limiter
+}
+
+func (w *world) run(v *node) {
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel, v.stopped = cancel, make(chan struct{})
 	go func(l *Limiter, stopped chan struct{}) {
--- a/internal/limit/rate_test.go
+++ b/internal/limit/rate_test.go
@@ -50,6 +50,13 @@
 	}
 }
 
+// done returns the number of requests that were admitted so far.
+func (d *load) done() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.admitted)
+}
+
 // excess returns by how many requests the worst window is above the limit.
 func (d *load) excess(rate, burst float64) float64 {
 	d.group.Wait()
@@ -81,7 +88,7 @@
 		for i := range 18 {
 			d.send(95, 3*time.Second, w.vms[i%9])
 		}
-		t.Logf("messages per admitted statement at 9 VMs: %.2f", 2*float64(w.messages()-before)/float64(len(d.admitted)))
+		t.Logf("messages per admitted statement at 9 VMs: %.2f", 2*float64(w.messages()-before)/float64(d.done()))
 		d.group.Go(func() { loud.send(500, 10*time.Second, w.vms...) })
 		d.send(95, 10*time.Second, w.vms...)
 		is.True(d.excess(100, 100) < slack)
--- a/standin/fleet/certs.go
+++ b/standin/fleet/certs.go
@@ -20,12 +20,13 @@
 	key  *ecdsa.PrivateKey
 	file string
 	n    int64
+	ip   net.IP
 }
 
 // CertLifetime is the validity of the certificates of a run.
 const CertLifetime = 24 * time.Hour
 
-func newAuthority(dir string) (*authority, error) {
+func newAuthority(dir, ip string) (*authority, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, err
@@ -43,11 +44,11 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &authority{cert: cert, key: key, file: filepath.Join(dir, "ca.pem"), n: 1}
+	a := &authority{cert: cert, key: key, file: filepath.Join(dir, "ca.pem"), n: 1, ip: net.ParseIP(ip)}
 	return a, writePEM(a.file, "CERTIFICATE", der)
 }
 
-// issue writes a certificate for loopback that serves both ends of a
+// issue writes a certificate for the fleet's address that serves both ends of a
 // connection, and returns the names of its files.
 func (a *authority) issue(dir, name string) (certFile, keyFile string, err error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
@@ -60,7 +61,7 @@
 		NotBefore: time.Now().Add(-time.Minute), NotAfter: time.Now().Add(CertLifetime),
 		KeyUsage:    x509.KeyUsageDigitalSignature,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		IPAddresses: []net.IP{a.ip},
 	}
 	der, err := x509.CreateCertificate(rand.Reader, tmpl, a.cert, &key.PublicKey, a.key)
 	if err != nil {
--- a/standin/fleet/daemon.go
+++ b/standin/fleet/daemon.go
@@ -60,7 +60,7 @@
 func (f *Fleet) prepareDaemon(p Place, vm ident.VM) (err error) {
 	d := &Daemon{file: filepath.Join(f.Dir, string(vm)+".json")}
 	for _, a := range []*string{&d.Callers, &d.Peers, &d.Admin} {
-		if *a, err = freeAddress(); err != nil {
+		if *a, err = f.freeAddress(); err != nil {
 			return err
 		}
 	}
--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -57,6 +57,7 @@
 	Keys map[ident.Workspace]string
 
 	cfg   Config
+	ip    string
 	ca    *authority
 	ops   *peer.Cache
 	store *Proc
@@ -68,7 +69,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &Fleet{Dir: dir, cfg: cfg, Keys: map[ident.Workspace]string{}}
+	f := &Fleet{Dir: dir, cfg: cfg, ip: ownIP(), Keys: map[ident.Workspace]string{}}
 	if err := f.prepare(); err != nil {
 		_ = os.RemoveAll(dir)
 		return nil, err
@@ -77,16 +78,16 @@
 }
 
 func (f *Fleet) prepare() (err error) {
-	if f.ca, err = newAuthority(f.Dir); err != nil {
+	if f.ca, err = newAuthority(f.Dir, f.ip); err != nil {
 		return err
 	}
 	if f.ops, err = f.operator(); err != nil {
 		return err
 	}
-	if f.Store, err = freeAddress(); err != nil {
+	if f.Store, err = f.freeAddress(); err != nil {
 		return err
 	}
-	if f.StoreCtl, err = freeAddress(); err != nil {
+	if f.StoreCtl, err = f.freeAddress(); err != nil {
 		return err
 	}
 	if err := os.WriteFile(f.passwordFile(), []byte(proxyPassword+"\n"), 0o600); err != nil {
@@ -106,7 +107,7 @@
 func (f *Fleet) prepareTargets() error {
 	for _, g := range f.cfg.Layout.Groups {
 		for i, p := range f.cfg.Layout.Places {
-			addr, err := freeAddress()
+			addr, err := f.freeAddress()
 			if err != nil {
 				return err
 			}
--- a/standin/fleet/proc.go
+++ b/standin/fleet/proc.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -77,9 +79,16 @@
 	}
 }
 
-// freeAddress returns a loopback address whose port was free a moment ago.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// ownIP returns a loopback address for one fleet. Two fleets at a time would
+// take each other's ports on 127.0.0.1, and so would outgoing connections, which
+// all start there.
+func ownIP() string {
+	return netip.AddrFrom4([4]byte{127, byte(1 + rand.IntN(254)), byte(rand.IntN(256)), byte(1 + rand.IntN(254))}).String()
+}
+
+// freeAddress returns an address of the fleet whose port is free.
+func (f *Fleet) freeAddress() (string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(f.ip, "0"))
 	if err != nil {
 		return "", err
 	}
