Compare failover and rate limits with the baseline policies

Cause: nothing showed what the design's failover and fleet-wide rate give compared with a fixed timeout and a static split. Change: measure baseline starts a second fleet with both baseline policies and sends the same load to both at the same time: a killed primary, and a workspace whose whole load moves to one VM. Conclusion: the baseline lines have no objective; the adaptive ones keep those of the design.

--- a/standin/bench/line.go
+++ b/standin/bench/line.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"slices"
+	"sync"
 )
 
 // Line is one result.
@@ -44,13 +45,18 @@
 // round keeps six decimals, more than any measure resolves.
 func round(v float64) float64 { return math.Round(v*1e6) / 1e6 }
 
-// printer writes lines and remembers missed objectives.
+// printer writes lines and remembers missed objectives. Two fleets may share
+// one.
 type printer struct {
-	out    io.Writer
+	out io.Writer
+
+	mu     sync.Mutex
 	missed int
 }
 
 func (p *printer) print(l Line) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if l.Met != nil && !*l.Met {
 		p.missed++
 	}
--- a/standin/bench/measure.go
+++ b/standin/bench/measure.go
@@ -40,7 +40,7 @@
 		return false, err
 	}
 	started := time.Now()
-	if m.stage, err = newStage(ctx, cfg.Bin, cfg.Seed); err != nil {
+	if m.stage, err = newStage(ctx, cfg.Bin, cfg.Seed, nil); err != nil {
 		return false, err
 	}
 	defer func() {
@@ -67,6 +67,7 @@
 		{"configuration", m.configuration},
 		{"promotions", m.quiet},
 		{"failover", m.failover},
+		{"baseline", m.baseline},
 		{"refusals", m.refusals},
 	} {
 		if m.cfg.Only != "" && m.cfg.Only != c.name {
--- a/standin/bench/stage.go
+++ b/standin/bench/stage.go
@@ -46,12 +46,13 @@
 // exits at once: its port may have been taken since it was chosen.
 const startAttempts = 3
 
-// newStage starts a fleet and waits until all groups work.
-func newStage(ctx context.Context, bin string, seed uint64) (*stage, error) {
+// newStage starts a fleet and waits until all groups work. adjust, unless nil,
+// changes the settings of each daemon.
+func newStage(ctx context.Context, bin string, seed uint64, adjust func(*fleet.Daemon)) (*stage, error) {
 	layout := fleet.Workshop()
 	layout.Rate, layout.Burst = rate, burst
 	for n := 1; ; n++ {
-		f, err := fleet.New(fleet.Config{Bin: bin, Layout: layout})
+		f, err := fleet.New(fleet.Config{Bin: bin, Layout: layout, Adjust: adjust})
 		if err != nil {
 			return nil, &Error{Op: "prepare the fleet", Kind: KindFleet, Text: err.Error()}
 		}
