Measure the bytes between regions

Cause: the design asks for the bytes between regions of control and of each statement; nothing measured them. Traffic with targets and the store is not in these counters.

--- a/standin/bench/bench_test.go
+++ b/standin/bench/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"math"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -48,3 +49,22 @@
 	r := &load.Report{Total: load.Counts{Sent: 100, Codes: map[string]int{"53400": 1, "53300": 2, "57P03": 3, "23505": 50}}}
 	is.Equal(refusedShare(r), 0.06)
 }
+
+// TestBetweenRegions guards against traffic within the region that counts as
+// traffic between regions, and against missing counters that read as no bytes.
+func TestBetweenRegions(t *testing.T) {
+	is := is.New(t)
+	const text = `# TYPE chervil_peer_sent_bytes counter
+chervil_peer_sent_bytes{peer_region="andina"} 1000
+chervil_peer_sent_bytes{peer_region="caribe"} 200
+# TYPE chervil_peer_received_bytes counter
+chervil_peer_received_bytes{peer_region="andina"} 4000
+chervil_peer_received_bytes{peer_region="caribe"} 30
+chervil_peer_received_bytes{peer_region="unknown"} 4
+`
+	n, err := betweenRegions(strings.NewReader(text), "andina")
+	is.NoErr(err)
+	is.Equal(n, 234.0)
+	_, err = betweenRegions(strings.NewReader(""), "andina")
+	is.True(err != nil)
+}
--- a/standin/bench/measure.go
+++ b/standin/bench/measure.go
@@ -63,6 +63,7 @@
 		{"overhead", m.overhead},
 		{"memory", m.memory},
 		{"reads", m.reads},
+		{"link", m.link},
 		{"isolation", m.isolation},
 		{"configuration", m.configuration},
 		{"promotions", m.quiet},
--- a/standin/cmd/chervilbench/main.go
+++ b/standin/cmd/chervilbench/main.go
@@ -56,7 +56,7 @@
 type measureArgs struct {
 	Quick bool   `arg:"--quick" help:"shorten every case; ends within 50 s"`
 	Seed  uint64 `arg:"--seed" default:"1"`
-	Only  string `arg:"--only" help:"run one measure: overhead, memory, reads, isolation, configuration, promotions, failover, baseline, refusals"`
+	Only  string `arg:"--only" help:"run one measure: overhead, memory, reads, link, isolation, configuration, promotions, failover, baseline, refusals"`
 }
 
 type capacityArgs struct {
