--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -207,6 +207,7 @@
 	f.ops.Close()
 	for _, d := range f.Daemons {
 		if d.proc != nil && !d.proc.Exited() {
+			_ = d.proc.Signal(syscall.SIGCONT)
 			_ = d.proc.Signal(syscall.SIGTERM)
 		}
 	}
