Fit quick measurements into a budget of time

Cause: with the new cases a quick run took 68.6 s, and its length depended on the machine's load. Before each measure, the lengths of its runs are set to what is left, at least half; a measure that can't end in time is skipped and counts as missed.

--- a/standin/bench/doc.go
+++ b/standin/bench/doc.go
@@ -7,6 +7,11 @@
 // the daemons is also checked by the ledger of package load; a contradiction
 // is a line of the measure "ledger", whose objective is 0.
 //
+// A quick run has a budget of time. Each measure states what it takes on an idle
+// machine; before it starts, its runs are shortened to what the rest of the
+// budget allows, at most to half. One that can't end in time is not run, or is
+// given up, and its line of the measure "skipped" is a missed objective.
+//
 // # Usage
 //
 //	ok, err := bench.Measure(ctx, bench.Config{Bin: ".bin", Seed: 1, Out: os.Stdout})
