--- a/internal/limit/slots.go
+++ b/internal/limit/slots.go
@@ -1,7 +1,6 @@
 package limit
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"maps"
@@ -23,8 +22,6 @@
 	renewLoan = 300 * time.Millisecond
 	// idleLoan is how long slots are kept for a target without requests.
 	idleLoan = time.Second
-	// defaultDeadline applies when neither the caller nor the class sets one.
-	defaultDeadline = 5 * time.Second
 )
 
 // target is a target's slots as this VM uses them.
@@ -154,12 +151,12 @@
 
 func (t *target) enqueue(ctx context.Context, e *entry, ws ident.Workspace, weight uint32, now time.Time) (*waiter, fairq.Ticket, error) {
 	class := e.class.Load()
-	deadline := now.Add(cmp.Or(time.Duration(class.DeadlineMS)*time.Millisecond, defaultDeadline))
+	deadline := now.Add(class.Deadline())
 	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
 		deadline = d
 	}
 	t.ticket++
-	it := fairq.Item{Ticket: t.ticket, Workspace: ws, Weight: weight, Limit: int(class.MaxQueue), Deadline: deadline}
+	it := fairq.Item{Ticket: t.ticket, Workspace: ws, Weight: weight, Limit: int(class.QueueLimit()), Deadline: deadline}
 	// The loan may grow up to all slots; the estimate takes what there is now.
 	slots := max(t.lot.Limit(now), t.lot.Fallback())
 	if err := t.queue.Push(it, slots, now); err != nil {
