--- a/internal/limit/fake_test.go
+++ b/internal/limit/fake_test.go
@@ -223,10 +223,10 @@
 }
 
 // limiter returns the VM's present Limiter.
-func (v *node) limiter() *Limiter {
-	v.w.mu.Lock()
-	defer v.w.mu.Unlock()
-	return v.Limiter
+func (n *node) limiter() *Limiter {
+	n.w.mu.Lock()
+	defer n.w.mu.Unlock()
+	return n.Limiter
 }
 
 func (w *world) run(v *node) {
