--- a/scripts/model.sh
+++ b/scripts/model.sh
@@ -9,7 +9,7 @@
 trap 'rm -rf "$work"' EXIT
 run() { # run NAME FLAGS: prints spin's verdict line, returns 0 when no error was found
   (cd "$work" && rm -f pan* ./*.trail && spin $2 -a "$OLDPWD/model/$1.pml" >/dev/null \
-    && gcc -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=8192 -o pan pan.c && ./pan -m2000000 >out 2>&1)
+    && gcc -O2 -w -DSAFETY -DCOLLAPSE -DMEMLIM=8192 -o pan pan.c && ./pan -m2000000 >out 2>&1)
   states=$(awk '/states, stored/ {print $1}' "$work/out")
   if grep -q 'errors: 0' "$work/out" && ! grep -q 'max search depth too small\|out of memory' "$work/out"; then
     echo "model $1 $2: no error, $states states"
