--- a/internal/limit/observe.go
+++ b/internal/limit/observe.go
@@ -38,8 +38,8 @@
 	Slices int
 }
 
-// told is what was reported of an entry before.
-type told struct {
+// reported is what was reported of an entry before.
+type reported struct {
 	counts  quota.Counts
 	slot    uint64
 	refused uint64
@@ -105,21 +105,21 @@
 		e.mu.Lock()
 		c, queued := e.acct.Counts(), e.acct.Queued()
 		e.mu.Unlock()
-		was := e.told.counts
-		e.told.counts = c
+		was := e.reported.counts
+		e.reported.counts = c
 		slot := e.slotRefused.Load()
 		m := l.meter.of(ws)
 		m.admitted.Inc(int64(c.Admitted - was.Admitted))
 		m.refused.Inc(int64(c.Refused - was.Refused))
-		m.slotRefused.Inc(int64(slot - e.told.slot))
+		m.slotRefused.Inc(int64(slot - e.reported.slot))
 		m.asks.Inc(int64(c.Asks - was.Asks))
 		m.borrowed.Inc(int64(c.Borrowed/ident.Token - was.Borrowed/ident.Token))
 		m.lent.Inc(int64(c.Lent/ident.Token - was.Lent/ident.Token))
 		m.queued.Update(float64(queued))
-		e.told.slot = slot
-		if c.Refused > e.told.refused && now.Sub(e.told.at) >= refusedPeriod {
-			evlog.At(l.cfg.Log, evlog.WorkspaceRefused).Str("workspace", string(ws)).Uint64("refused", c.Refused-e.told.refused).Send()
-			e.told.refused, e.told.at = c.Refused, now
+		e.reported.slot = slot
+		if c.Refused > e.reported.refused && now.Sub(e.reported.at) >= refusedPeriod {
+			evlog.At(l.cfg.Log, evlog.WorkspaceRefused).Str("workspace", string(ws)).Uint64("refused", c.Refused-e.reported.refused).Send()
+			e.reported.refused, e.reported.at = c.Refused, now
 		}
 	}
 }
--- a/internal/limit/rate.go
+++ b/internal/limit/rate.go
@@ -21,14 +21,14 @@
 	// slotRefused counts requests refused for want of a slot.
 	slotRefused atomic.Uint64
 
-	mu      sync.Mutex
-	shard   quota.Shard
-	acct    *quota.Account
-	waiters map[quota.Ticket]chan error
-	timer   *time.Timer
-	wake    time.Time
-	closed  bool
-	told    told
+	mu       sync.Mutex
+	shard    quota.Shard
+	acct     *quota.Account
+	waiters  map[quota.Ticket]chan error
+	timer    *time.Timer
+	wake     time.Time
+	closed   bool
+	reported reported
 }
 
 // Admit takes a token for one statement of a workspace, and waits for it up to
--- a/internal/spread/edit.go
+++ b/internal/spread/edit.go
@@ -188,7 +188,7 @@
 // of the version in force exists.
 func (s *Spread) repair(ctx context.Context, v ident.Version) {
 	s.state.Lock()
-	due := s.relaying && s.fresh.Version() == v && !s.ambigue.IsZero() && time.Since(s.ambigue) > repairAge
+	due := s.relaying && s.fresh.Version() == v && !s.historySince.IsZero() && time.Since(s.historySince) > repairAge
 	s.state.Unlock()
 	if !due || !s.inTouch() {
 		return
--- a/internal/spread/spread.go
+++ b/internal/spread/spread.go
@@ -47,14 +47,16 @@
 	changes  uint64
 	lastPeer time.Time
 	// storeOK and storeAt are the outcome of the last call to the store.
-	storeOK  bool
-	storeAt  time.Time
-	ambigue  time.Time // since when a history entry of the held version is there
-	refused  ident.Version
-	reason   string
-	relaying bool
-	decision fresh.Reason
-	turn     int
+	storeOK bool
+	storeAt time.Time
+	// historySince is when a history entry of the held version was first seen,
+	// which an interrupted edit leaves behind.
+	historySince time.Time
+	refused      ident.Version
+	reason       string
+	relaying     bool
+	decision     fresh.Reason
+	turn         int
 
 	inForce atomic.Pointer[catal.Catalogue]
 	wake    chan struct{}
@@ -256,7 +258,7 @@
 			s.past = s.past[max(0, len(s.past)-pastVersions):]
 		}
 		s.held = c
-		s.ambigue = time.Time{}
+		s.historySince = time.Time{}
 	}
 	s.state.Unlock()
 	if ok {
--- a/internal/spread/store.go
+++ b/internal/spread/store.go
@@ -77,9 +77,9 @@
 		return true
 	}
 	s.state.Lock()
-	wait := s.serving && !s.relaying && s.ambigue.IsZero()
-	if s.ambigue.IsZero() {
-		s.ambigue = now
+	wait := s.serving && !s.relaying && s.historySince.IsZero()
+	if s.historySince.IsZero() {
+		s.historySince = now
 	}
 	s.state.Unlock()
 	if wait {
