--- a/internal/conf/gen/main.go
+++ b/internal/conf/gen/main.go
@@ -3,20 +3,18 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 
-	"github.com/invopop/jsonschema"
-
 	"chervilspan.example/internal/conf"
+	"chervilspan.example/internal/schema"
 )
 
 // Page is where the schema lies, from the root of the repository.
 const Page = "docs/schema/settings.json"
 
 func main() {
-	text, err := schema()
+	text, err := page()
 	if err == nil {
 		err = os.WriteFile(Page, text, 0o644)
 	}
@@ -26,10 +24,8 @@
 	}
 }
 
-func schema() ([]byte, error) {
-	s := jsonschema.Reflect(&conf.Settings{})
-	s.ID = "https://chervilspan.example/schema/settings.json"
-	s.Title = "chervild settings"
+func page() ([]byte, error) {
+	s := schema.Of(&conf.Settings{}, "settings", "chervild settings")
 	policies := []any{conf.PolicyAdaptive, conf.PolicyBaseline}
 	s.Definitions["Limits"].Properties.GetPair("policy").Value.Enum = policies
 	s.Definitions["Failover"].Properties.GetPair("policy").Value.Enum = policies
@@ -38,6 +34,5 @@
 		s.Definitions[name].Required = nil
 	}
 	s.Definitions["Settings"].Required = []string{"vm", "number", "zone", "region", "callers", "peers", "store", "targets"}
-	text, err := json.MarshalIndent(s, "", "  ")
-	return append(text, '\n'), err
+	return schema.Page(s)
 }
--- a/internal/conns/watch.go
+++ b/internal/conns/watch.go
@@ -34,7 +34,7 @@
 func (p *Pools) WatchRead(c *Conn) (stop func()) {
 	w := &watch{p: p, c: c}
 	w.probe = time.Now().Add(watchAfter)
-	return w.start(pathSilence, w.lookRead)
+	return w.start(pathSilence, w.readHopeless)
 }
 
 // WatchWrite interrupts a statement on the connection to a primary when the
@@ -43,22 +43,36 @@
 // makes the outcome of a write unknown.
 func (p *Pools) WatchWrite(c *Conn) (stop func()) {
 	w := &watch{p: p, c: c}
-	return w.start(watchEvery, w.lookWrite)
+	return w.start(watchEvery, w.writeHopeless)
 }
 
 // WatchPath interrupts a statement when its connection was lost on the way.
 func (p *Pools) WatchPath(c *Conn) (stop func()) {
 	w := &watch{p: p, c: c}
-	return w.start(pathSilence, w.lookPath)
+	return w.start(pathSilence, func() bool { return false })
 }
 
-func (w *watch) start(after time.Duration, look func()) (stop func()) {
+func (w *watch) start(after time.Duration, hopeless func() bool) (stop func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(after, look)
+	w.timer = time.AfterFunc(after, func() { w.look(hopeless) })
 	return w.stop
 }
 
+// look interrupts the statement when its connection is lost or hopeless says
+// that no answer is to be expected, and otherwise looks again later.
+func (w *watch) look(hopeless func() bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case w.done:
+	case w.lostPath() || hopeless():
+		w.interrupt()
+	default:
+		w.timer.Reset(watchEvery)
+	}
+}
+
 func (w *watch) stop() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -68,59 +82,32 @@
 
 func (w *watch) interrupt() { _ = w.c.net.SetReadDeadline(time.Unix(1, 0)) }
 
-// lookRead interrupts the read when the target has failed, else has it probed.
-func (w *watch) lookRead() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.done {
-		return
-	}
+// readHopeless reports whether the target has failed, and has it probed when the
+// read is silent. The caller holds w.mu.
+func (w *watch) readHopeless() bool {
 	now, silent := time.Now(), !w.c.heard.Load()
-	if w.lostPath() || silent && w.c.pool.hasFailed() {
-		w.interrupt()
-		return
+	if silent && w.c.pool.hasFailed() {
+		return true
 	}
 	if silent && !now.Before(w.probe) && w.c.pool.due(now) {
 		w.p.judge(w.c.pool, w.c.database, 0)
 	}
-	w.timer.Reset(watchEvery)
+	return false
 }
 
-// lookWrite interrupts the statement a while after the primary was replaced.
-func (w *watch) lookWrite() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.done {
-		return
-	}
-	if w.lostPath() {
-		w.interrupt()
-		return
-	}
+// writeHopeless reports whether the primary was replaced a while ago. The caller
+// holds w.mu.
+func (w *watch) writeHopeless() bool {
 	g, _ := w.p.cfg.Groups.Group(w.c.group)
-	switch now := time.Now(); {
+	now := time.Now()
+	switch {
 	case g.Term <= w.c.term:
 	case w.replaced.IsZero():
 		w.replaced = now
-	case now.Sub(w.replaced) >= watchGrace:
-		w.interrupt()
-		return
+	default:
+		return now.Sub(w.replaced) >= watchGrace
 	}
-	w.timer.Reset(watchEvery)
-}
-
-// lookPath interrupts the statement when its connection is lost.
-func (w *watch) lookPath() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.done {
-		return
-	}
-	if w.lostPath() {
-		w.interrupt()
-		return
-	}
-	w.timer.Reset(watchEvery)
+	return false
 }
 
 // lostPath reports whether the connection of a silent statement is known to be
--- a/pkg/catal/gen/main.go
+++ b/pkg/catal/gen/main.go
@@ -9,8 +9,7 @@
 	"os"
 	"strconv"
 
-	"github.com/invopop/jsonschema"
-
+	"chervilspan.example/internal/schema"
 	"chervilspan.example/pkg/catal"
 )
 
@@ -18,7 +17,7 @@
 const Page = "docs/schema/catalogue.json"
 
 func main() {
-	text, err := schema()
+	text, err := page()
 	if err == nil {
 		err = os.WriteFile(Page, text, 0o644)
 	}
@@ -40,10 +39,8 @@
 	"Sharing":   {"shards": {0, catal.MaxShards}, "slices": {0, catal.MaxSlices}},
 }
 
-func schema() ([]byte, error) {
-	s := jsonschema.Reflect(&catal.Catalogue{})
-	s.ID = "https://chervilspan.example/schema/catalogue.json"
-	s.Title = "chervilspan catalogue"
+func page() ([]byte, error) {
+	s := schema.Of(&catal.Catalogue{}, "catalogue", "chervilspan catalogue")
 	for def, fields := range bounds {
 		for name, b := range fields {
 			p, ok := s.Definitions[def].Properties.Get(name)
@@ -59,6 +56,5 @@
 	s.Definitions["Key"].Properties.GetPair("sha256").Value.Pattern = "^[0-9a-f]{64}$"
 	// The daemon sets the version.
 	s.Definitions["Catalogue"].Required = []string{"zones"}
-	text, err := json.MarshalIndent(s, "", "  ")
-	return append(text, '\n'), err
+	return schema.Page(s)
 }
--- a/pkg/catal/gen/main_test.go
+++ b/pkg/catal/gen/main_test.go
@@ -10,9 +10,9 @@
 // TestPage guards against a schema page that differs from the types.
 func TestPage(t *testing.T) {
 	is := is.New(t)
-	want, err := schema()
+	want, err := page()
 	is.NoErr(err)
-	page, err := os.ReadFile("../../../" + Page)
+	text, err := os.ReadFile("../../../" + Page)
 	is.NoErr(err)
-	is.Equal(string(page), string(want)) // run go run ./pkg/catal/gen
+	is.Equal(string(text), string(want)) // run go run ./pkg/catal/gen
 }
--- a/standin/bench/link.go
+++ b/standin/bench/link.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/prometheus/common/expfmt"
@@ -122,7 +121,7 @@
 func (m *meter) crossings(ctx context.Context) (crossings, error) {
 	c := crossings{at: time.Now(), bytes: make([]float64, len(m.stage.f.Daemons))}
 	err := each(m.stage.f.Daemons, func(i int, d *fleet.Daemon) (err error) {
-		c.bytes[i], err = crossed(ctx, d)
+		c.bytes[i], err = crossed(ctx, m.stage.f, d)
 		return err
 	})
 	return c, err
@@ -130,22 +129,12 @@
 
 // crossed reads a daemon's counters. Bytes to a peer whose region is not known
 // yet count as bytes to another region.
-func crossed(ctx context.Context, d *fleet.Daemon) (sum float64, err error) {
+func crossed(ctx context.Context, f *fleet.Fleet, d *fleet.Daemon) (sum float64, err error) {
 	err = attempt(ctx, func(ctx context.Context) error {
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Admin+"/metrics", nil)
-		if err != nil {
+		return f.Get(ctx, d, "/metrics", func(r io.Reader) (err error) {
+			sum, err = betweenRegions(r, d.Settings.Region)
 			return err
-		}
-		res, err := http.DefaultClient.Do(req)
-		if err != nil {
-			return err
-		}
-		defer func() { _ = res.Body.Close() }()
-		if res.StatusCode != http.StatusOK {
-			return fmt.Errorf("the metrics of %s: %s", d.Settings.VM, res.Status)
-		}
-		sum, err = betweenRegions(res.Body, d.Settings.Region)
-		return err
+		})
 	})
 	return sum, err
 }
--- a/standin/bench/refusals.go
+++ b/standin/bench/refusals.go
@@ -32,8 +32,8 @@
 	}{
 		{
 			fmt.Sprintf("store_outage_%.1fs", d.Seconds()), "",
-			func() error { return m.stage.storeFaults(ctx, strsrv.Faults{Outage: true}) },
-			func() error { return m.stage.storeFaults(ctx, strsrv.Faults{}) },
+			func() error { return m.stage.f.StoreFaults(ctx, strsrv.Faults{Outage: true}) },
+			func() error { return m.stage.f.StoreFaults(ctx, strsrv.Faults{}) },
 		},
 		{
 			"zone_stopped", zone,
--- a/standin/bench/stage.go
+++ b/standin/bench/stage.go
@@ -1,13 +1,10 @@
 package bench
 
 import (
-	"bytes"
 	"context"
 	"crypto/tls"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http"
 	"os"
 	"strings"
 	"sync"
@@ -19,7 +16,6 @@
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/standin/fleet"
 	"chervilspan.example/standin/load"
-	"chervilspan.example/standin/strsrv"
 	"chervilspan.example/standin/target"
 )
 
@@ -276,27 +272,6 @@
 	return statements, reads, err
 }
 
-// storeFaults switches the store's faults.
-func (s *stage) storeFaults(ctx context.Context, f strsrv.Faults) error {
-	raw, err := json.Marshal(f)
-	if err != nil {
-		return err
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+s.f.StoreCtl+"/faults", bytes.NewReader(raw))
-	if err != nil {
-		return err
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = res.Body.Close() }()
-	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("the store's control answered %s", res.Status)
-	}
-	return nil
-}
-
 // load returns the settings of a run over all daemons, with equal weights.
 func (m *meter) load(route string, total float64, d time.Duration, writes float64) load.Config {
 	s := m.stage
--- a/standin/fleet/catalogue.go
+++ b/standin/fleet/catalogue.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"path/filepath"
 	"strings"
 	"time"
@@ -160,25 +159,9 @@
 		if d.proc == nil || d.proc.Exited() {
 			continue
 		}
-		if err := waitFor(ctx, "readiness of "+string(d.Settings.VM), func() error { return ready(ctx, d) }); err != nil {
+		if err := waitFor(ctx, "readiness of "+string(d.Settings.VM), func() error { return f.Get(ctx, d, "/readyz", nil) }); err != nil {
 			return err
 		}
 	}
 	return nil
 }
-
-func ready(ctx context.Context, d *Daemon) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Admin+"/readyz", nil)
-	if err != nil {
-		return err
-	}
-	r, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = r.Body.Close() }()
-	if r.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d", r.StatusCode)
-	}
-	return nil
-}
--- a/standin/fleet/query.go
+++ b/standin/fleet/query.go
@@ -1,15 +1,18 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5"
 
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/standin/strsrv"
 )
 
 // adminUser is the user by which a stand-in target takes administration.
@@ -61,10 +64,25 @@
 	return term, role, nil
 }
 
-// StoreFaults replaces the faults of the store's stand-in by a JSON document as
-// strsrv.Faults has it; "{}" ends all.
-func (f *Fleet) StoreFaults(ctx context.Context, doc string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+f.StoreCtl+"/faults", strings.NewReader(doc))
+// StoreFaults replaces the faults of the store's stand-in; the zero Faults ends
+// all.
+func (f *Fleet) StoreFaults(ctx context.Context, faults strsrv.Faults) error {
+	raw, err := json.Marshal(faults)
+	if err != nil {
+		return err
+	}
+	return f.request(ctx, http.MethodPut, "http://"+f.StoreCtl+"/faults", bytes.NewReader(raw), nil)
+}
+
+// Get reads a page of a daemon's admin listener.
+func (f *Fleet) Get(ctx context.Context, d *Daemon, path string, read func(io.Reader) error) error {
+	return f.request(ctx, http.MethodGet, "http://"+d.Admin+path, nil, read)
+}
+
+// request sends an HTTP request and gives the body of a good answer to read,
+// which may be nil.
+func (*Fleet) request(ctx context.Context, method, url string, body io.Reader, read func(io.Reader) error) error {
+	req, err := http.NewRequestWithContext(ctx, method, url, body)
 	if err != nil {
 		return err
 	}
@@ -74,7 +92,10 @@
 	}
 	defer func() { _ = r.Body.Close() }()
 	if r.StatusCode != http.StatusOK {
-		return fmt.Errorf("the store refused the faults: status %d", r.StatusCode)
+		return fmt.Errorf("%s %s: %s", method, req.URL.Path, r.Status)
+	}
+	if read == nil {
+		return nil
 	}
-	return nil
+	return read(r.Body)
 }
--- a/standin/procs/procs_test.go
+++ b/standin/procs/procs_test.go
@@ -18,6 +18,7 @@
 
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/standin/fleet"
+	"chervilspan.example/standin/strsrv"
 )
 
 // limit ends a test that hangs. No test depends on how long a step takes.
@@ -224,14 +225,14 @@
 // TestStoreDown guards against traffic, or a failover, that needs the store.
 func TestStoreDown(t *testing.T) {
 	r := newRig(t)
-	r.is.NoErr(r.f.StoreFaults(r.ctx, `{"outage": true}`))
+	r.is.NoErr(r.f.StoreFaults(r.ctx, strsrv.Faults{Outage: true}))
 	r.order(0, "a")
 	primary, err := r.f.Primary(r.ctx, ident.Group(route))
 	r.is.NoErr(err)
 	primary.Proc().Kill()
 	r.order(1, "b")
 	r.is.Equal(r.count(2, "%"), 2)
-	r.is.NoErr(r.f.StoreFaults(r.ctx, `{}`))
+	r.is.NoErr(r.f.StoreFaults(r.ctx, strsrv.Faults{}))
 	r.is.NoErr(r.f.Publish(r.ctx)) // edits work again
 }
 
