--- a/standin/cmd/demo/main.go
+++ b/standin/cmd/demo/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/alexflint/go-arg"
 
+	"chervilspan.example/pkg/ident"
 	"chervilspan.example/standin/fleet"
 )
 
@@ -42,14 +43,25 @@
 	fmt.Println("demo: all steps went as promised")
 }
 
-func run(ctx context.Context, keep bool) (err error) {
+func run(ctx context.Context, keep bool) error {
 	exe, err := os.Executable()
 	if err != nil {
 		return err
 	}
-	layout := fleet.Workshop()
+	bin := filepath.Dir(exe)
+	fmt.Println("association: zagreb, osijek (kontinentalna), split (jadran)")
+	if err := deploy(ctx, bin, fleet.Association(), false); err != nil {
+		return err
+	}
+	fmt.Println("workshop: bogota-norte, bogota-sur (andina), barranquilla (caribe)")
+	return deploy(ctx, bin, fleet.Workshop(), keep)
+}
+
+// deploy starts a layout with its first database group, runs the steps and
+// stops everything, with keep only after an interrupt.
+func deploy(ctx context.Context, bin string, layout fleet.Layout, keep bool) (err error) {
 	layout.Groups = layout.Groups[:1]
-	f, err := fleet.New(fleet.Config{Bin: filepath.Dir(exe), Layout: layout})
+	f, err := fleet.New(fleet.Config{Bin: bin, Layout: layout})
 	if err != nil {
 		return err
 	}
@@ -61,7 +73,7 @@
 	if err := steps(ctx, f, layout); err != nil || !keep {
 		return err
 	}
-	explain(f, filepath.Dir(exe))
+	explain(f, bin)
 	<-ctx.Done()
 	return nil
 }
@@ -69,7 +81,7 @@
 func steps(ctx context.Context, f *fleet.Fleet, layout fleet.Layout) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	s := &script{fleet: f, started: time.Now(), ws: layout.Workspaces[0], route: "taller-1"}
+	s := &script{fleet: f, started: time.Now(), ws: layout.Workspaces[0], route: ident.Route(layout.Groups[0])}
 	for _, step := range s.steps() {
 		text, err := step.run(ctx)
 		if err != nil {
