--- a/standin/procs/leave_test.go
+++ b/standin/procs/leave_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"os"
+	"strings"
 	"syscall"
 	"testing"
 
@@ -110,3 +112,30 @@
 	r.is.Equal(d.Proc().ExitCode(), 0) // no session was cut
 	r.is.Equal(r.count(1, "%"), 2)
 }
+
+// TestSecondSignal guards against an operator who cannot end a stop that waits
+// for an open transaction, and against a cut that is not counted.
+func TestSecondSignal(t *testing.T) {
+	r := newRig(t)
+	tx, err := r.connect(0).Begin(r.ctx)
+	r.is.NoErr(err)
+	_, err = tx.Exec(r.ctx, "INSERT INTO orders (id) VALUES ('cut')")
+	r.is.NoErr(err)
+	d := r.f.Daemons[0]
+	r.is.NoErr(d.Proc().Signal(syscall.SIGTERM))
+	r.until(func() error { return r.logged(d, `"event":110`) })
+	r.is.NoErr(d.Proc().Signal(syscall.SIGTERM))
+	r.is.True(d.Proc().WaitExit(limit))
+	r.is.Equal(d.Proc().ExitCode(), 1)
+	r.is.NoErr(r.logged(d, `"event":112,"name":"drain_cut","cut":1`))
+	r.is.Equal(r.count(1, "%"), 0)
+}
+
+// logged returns an error unless a daemon's log has the text.
+func (r *rig) logged(d *fleet.Daemon, text string) error {
+	log, err := os.ReadFile(d.Proc().Log)
+	if err == nil && !strings.Contains(string(log), text) {
+		err = fmt.Errorf("%s has not logged %s", d.Settings.VM, text)
+	}
+	return err
+}
--- a/standin/procs/procs_test.go
+++ b/standin/procs/procs_test.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"os"
 	"os/exec"
-	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -254,13 +253,7 @@
 	r.is.NoErr(os.WriteFile(d.File(), []byte(`{"vm": "truncated`), 0o600))
 	r.is.NoErr(r.f.Reissue(d))
 	r.is.NoErr(d.Proc().Signal(syscall.SIGHUP))
-	r.until(func() error {
-		log, err := os.ReadFile(d.Proc().Log)
-		if err == nil && !strings.Contains(string(log), `"event":121`) {
-			err = errors.New("the failed reload is not logged yet")
-		}
-		return err
-	})
+	r.until(func() error { return r.logged(d, `"event":121`) })
 	r.is.Equal(r.serial(d), second)
 	r.order(0, "served")
 }
