Bound metric labels in one place and drop what nobody calls

Three pieces bounded the values of a tag: metr.Label, which no part of the daemon called, and copies in internal/wire and internal/limit. metr.Labels now serves both, with the same bound of 200 and the same names for the rest. catal.Regions had no caller either. The tests keep their assertions; they name the bound metr.MaxLabels.

Tests of metr, wire, limit, catal and entry, lint and make demo pass.

--- a/internal/limit/observe.go
+++ b/internal/limit/observe.go
@@ -9,15 +9,13 @@
 	"github.com/uber-go/tally/v4"
 
 	"chervilspan.example/internal/evlog"
+	"chervilspan.example/internal/metr"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/quota"
 )
 
 // Bounds of what is reported.
 const (
-	// maxTagged is the number of workspaces with metrics of their own; the rest
-	// are counted under one name.
-	maxTagged = 200
 	// otherWorkspaces is not an identifier, so no workspace has this name.
 	otherWorkspaces = "(other)"
 	// refusedPeriod is the least time between two events about one workspace.
@@ -50,6 +48,7 @@
 type meter struct {
 	scope tally.Scope
 	known map[ident.Workspace]*counters
+	names metr.Labels
 }
 
 type counters struct {
@@ -58,15 +57,14 @@
 }
 
 func (m *meter) of(ws ident.Workspace) *counters {
+	m.names.Other = otherWorkspaces
+	ws = ident.Workspace(m.names.Bound(string(ws)))
 	if c := m.known[ws]; c != nil {
 		return c
 	}
 	if m.known == nil {
 		m.known = map[ident.Workspace]*counters{}
 	}
-	if len(m.known) >= maxTagged && ws != otherWorkspaces {
-		return m.of(otherWorkspaces)
-	}
 	s := m.scope.Tagged(map[string]string{"workspace": string(ws)})
 	c := &counters{
 		admitted: s.Counter("admitted"), refused: s.Counter("refused_rate"), slotRefused: s.Counter("refused_slot"),
--- a/internal/metr/metr.go
+++ b/internal/metr/metr.go
@@ -6,11 +6,12 @@
 //
 //	m := metr.New()
 //	defer m.Close()
-//	m.Scope.Tagged(map[string]string{"workspace": m.Label("workspace", ws)}).Counter("admitted").Inc(1)
+//	m.Scope.Tagged(map[string]string{"workspace": labels.Bound(ws)}).Counter("admitted").Inc(1)
 //	http.Handle("/metrics", m.Handler())
 package metr
 
 import (
+	"cmp"
 	"io"
 	"net/http"
 	"sync"
@@ -34,9 +35,6 @@
 	Scope    tally.Scope
 	closer   io.Closer
 	reporter prometheus.Reporter
-
-	mu     sync.Mutex
-	labels map[string]map[string]struct{}
 }
 
 // New starts a root scope with the prefix "chervil" and latency buckets from
@@ -55,7 +53,7 @@
 		// the daemon.
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
-	return &Metrics{Scope: scope, closer: closer, reporter: reporter, labels: map[string]map[string]struct{}{}}
+	return &Metrics{Scope: scope, closer: closer, reporter: reporter}
 }
 
 // Handler serves the metrics in Prometheus' text format.
@@ -64,21 +62,29 @@
 // Close reports a last time and stops.
 func (m *Metrics) Close() error { return m.closer.Close() }
 
-// Label returns value while the tag has at most MaxLabels values, else Other.
-func (m *Metrics) Label(tag, value string) string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	seen := m.labels[tag]
-	if seen == nil {
-		seen = map[string]struct{}{}
-		m.labels[tag] = seen
-	}
-	if _, ok := seen[value]; ok {
+// Labels bounds the values of a tag. The zero Labels is ready for use; its
+// methods may be called from several goroutines.
+type Labels struct {
+	// Other stands for the values past MaxLabels; empty means Other.
+	Other string
+
+	mu   sync.Mutex
+	seen map[string]struct{}
+}
+
+// Bound returns value while there are at most MaxLabels values, else Other.
+func (l *Labels) Bound(value string) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, ok := l.seen[value]; ok {
 		return value
 	}
-	if len(seen) >= MaxLabels {
-		return Other
+	if len(l.seen) >= MaxLabels {
+		return cmp.Or(l.Other, Other)
+	}
+	if l.seen == nil {
+		l.seen = map[string]struct{}{}
 	}
-	seen[value] = struct{}{}
+	l.seen[value] = struct{}{}
 	return value
 }
--- a/internal/metr/metr_test.go
+++ b/internal/metr/metr_test.go
@@ -13,14 +13,13 @@
 // bound.
 func TestLabel(t *testing.T) {
 	is := is.New(t)
-	m := New()
-	defer func() { is.NoErr(m.Close()) }()
+	var workspaces, classes Labels
 	for i := range MaxLabels {
-		is.True(m.Label("workspace", fmt.Sprint(i)) != Other)
+		is.True(workspaces.Bound(fmt.Sprint(i)) != Other)
 	}
-	is.Equal(m.Label("workspace", "more"), Other)
-	is.Equal(m.Label("workspace", "7"), "7")
-	is.Equal(m.Label("class", "more"), "more")
+	is.Equal(workspaces.Bound("more"), Other)
+	is.Equal(workspaces.Bound("7"), "7")
+	is.Equal(classes.Bound("more"), "more")
 }
 
 // TestHandler guards against metrics that are counted but not exposed.
--- a/internal/wire/meter.go
+++ b/internal/wire/meter.go
@@ -6,18 +6,12 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"chervilspan.example/internal/metr"
 	"chervilspan.example/pkg/access"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/retry"
 )
 
-const (
-	// maxWorkspaces bounds the workspaces with metrics of their own; the rest
-	// share the label other.
-	maxWorkspaces = 200
-	otherLabel    = "other"
-)
-
 // latencyBuckets reach from 100 µs to 13 s, each twice the one before.
 var latencyBuckets = tally.MustMakeExponentialDurationBuckets(100*time.Microsecond, 2, 18)
 
@@ -26,7 +20,7 @@
 	scope tally.Scope
 	mu    sync.Mutex
 	rows  map[label]*row
-	names map[ident.Workspace]bool
+	names metr.Labels
 }
 
 type label struct {
@@ -43,7 +37,7 @@
 }
 
 func newMeter(scope tally.Scope) *meter {
-	return &meter{scope: scope, rows: map[label]*row{}, names: map[ident.Workspace]bool{}}
+	return &meter{scope: scope, rows: map[label]*row{}}
 }
 
 func (m *meter) count(name string) { m.scope.Counter(name).Inc(1) }
@@ -52,14 +46,7 @@
 func (m *meter) row(g access.Grant) *row {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	l := label{g.Workspace, g.Class}
-	if !m.names[l.workspace] {
-		if len(m.names) >= maxWorkspaces {
-			l.workspace = otherLabel
-		} else {
-			m.names[l.workspace] = true
-		}
-	}
+	l := label{ident.Workspace(m.names.Bound(string(g.Workspace))), g.Class}
 	if r := m.rows[l]; r != nil {
 		return r
 	}
--- a/pkg/catal/change.go
+++ b/pkg/catal/change.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-
-	"chervilspan.example/pkg/ident"
 )
 
 // ValidateChange returns every rule that the step from old to next breaks.
@@ -74,12 +72,3 @@
 		v.add("/sharing/slices", fmt.Sprintf("changes from %d to %d", was.SliceCount(), s.SliceCount()), allowed)
 	}
 }
-
-// Regions returns the region of each zone.
-func (c *Catalogue) Regions() map[ident.Zone]ident.Region {
-	out := make(map[ident.Zone]ident.Region, len(c.Zones))
-	for id, z := range c.Zones {
-		out[id] = z.Region
-	}
-	return out
-}
