--- /dev/null
+++ b/internal/dbpool/conn.go
@@ -0,0 +1,136 @@
+package dbpool
+
+import (
+	"time"
+
+	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/roster"
+)
+
+// Status is what a database says of itself.
+type Status struct {
+	Primary bool
+	// Term is the highest that the database has heard of.
+	Term ident.Term
+	// Received is the position of the last log entry, which may not be applied.
+	Received ident.Position
+	// Fenced is the term below which the database refuses log entries; 0 means
+	// none.
+	Fenced ident.Term
+}
+
+// Link is an open connection as the codec has it. It is used by one goroutine
+// at a time.
+type Link interface {
+	// Exchange sends statements in one piece and returns an answer for each.
+	// With an error the connection is of no further use.
+	Exchange(deadline time.Time, sts ...dbop.Statement) ([]dbop.Answer, error)
+	// Control sends a Status, Fence, Unfence or Demote. The Status is set when
+	// the answer's code is OK.
+	Control(deadline time.Time, st dbop.Statement) (Status, dbop.Answer, error)
+	Close() error
+}
+
+// Dialer opens connections.
+type Dialer interface {
+	// Dial connects to a database for a workspace; "" stands for the proxy
+	// itself. A Code other than OK in the answer is the database's refusal.
+	Dial(deadline time.Time, m *roster.Member, ws ident.Workspace) (Link, dbop.Answer, error)
+}
+
+// Conn is a connection that its user has to Release. It is used by one
+// goroutine at a time.
+type Conn struct {
+	pool *pool
+	link Link
+	// Target, Group and Workspace are those of the connection.
+	Target    ident.Target
+	Group     ident.Group
+	Workspace ident.Workspace
+
+	// Vars and Names are the session variables and prepared names in force.
+	Vars  map[string]string
+	Names map[string]bool
+	// state after the last answer.
+	state dbop.State
+	// answered is when the last answer was complete.
+	answered time.Time
+	broken   bool
+	// owner is the session that used the connection last.
+	owner any
+}
+
+// State returns the state after the last answer.
+func (c *Conn) State() dbop.State { return c.state }
+
+// Quiet returns the time since the last answer.
+func (c *Conn) Quiet() time.Duration { return time.Since(c.answered) }
+
+// Do runs statements and keeps track of what they change on the connection. An
+// *Error of kind KindBroken means that the answers after the returned ones are
+// not known.
+func (c *Conn) Do(deadline time.Time, sts ...dbop.Statement) ([]dbop.Answer, error) {
+	answers, err := c.link.Exchange(deadline, sts...)
+	for i := range answers {
+		c.note(&sts[i], &answers[i])
+	}
+	if err != nil {
+		c.broken = true
+		return answers, &Error{Op: "run", Kind: KindBroken, Target: c.Target, Err: err}
+	}
+	c.answered = time.Now()
+	return answers, nil
+}
+
+// Control sends a statement about the database itself.
+func (c *Conn) Control(deadline time.Time, st dbop.Statement) (Status, dbop.Answer, error) {
+	s, a, err := c.link.Control(deadline, st)
+	if err != nil {
+		c.broken = true
+		return s, a, &Error{Op: "control", Kind: KindBroken, Target: c.Target, Err: err}
+	}
+	c.answered = time.Now()
+	return s, a, nil
+}
+
+func (c *Conn) note(st *dbop.Statement, a *dbop.Answer) {
+	c.state = a.State
+	if a.Code != dbop.OK {
+		if a.Code == dbop.NoStatement && st.Kind == dbop.Execute {
+			delete(c.Names, st.Name)
+		}
+		return
+	}
+	switch st.Kind {
+	case dbop.Set:
+		if c.Vars == nil {
+			c.Vars = map[string]string{}
+		}
+		c.Vars[st.Name] = st.Arg
+	case dbop.Prepare:
+		if c.Names == nil {
+			c.Names = map[string]bool{}
+		}
+		c.Names[st.Name] = true
+	case dbop.Reset:
+		clear(c.Vars)
+		clear(c.Names)
+	}
+}
+
+// Release gives the connection back. It is closed unless it is idle, complete
+// and healthy is set.
+func (c *Conn) Release(healthy bool) {
+	c.pool.put(c, healthy && !c.broken && c.state == dbop.Idle)
+}
+
+// Rollback ends an open transaction and gives the connection back.
+func (c *Conn) Rollback(deadline time.Time) {
+	if c.broken || c.state == dbop.Idle {
+		c.Release(true)
+		return
+	}
+	_, err := c.Do(deadline, dbop.Statement{Kind: dbop.Rollback})
+	c.Release(err == nil)
+}
--- /dev/null
+++ b/internal/dbpool/pools.go
@@ -0,0 +1,121 @@
+package dbpool
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/roster"
+)
+
+// Pools has the connections of one VM to all databases. Its fields are set
+// before the first use; its methods may be called from several goroutines.
+type Pools struct {
+	Dialer Dialer
+	Roster *roster.Table
+	// Limit returns the number of connections that this VM may have to one
+	// database of a group.
+	Limit func(ident.Group) int
+
+	// Dials counts attempts to open a connection.
+	Dials atomic.Uint64
+
+	mu    sync.Mutex
+	pools map[key]*pool
+}
+
+// key names a process of a database: one that starts again has none of the
+// former's connections.
+type key struct {
+	target  ident.Target
+	address string
+	born    int64
+}
+
+// Get returns a connection of a workspace to a database; "" takes a connection
+// of any. owner is preferred to get the connection that it used last. It
+// returns an *Error when there is none by the deadline; nothing was run then.
+func (s *Pools) Get(deadline time.Time, m *roster.Member, ws ident.Workspace, owner any) (*Conn, error) {
+	return s.of(m).get(deadline, ws, owner)
+}
+
+func (s *Pools) of(m *roster.Member) *pool {
+	k := key{m.ID, m.Address, m.Born}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.pools[k]
+	if p == nil {
+		if s.pools == nil {
+			s.pools = map[key]*pool{}
+		}
+		p = &pool{parent: s, member: *m}
+		s.pools[k] = p
+	}
+	return p
+}
+
+func (s *Pools) noteDial(m *roster.Member, code dbop.Code, err error) {
+	s.Dials.Add(1)
+	switch {
+	case err != nil || code == dbop.WrongTarget:
+		s.Roster.Fail(m.Group, m.ID, time.Now())
+	case code == dbop.OK:
+		s.Roster.Reach(m.Group, m.ID)
+	}
+}
+
+// Load is what this VM does at a database.
+type Load struct {
+	// Busy is the number of connections in use, Waiting the number of requests
+	// that wait for one.
+	Busy, Waiting int
+	// Idle tells that a connection of the workspace is free.
+	Idle bool
+	// Full tells that no further connection may be opened.
+	Full bool
+}
+
+// Load returns the load of a database as a request of the workspace sees it.
+func (s *Pools) Load(m *roster.Member, ws ident.Workspace) Load {
+	p := s.of(m)
+	limit := s.Limit(m.Group)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l := Load{Busy: p.busy, Waiting: len(p.wait), Full: p.open >= limit && len(p.idle) == 0}
+	for _, c := range p.idle {
+		l.Idle = l.Idle || c.Workspace == ws
+	}
+	return l
+}
+
+// Drop closes the idle connections to a database.
+func (s *Pools) Drop(m *roster.Member) { s.of(m).drop() }
+
+// Sweep closes connections that were idle for long, and the pools of databases
+// that keep reports false for.
+func (s *Pools) Sweep(keep func(ident.Group, ident.Target, string, int64) bool) {
+	s.mu.Lock()
+	var gone, stay []*pool
+	for k, p := range s.pools {
+		if keep(p.member.Group, k.target, k.address, k.born) {
+			stay = append(stay, p)
+			continue
+		}
+		gone = append(gone, p)
+		delete(s.pools, k)
+	}
+	s.mu.Unlock()
+	for _, p := range gone {
+		p.close()
+	}
+	for _, p := range stay {
+		p.sweep()
+	}
+}
+
+// Close closes all pools.
+func (s *Pools) Close() {
+	s.Sweep(func(ident.Group, ident.Target, string, int64) bool { return false })
+}
--- /dev/null
+++ b/internal/disco/disco.go
@@ -0,0 +1,110 @@
+// Package disco reads the list of databases from the platform's store into the
+// roster.
+//
+// # Usage
+//
+//	d := &disco.Poller{Store: s, Prefix: "targets/", Decode: decode, Roster: &table}
+//	go d.Run(ctx)
+package disco
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chervilspan.example/internal/evlog"
+	"chervilspan.example/pkg/roster"
+	"chervilspan.example/pkg/store"
+)
+
+const (
+	// period of reading the list, changed by up to a tenth. Every fullEvery-th
+	// read is not a stale one, so that a leaving database is known in time even
+	// when stale answers are seconds old.
+	period    = 700 * time.Millisecond
+	fullEvery = 3
+	// callTimeout bounds a read.
+	callTimeout = time.Second
+)
+
+// Poller reads the list. Its fields are set before Run.
+type Poller struct {
+	Store  store.Store
+	Prefix string
+	Decode func(key string, value []byte) (roster.Entry, error)
+	Roster *roster.Table
+	Log    zerolog.Logger
+
+	down    bool
+	skipped map[string]store.Revision
+}
+
+// Run reads until ctx ends.
+func (p *Poller) Run(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		p.read(ctx, n%fullEvery != 0)
+		t := time.NewTimer(period*9/10 + rand.N(period/5))
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (p *Poller) read(ctx context.Context, stale bool) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	list := p.Store.List
+	if s, ok := p.Store.(store.StaleLister); ok && stale {
+		list = s.ListStale
+	}
+	entries, err := list(ctx, p.Prefix)
+	now := time.Now()
+	p.note(err)
+	if err != nil {
+		p.Roster.NoteOutage(now)
+		return
+	}
+	out := make([]roster.Entry, 0, len(entries))
+	for _, e := range entries {
+		r, err := p.Decode(e.Key, e.Value)
+		if err != nil {
+			p.skip(e, err)
+			continue
+		}
+		out = append(out, r)
+	}
+	if stale {
+		// A stale list may lack what was added and have what was removed.
+		p.Roster.Merge(out, now)
+		return
+	}
+	p.Roster.Update(out, now)
+}
+
+// skip logs an entry that can't be read, once for each of its values.
+func (p *Poller) skip(e store.Entry, err error) {
+	if p.skipped[e.Key] == e.Revision {
+		return
+	}
+	if p.skipped == nil {
+		p.skipped = map[string]store.Revision{}
+	}
+	p.skipped[e.Key] = e.Revision
+	evlog.At(p.Log, evlog.EntrySkipped).Str("key", e.Key).Err(err).Send()
+}
+
+func (p *Poller) note(err error) {
+	if (err != nil) == p.down {
+		return
+	}
+	p.down = err != nil
+	if err != nil {
+		evlog.At(p.Log, evlog.TargetsUnlisted).Err(err).Send()
+		return
+	}
+	evlog.At(p.Log, evlog.TargetsListed).Send()
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,263 @@
+// Package fleet knows the other VMs of a deployment through the platform's
+// store: each VM keeps an entry under a lease and lists those of the others.
+//
+// The list lags by the length of the lease after a VM's death; nothing that has
+// to be safe depends on it.
+//
+// # Usage
+//
+//	f := fleet.New(fleet.Config{Self: info, Store: s, Seeds: seeds})
+//	go f.Run(ctx)
+//	vms := f.Live()
+package fleet
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chervilspan.example/internal/evlog"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/member"
+	"chervilspan.example/pkg/rendez"
+	"chervilspan.example/pkg/store"
+)
+
+const (
+	prefix = "vm/"
+	// leaseTTL is how long a dead VM stays in the list.
+	leaseTTL = 10 * time.Second
+	// period of renewing and listing, changed by up to a fifth.
+	period = 2500 * time.Millisecond
+	// startPeriod applies for startTime, in which the other VMs start too.
+	startPeriod = 400 * time.Millisecond
+	startTime   = 3 * time.Second
+	callTimeout = time.Second
+)
+
+// Config has the parts of a Fleet.
+type Config struct {
+	// Self describes this VM; Address is that of its peer service.
+	Self  member.Info
+	Store store.Store
+	// Seeds are addresses of peer services, which may be stale.
+	Seeds []string
+	Log   zerolog.Logger
+}
+
+// record is the value of a VM's key.
+type record struct {
+	VM      ident.VM     `json:"vm"`
+	Zone    ident.Zone   `json:"zone"`
+	Region  ident.Region `json:"region"`
+	Address string       `json:"address"`
+	Leaving bool         `json:"leaving,omitempty"`
+}
+
+// Fleet has the list of VMs. Its methods may be called from several goroutines.
+type Fleet struct {
+	cfg Config
+
+	mu    sync.Mutex
+	live  []member.Info
+	lease store.LeaseID
+	// listed tells that the list was read once.
+	listed bool
+}
+
+// New returns a Fleet that knows only this VM.
+func New(cfg Config) *Fleet { return &Fleet{cfg: cfg, live: []member.Info{cfg.Self}} }
+
+// Self returns this VM.
+func (f *Fleet) Self() member.Info { return f.cfg.Self }
+
+// Live returns the VMs of the last list in the order of their names, this one
+// included.
+func (f *Fleet) Live() []member.Info {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.live
+}
+
+// Listed reports whether the list has been read.
+func (f *Fleet) Listed() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed
+}
+
+// Addresses returns the peer addresses of the other VMs, and the seeds while no
+// other is known.
+func (f *Fleet) Addresses() []string {
+	var out []string
+	for _, m := range f.Live() {
+		if m.VM != f.cfg.Self.VM {
+			out = append(out, m.Address)
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	for _, s := range f.cfg.Seeds {
+		if s != f.cfg.Self.Address {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// Address returns the peer address of a VM; "" when it is not known.
+func (f *Fleet) Address(vm ident.VM) string {
+	for _, m := range f.Live() {
+		if m.VM == vm {
+			return m.Address
+		}
+	}
+	return ""
+}
+
+// Rank returns the number of VMs that come before this one in the order for a
+// name. Those in the home region come first.
+func (f *Fleet) Rank(name string, home ident.Region) int {
+	var near, far []ident.VM
+	for _, m := range f.Live() {
+		if m.Region == home {
+			near = append(near, m.VM)
+		} else {
+			far = append(far, m.VM)
+		}
+	}
+	order := append(rendez.Rank(name, near), rendez.Rank(name, far)...)
+	return max(0, slices.Index(order, f.cfg.Self.VM))
+}
+
+// Run keeps the entry and the list until ctx ends.
+func (f *Fleet) Run(ctx context.Context) {
+	start := time.Now()
+	down := false
+	for ctx.Err() == nil {
+		err := f.round(ctx)
+		if (err != nil) != down && ctx.Err() == nil {
+			down = err != nil
+			f.logStore(err)
+		}
+		d := period*4/5 + rand.N(period*2/5)
+		if time.Since(start) < startTime {
+			d = startPeriod
+		}
+		t := time.NewTimer(d)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+func (f *Fleet) round(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := f.keep(ctx); err != nil {
+		return err
+	}
+	return f.list(ctx)
+}
+
+// keep renews the lease, or writes the entry under a new one.
+func (f *Fleet) keep(ctx context.Context) error {
+	f.mu.Lock()
+	lease := f.lease
+	f.mu.Unlock()
+	if lease != 0 {
+		ok, err := f.cfg.Store.RenewLease(ctx, lease)
+		if err != nil || ok {
+			return err
+		}
+	}
+	lease, err := f.cfg.Store.GrantLease(ctx, leaseTTL)
+	if err != nil {
+		return err
+	}
+	if err := f.write(ctx, lease, false); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lease = lease
+	return nil
+}
+
+// write puts the entry in place of that of a former process of this VM.
+func (f *Fleet) write(ctx context.Context, lease store.LeaseID, leaving bool) error {
+	s := f.cfg.Self
+	value, err := json.Marshal(record{s.VM, s.Zone, s.Region, s.Address, leaving})
+	if err != nil {
+		return err
+	}
+	w := store.Write{Key: prefix + string(s.VM), Value: value, Lease: lease}
+	for {
+		res, err := store.Swap(ctx, f.cfg.Store, w)
+		if err != nil || res.Done {
+			return err
+		}
+		w.Expected = res.Current.Revision
+	}
+}
+
+func (f *Fleet) list(ctx context.Context) error {
+	read := f.cfg.Store.List
+	if s, ok := f.cfg.Store.(store.StaleLister); ok {
+		read = s.ListStale
+	}
+	entries, err := read(ctx, prefix)
+	if err != nil {
+		return err
+	}
+	live := []member.Info{f.cfg.Self}
+	for _, e := range entries {
+		var r record
+		plain, err := store.Plain(e)
+		if err == nil {
+			err = json.Unmarshal(plain.Value, &r)
+		}
+		if err != nil {
+			evlog.At(f.cfg.Log, evlog.EntrySkipped).Str("key", e.Key).Err(err).Send()
+			continue
+		}
+		if r.VM != f.cfg.Self.VM && !r.Leaving {
+			live = append(live, member.Info{VM: r.VM, Zone: r.Zone, Region: r.Region, Address: r.Address})
+		}
+	}
+	slices.SortFunc(live, func(a, b member.Info) int { return cmp.Compare(a.VM, b.VM) })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.live, f.listed = live, true
+	return nil
+}
+
+// Leave ends the entry, on a planned stop.
+func (f *Fleet) Leave(ctx context.Context) {
+	f.mu.Lock()
+	lease := f.lease
+	f.mu.Unlock()
+	if lease == 0 {
+		return
+	}
+	if err := f.cfg.Store.RevokeLease(ctx, lease); err != nil {
+		f.logStore(err)
+	}
+}
+
+func (f *Fleet) logStore(err error) {
+	if err == nil {
+		evlog.At(f.cfg.Log, evlog.FleetListed).Int("vms", len(f.Live())).Send()
+		return
+	}
+	evlog.At(f.cfg.Log, evlog.FleetUnlisted).Err(err).Send()
+}
--- /dev/null
+++ b/internal/lead/lead.go
@@ -0,0 +1,281 @@
+package lead
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/posn"
+	"chervilspan.example/pkg/roster"
+	"chervilspan.example/pkg/store"
+)
+
+// Verdict is the platform's answer to a promotion.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Promoted means that the database will lead, or leads already.
+	Promoted Verdict = iota + 1
+	// Refused means that a higher token was seen, or that the database does not
+	// run. The token must not be used again.
+	Refused
+)
+
+// Promoter asks the platform to make a database the primary of its group. An
+// error means that no answer came: the call may be carried out later.
+type Promoter interface {
+	Promote(ctx context.Context, g ident.Group, id ident.Target, token store.Revision) (Verdict, error)
+}
+
+// Peers asks other VMs. Reaches reports whether one of them had a sign of the
+// database's lead within the given time.
+type Peers interface {
+	Reaches(ctx context.Context, g ident.Group, id ident.Target) bool
+}
+
+// Config has the parts of Leads. Peers and Rank may be nil.
+type Config struct {
+	VM       ident.VM
+	Roster   *roster.Table
+	Pools    *dbpool.Pools
+	Store    store.Store
+	Promoter Promoter
+	Peers    Peers
+	// Rank returns how many VMs are to act before this one on a group.
+	Rank func(ident.Group) int
+	// Region returns the region of a zone; Home is the one that is preferred
+	// for primaries.
+	Region func(ident.Zone) ident.Region
+	Home   ident.Region
+	Log    zerolog.Logger
+}
+
+// Leads knows the primaries of groups. Its methods may be called from several
+// goroutines.
+type Leads struct {
+	cfg Config
+
+	mu     sync.Mutex
+	groups map[ident.Group]*state
+	ctx    context.Context
+	wg     sync.WaitGroup
+}
+
+// state is what is known of one group.
+type state struct {
+	id    ident.Group
+	track posn.Track
+	kick  chan struct{}
+
+	mu sync.Mutex
+	// confirmed is when the lead of leader was last shown.
+	confirmed time.Time
+	leader    ident.Target
+	// failing is when the primary first failed to answer since then, and dials
+	// the number of connections that could not be made.
+	failing time.Time
+	dials   int
+	// stalls counts writes without an answer since the last one with one.
+	stalls int
+	// changed is closed at the next sign of a lead.
+	changed chan struct{}
+}
+
+// New returns Leads without groups.
+func New(cfg Config) *Leads {
+	if cfg.Rank == nil {
+		cfg.Rank = func(ident.Group) int { return 0 }
+	}
+	if cfg.Region == nil {
+		cfg.Region = func(ident.Zone) ident.Region { return "" }
+	}
+	return &Leads{cfg: cfg, groups: map[ident.Group]*state{}}
+}
+
+// Run watches groups until ctx ends. Watch adds groups.
+func (l *Leads) Run(ctx context.Context) {
+	l.mu.Lock()
+	l.ctx = ctx
+	for _, st := range l.groups {
+		l.start(st)
+	}
+	l.mu.Unlock()
+	<-ctx.Done()
+	l.wg.Wait()
+}
+
+// Watch adds the groups that are not watched yet.
+func (l *Leads) Watch(groups []ident.Group) {
+	for _, g := range groups {
+		l.state(g)
+	}
+}
+
+func (l *Leads) state(g ident.Group) *state {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	st := l.groups[g]
+	if st == nil {
+		st = &state{id: g, kick: make(chan struct{}, 1)}
+		l.groups[g] = st
+		if l.ctx != nil {
+			l.start(st)
+		}
+	}
+	return st
+}
+
+// start runs a group's monitor. The caller holds l.mu.
+func (l *Leads) start(st *state) {
+	if l.ctx.Err() != nil {
+		return
+	}
+	ctx := l.ctx
+	l.wg.Go(func() { l.monitor(ctx, st) })
+}
+
+// Await implements engine.Leads.
+func (l *Leads) Await(deadline time.Time, g ident.Group) (roster.Member, bool) {
+	st := l.state(g)
+	for {
+		changed, moved := st.waiter(), l.cfg.Roster.Changed()
+		if id, ok := l.cfg.Roster.Primary(g); ok && !st.down() {
+			return l.cfg.Roster.Member(g, id)
+		}
+		st.wake()
+		d := time.Until(deadline)
+		if d <= 0 {
+			return roster.Member{}, false
+		}
+		t := time.NewTimer(d)
+		select {
+		case <-changed:
+		case <-moved:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// Covering implements engine.Leads.
+func (l *Leads) Covering(deadline time.Time, g ident.Group, since time.Time) (ident.Position, bool) {
+	st := l.state(g)
+	for {
+		changed := st.waiter()
+		if pos, ok := st.track.Covering(since); ok {
+			return pos, true
+		}
+		st.wake()
+		d := time.Until(deadline)
+		if d <= 0 {
+			return ident.Position{}, false
+		}
+		t := time.NewTimer(d)
+		select {
+		case <-changed:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// Confirm implements engine.Leads. A zero position confirms only the lead.
+func (l *Leads) Confirm(g ident.Group, id ident.Target, pos ident.Position, sent time.Time) {
+	st := l.state(g)
+	if !pos.IsZero() {
+		st.track.Confirm(pos, sent)
+	}
+	if l.cfg.Roster.Confirm(g, id) {
+		l.logLearned(g, id, pos)
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.leader != id {
+		st.stalls = 0
+	}
+	st.leader, st.confirmed = id, time.Now()
+	st.failing, st.dials = time.Time{}, 0
+	if st.changed != nil {
+		close(st.changed)
+		st.changed = nil
+	}
+}
+
+// Depose implements engine.Leads.
+func (l *Leads) Depose(g ident.Group, id ident.Target) {
+	if l.cfg.Roster.Depose(g, id, time.Now()) {
+		l.logDeposed(g, id)
+	}
+	l.state(g).wake()
+}
+
+// Doubt implements engine.Leads.
+func (l *Leads) Doubt(g ident.Group, id ident.Target) {
+	if leader, ok := l.cfg.Roster.Primary(g); !ok || leader != id {
+		return
+	}
+	l.state(g).wake()
+}
+
+// Stalled implements engine.Leads.
+func (l *Leads) Stalled(g ident.Group, id ident.Target) {
+	st := l.state(g)
+	st.mu.Lock()
+	if st.leader == id {
+		st.stalls++
+	}
+	st.mu.Unlock()
+	st.wake()
+}
+
+// Wrote implements engine.Leads.
+func (l *Leads) Wrote(g ident.Group, id ident.Target) {
+	st := l.state(g)
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.leader == id {
+		st.stalls = 0
+	}
+}
+
+// freshLead is the age up to which a sign of a lead counts for other VMs.
+const freshLead = 800 * time.Millisecond
+
+// Heard returns the database whose lead was shown within freshLead, or "".
+func (l *Leads) Heard(g ident.Group) ident.Target {
+	st := l.state(g)
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.failing.IsZero() && time.Since(st.confirmed) < freshLead {
+		return st.leader
+	}
+	return ""
+}
+
+func (st *state) waiter() <-chan struct{} {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.changed == nil {
+		st.changed = make(chan struct{})
+	}
+	return st.changed
+}
+
+func (st *state) wake() {
+	select {
+	case st.kick <- struct{}{}:
+	default:
+	}
+}
+
+// down reports whether no connection to the primary could be made lately.
+func (st *state) down() bool {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	return st.dials > 0
+}
--- /dev/null
+++ b/internal/lead/monitor.go
@@ -0,0 +1,234 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/roster"
+	"chervilspan.example/pkg/uptime"
+)
+
+// Periods of the monitor.
+const (
+	tick = 150 * time.Millisecond
+	// leastTick separates two rounds that callers ask for.
+	leastTick = 30 * time.Millisecond
+	// quietLead is how long no statement has shown the lead before it is asked
+	// for.
+	quietLead = 500 * time.Millisecond
+	// probeTimeout bounds an answer. It is above a round trip between regions
+	// and the wait for a slot by a new connection.
+	probeTimeout = 300 * time.Millisecond
+	// silentAfter is how long a primary is silent before it counts as lost.
+	silentAfter = 600 * time.Millisecond
+	// stallsNeeded is the number of writes in a row without an answer after
+	// which a primary that answers otherwise counts as cut off from its replicas.
+	stallsNeeded = 2
+	// goneAfter is how long the list lacks the primary before it is replaced.
+	goneAfter = 300 * time.Millisecond
+	// leaderless is how long no database accepts writes before one is promoted.
+	leaderless = 1500 * time.Millisecond
+	// rankDelay separates the VMs that act on the same failure.
+	rankDelay = 120 * time.Millisecond
+	maxRank   = 5
+	// retryPause is the wait after a promotion that was not possible.
+	retryPause = 250 * time.Millisecond
+	// claimedPause is the wait while another VM decides. Each look costs calls.
+	claimedPause = 800 * time.Millisecond
+)
+
+// reason says why a group needs another primary; empty for none.
+type reason string
+
+const (
+	reasonSilent  reason = "silent"
+	reasonStalled reason = "stalled"
+	reasonLeaving reason = "leaving"
+	reasonGone    reason = "gone"
+	reasonNone    reason = "none"
+)
+
+// monitor watches one group until ctx ends.
+func (l *Leads) monitor(ctx context.Context, st *state) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	var since, held time.Time
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		case <-st.kick:
+			if !pause(ctx, leastTick) {
+				return
+			}
+		}
+		l.look(ctx, st, &since)
+		why := l.need(st, since)
+		if why == "" || time.Now().Before(held) {
+			continue
+		}
+		held = time.Now().Add(l.act(ctx, st, why, since))
+	}
+}
+
+// look asks the primary, or all databases while none is known. since is when
+// the group was first found without a primary.
+func (l *Leads) look(ctx context.Context, st *state, since *time.Time) {
+	id, ok := l.cfg.Roster.Primary(st.id)
+	if ok {
+		*since = time.Time{}
+		st.mu.Lock()
+		quiet := time.Since(st.confirmed) > quietLead || !st.failing.IsZero() || st.changed != nil
+		st.mu.Unlock()
+		if m, known := l.cfg.Roster.Member(st.id, id); known && quiet {
+			l.probe(st, &m)
+		}
+		if _, ok = l.cfg.Roster.Primary(st.id); ok {
+			return
+		}
+	}
+	if since.IsZero() {
+		*since = time.Now()
+	}
+	l.locate(ctx, st)
+}
+
+// locate asks every database of the group.
+func (l *Leads) locate(_ context.Context, st *state) {
+	var wg sync.WaitGroup
+	now := time.Now()
+	for _, m := range l.cfg.Roster.All(st.id) {
+		if m.Missing.IsZero() && m.Reachable(now) {
+			wg.Go(func() { l.probe(st, &m) })
+		}
+	}
+	wg.Wait()
+}
+
+// probe asks a database whether it has the lead.
+func (l *Leads) probe(st *state, m *roster.Member) {
+	code, err := l.ask(st, m)
+	leader, _ := l.cfg.Roster.Primary(st.id)
+	switch {
+	case err == nil && code == dbop.ReadOnly:
+		l.Depose(st.id, m.ID)
+	case err != nil && leader == m.ID:
+		st.noteFailure(err)
+	}
+}
+
+// ask starts and ends a writing transaction, which takes no slot.
+func (l *Leads) ask(st *state, m *roster.Member) (dbop.Code, error) {
+	deadline := time.Now().Add(probeTimeout)
+	conn, err := l.cfg.Pools.Get(deadline, m, "", nil)
+	if err != nil {
+		return dbop.Unknown, err
+	}
+	sent := uptime.Now()
+	answers, err := conn.Do(time.Now().Add(probeTimeout), dbop.Statement{Kind: dbop.Begin}, dbop.Statement{Kind: dbop.Rollback})
+	if err != nil {
+		conn.Release(false)
+		l.cfg.Pools.Drop(m)
+		return dbop.Unknown, err
+	}
+	conn.Release(true)
+	if answers[0].Code == dbop.OK {
+		l.Confirm(st.id, m.ID, answers[0].Position, sent)
+	}
+	return answers[0].Code, nil
+}
+
+// noteFailure counts what speaks for the loss of the primary. A pool without a
+// free connection does not.
+func (st *state) noteFailure(err error) {
+	var e *dbpool.Error
+	if !errors.As(err, &e) || e.Kind == dbpool.KindWait || e.Kind == dbpool.KindRefused && e.Code != dbop.WrongTarget {
+		return
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if st.failing.IsZero() {
+		st.failing = time.Now()
+	}
+	if e.Kind == dbpool.KindUnreachable || e.Kind == dbpool.KindRefused {
+		st.dials++
+	}
+	st.wake()
+}
+
+// need returns why the group needs another primary.
+func (l *Leads) need(st *state, since time.Time) reason {
+	now := time.Now()
+	id, ok := l.cfg.Roster.Primary(st.id)
+	if !ok {
+		if !since.IsZero() && now.Sub(since) > leaderless && len(l.cfg.Roster.All(st.id)) > 0 {
+			return reasonNone
+		}
+		return ""
+	}
+	m, _ := l.cfg.Roster.Member(st.id, id)
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	switch {
+	case !m.Missing.IsZero() && now.Sub(m.Missing) > goneAfter:
+		return reasonGone
+	case m.Leaving:
+		return reasonLeaving
+	case st.dials > 0 && now.Sub(st.failing) > silentAfter:
+		return reasonSilent
+	case st.stalls >= stallsNeeded && st.leader == id:
+		return reasonStalled
+	}
+	return ""
+}
+
+// act has another database promoted, and returns how long to wait before the
+// next attempt.
+func (l *Leads) act(ctx context.Context, st *state, why reason, since time.Time) time.Duration {
+	rank := min(l.cfg.Rank(st.id), maxRank)
+	if rank > 0 && !pause(ctx, time.Duration(rank)*rankDelay) {
+		return retryPause
+	}
+	l.look(ctx, st, &since)
+	if l.need(st, since) != why {
+		return 0
+	}
+	old := l.cfg.Roster.LastPrimary(st.id)
+	if why == reasonSilent && l.reached(ctx, st.id, old) {
+		l.logRefuted(st.id, old)
+		return retryPause
+	}
+	l.logSuspected(st.id, old, why)
+	if err := l.takeover(ctx, st, old); err != nil {
+		l.logAbandoned(st.id, err)
+		var e *Error
+		if errors.As(err, &e) && e.Kind == KindClaimed {
+			return claimedPause
+		}
+		return retryPause
+	}
+	return 0
+}
+
+// reached reports whether another VM hears from the primary: then only this VM
+// is cut off from it.
+func (l *Leads) reached(ctx context.Context, g ident.Group, id ident.Target) bool {
+	return l.cfg.Peers != nil && l.cfg.Peers.Reaches(ctx, g, id)
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/lead/takeover.go
@@ -0,0 +1,224 @@
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"sync"
+	"time"
+
+	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/roster"
+	"chervilspan.example/pkg/store"
+	"chervilspan.example/pkg/uptime"
+)
+
+const (
+	// claimTTL is the length of a claim. A VM that dies with one delays its
+	// successor by as much.
+	claimTTL = 5 * time.Second
+	// claimMargin is left of a claim when the last call is sent.
+	claimMargin = time.Second
+	// callTimeout bounds a call to the store or the platform.
+	callTimeout = time.Second
+	// controlTimeout bounds the answer of one database.
+	controlTimeout = 400 * time.Millisecond
+	// leadTimeout bounds the wait for the promoted database to lead.
+	leadTimeout = 3 * time.Second
+	leadPoll    = 50 * time.Millisecond
+)
+
+// claim is the value of the store key of a decision.
+type claim struct {
+	VM   ident.VM     `json:"vm"`
+	From ident.Target `json:"from"`
+}
+
+// decision is a claim that this VM holds.
+type decision struct {
+	lease store.LeaseID
+	token store.Revision
+	// until is the end of the claim, by package uptime.
+	until time.Time
+	// called tells that a promotion was asked for.
+	called bool
+}
+
+func (d *decision) valid() bool { return uptime.Now().Before(d.until.Add(-claimMargin)) }
+
+// takeover replaces the primary. Without an error the new primary leads.
+func (l *Leads) takeover(ctx context.Context, st *state, old ident.Target) error {
+	d, err := l.claim(ctx, st.id, old)
+	if err != nil {
+		return err
+	}
+	defer l.release(d)
+	best, fenced, err := l.fence(st, old, d)
+	if err != nil {
+		if !d.called {
+			l.unfence(fenced)
+		}
+		return err
+	}
+	if err := l.promote(ctx, st.id, best, d); err != nil {
+		if !d.called {
+			l.unfence(fenced)
+		}
+		return err
+	}
+	l.cfg.Roster.Depose(st.id, old, time.Now())
+	l.awaitLead(ctx, st, best)
+	l.logElected(st.id, best.ID, old, d.token)
+	return nil
+}
+
+// claim takes the right to decide about a group.
+func (l *Leads) claim(ctx context.Context, g ident.Group, old ident.Target) (*decision, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := uptime.Now()
+	lease, err := l.cfg.Store.GrantLease(ctx, claimTTL)
+	if err != nil {
+		return nil, &Error{Op: "claim", Kind: KindStore, Group: g, Err: err}
+	}
+	d := &decision{lease: lease, until: sent.Add(claimTTL)}
+	value, err := json.Marshal(claim{l.cfg.VM, old})
+	if err != nil {
+		return nil, &Error{Op: "claim", Kind: KindStore, Group: g, Err: err}
+	}
+	res, err := store.Swap(ctx, l.cfg.Store, store.Write{Key: "failover/" + string(g), Value: value, Lease: lease})
+	if err != nil {
+		l.release(d)
+		return nil, &Error{Op: "claim", Kind: KindStore, Group: g, Err: err}
+	}
+	if !res.Done {
+		l.release(d)
+		return nil, &Error{Op: "claim", Kind: KindClaimed, Group: g}
+	}
+	d.token = res.Current.Revision
+	return d, nil
+}
+
+// release ends a claim. When the call fails, the claim ends with its lease.
+func (l *Leads) release(d *decision) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		if err := l.cfg.Store.RevokeLease(ctx, d.lease); err != nil {
+			l.logStore(err)
+		}
+	}()
+}
+
+// fence stops every replica from taking log entries of the present term, and
+// returns the one to promote and those that were fenced.
+func (l *Leads) fence(st *state, old ident.Target, d *decision) (best roster.Member, fenced []roster.Member, err error) {
+	replies := l.controlAll(dbop.Statement{Kind: dbop.Status}, l.cfg.Roster.All(st.id))
+	if id, ok := unheard(replies); !ok {
+		return best, nil, &Error{Op: "status", Kind: KindUnheard, Group: st.id, Target: id}
+	}
+	replicas := replicasOf(replies, old)
+	replies = l.controlAll(dbop.Statement{Kind: dbop.Fence, Term: nextTerm(replies)}, replicas)
+	for _, r := range replies {
+		if !r.heard {
+			return best, replicas, &Error{Op: "fence", Kind: KindUnheard, Group: st.id, Target: r.member.ID}
+		}
+	}
+	best, ok := highest(replies, l.cfg.Region, l.cfg.Home)
+	if !ok {
+		return best, replicas, &Error{Op: "fence", Kind: KindUnheard, Group: st.id}
+	}
+	if !d.valid() {
+		return best, replicas, &Error{Op: "fence", Kind: KindLate, Group: st.id}
+	}
+	return best, replicas, nil
+}
+
+// controlAll sends a statement to each member at the same time.
+func (l *Leads) controlAll(st dbop.Statement, ms []roster.Member) []reply {
+	out := make([]reply, len(ms))
+	var wg sync.WaitGroup
+	for i := range ms {
+		wg.Go(func() {
+			out[i] = reply{member: ms[i]}
+			out[i].status, out[i].heard = l.control(st, &ms[i])
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// control sends a statement to one database. It takes a slot there, so a busy
+// database is asked again.
+func (l *Leads) control(st dbop.Statement, m *roster.Member) (dbpool.Status, bool) {
+	end := time.Now().Add(2 * controlTimeout)
+	for time.Now().Before(end) {
+		conn, err := l.cfg.Pools.Get(time.Now().Add(controlTimeout), m, "", nil)
+		if err != nil {
+			if !waits(err) {
+				return dbpool.Status{}, false
+			}
+			continue
+		}
+		s, a, err := conn.Control(time.Now().Add(controlTimeout), st)
+		conn.Release(err == nil)
+		switch {
+		case err != nil:
+			l.cfg.Pools.Drop(m)
+		case a.Code == dbop.OK:
+			return s, true
+		}
+		time.Sleep(leadPoll)
+	}
+	return dbpool.Status{}, false
+}
+
+// waits reports whether a connection could not be had for want of room only.
+func waits(err error) bool {
+	var e *dbpool.Error
+	return errors.As(err, &e) && (e.Kind == dbpool.KindWait || e.Code == dbop.TooMany || e.Code == dbop.Busy)
+}
+
+// promote asks the platform until it answers or the claim may have ended.
+func (l *Leads) promote(ctx context.Context, g ident.Group, m roster.Member, d *decision) error {
+	for d.valid() {
+		d.called = true
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		v, err := l.cfg.Promoter.Promote(call, g, m.ID, d.token)
+		cancel()
+		switch {
+		case err == nil && v == Promoted:
+			return nil
+		case err == nil:
+			return &Error{Op: "promote", Kind: KindRefused, Group: g, Target: m.ID}
+		}
+		l.logCall(g, m.ID, err)
+		if !pause(ctx, retryPause) {
+			break
+		}
+	}
+	return &Error{Op: "promote", Kind: KindLate, Group: g, Target: m.ID}
+}
+
+// awaitLead waits until the promoted database leads.
+func (l *Leads) awaitLead(ctx context.Context, st *state, m roster.Member) {
+	end := time.Now().Add(leadTimeout)
+	for time.Now().Before(end) {
+		code, err := l.ask(st, &m)
+		if err == nil && code == dbop.OK {
+			return
+		}
+		if !pause(ctx, leadPoll) {
+			return
+		}
+	}
+}
+
+// unfence lets replicas go on after a promotion that was not asked for.
+func (l *Leads) unfence(ms []roster.Member) {
+	if len(ms) > 0 {
+		l.controlAll(dbop.Statement{Kind: dbop.Unfence}, ms)
+	}
+}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -70,6 +70,11 @@
 	// Static splits the rates evenly over the live VMs instead of lending. It
 	// is the baseline of the measurements.
 	Static bool
+	// RatesOnly leaves out the slots of targets.
+	RatesOnly bool
+	// Clock tells the time by which rights end; nil stands for the runtime's
+	// clock. Machines that can be suspended need one that counts the suspension.
+	Clock func() time.Time
 }
 
 // Limiter enforces rates and shares out slots on one VM. Its methods may be
@@ -102,6 +107,9 @@
 func New(cfg Config) *Limiter {
 	cfg.RateWait = cmp.Or(cfg.RateWait, quota.DefaultWait)
 	cfg.ShareLease = cmp.Or(cfg.ShareLease, DefaultShareLease)
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
 	if cfg.Scope == nil {
 		cfg.Scope = tally.NoopScope
 	}
@@ -125,7 +133,9 @@
 	if !l.cfg.Static {
 		group.Go(func() { l.keepShares(ctx) })
 	}
-	group.Go(func() { l.keepSlots(ctx) })
+	if !l.cfg.RatesOnly {
+		group.Go(func() { l.keepSlots(ctx) })
+	}
 	l.keepView(ctx)
 	l.closeLinks()
 	group.Wait()
@@ -155,6 +165,9 @@
 	}
 }
 
+// now returns the time by the limiter's clock.
+func (l *Limiter) now() time.Time { return l.cfg.Clock() }
+
 // deadline returns the end of the lease by this process's clock.
 func (l *Limiter) deadline() time.Time { return *l.lease.Load() }
 
--- a/internal/limit/observe.go
+++ b/internal/limit/observe.go
@@ -77,7 +77,7 @@
 
 // Snapshot returns the state of each workspace of the catalogue, by name.
 func (l *Limiter) Snapshot() []Usage {
-	v, now := l.view.Load(), time.Now()
+	v, now := l.view.Load(), l.now()
 	out := make([]Usage, 0, len(v.entries))
 	for ws, e := range v.entries {
 		cfg := v.cat.Workspaces[ws]
--- a/internal/limit/rate.go
+++ b/internal/limit/rate.go
@@ -40,7 +40,7 @@
 		return &Error{Op: "admit", Kind: KindUnknown, Workspace: ws}
 	}
 	e.mu.Lock()
-	now := time.Now()
+	now := l.now()
 	if e.acct.Admit(now, l.deadline()) {
 		if e.acct.Low(now, l.deadline()) {
 			e.poll(now)
@@ -63,7 +63,7 @@
 // fresh refuses an admission that was decided too long ago: the process was
 // paused, and another VM may hold the slice by now.
 func (e *entry) fresh(decided time.Time) error {
-	if e.acct.Fresh(decided, time.Now()) {
+	if e.acct.Fresh(decided, e.l.now()) {
 		return nil
 	}
 	return &Error{Op: "admit", Kind: KindRate, Workspace: e.ws}
@@ -132,7 +132,7 @@
 	defer e.mu.Unlock()
 	e.wake = time.Time{}
 	if !e.closed {
-		e.poll(time.Now())
+		e.poll(e.l.now())
 	}
 }
 
@@ -151,7 +151,7 @@
 		}
 	}
 	// Without slices and holders nothing is admitted any more.
-	e.acct.Configure(quota.Setup{}, time.Now())
+	e.acct.Configure(quota.Setup{}, e.l.now())
 }
 
 func (l *Limiter) stopTimers() {
@@ -165,7 +165,7 @@
 	reply, err := e.l.askPeer(e.ws, a)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := time.Now()
+	now := e.l.now()
 	if err != nil {
 		e.acct.Failed(a.ID, now)
 	} else {
@@ -212,7 +212,7 @@
 		r.Settled = append(r.Settled, quota.Settlement{Grant: quota.GrantID(s.Grant), Unused: ident.Micro(s.UnusedMicro)})
 	}
 	e.mu.Lock()
-	now := time.Now()
+	now := l.now()
 	reply := e.acct.Lend(r, now, l.deadline())
 	if len(r.Settled) > 0 && e.acct.Queued() > 0 && !e.closed {
 		e.poll(now) // unused tokens came back
--- a/internal/limit/shares.go
+++ b/internal/limit/shares.go
@@ -128,7 +128,7 @@
 	s.mu.Lock()
 	lease, renew := s.lease, s.renew
 	s.mu.Unlock()
-	now := time.Now()
+	now := l.now()
 	if lease == 0 {
 		return l.done(l.grant(ctx)), true
 	}
@@ -179,7 +179,7 @@
 }
 
 func (l *Limiter) grant(ctx context.Context) error {
-	sent := time.Now()
+	sent := l.now()
 	id, err := l.cfg.Store.GrantLease(ctx, l.cfg.ShareLease)
 	if err != nil {
 		return err
@@ -207,7 +207,7 @@
 }
 
 func (l *Limiter) renewLease(ctx context.Context, id store.LeaseID) error {
-	sent := time.Now()
+	sent := l.now()
 	ok, err := l.cfg.Store.RenewLease(ctx, id)
 	if err != nil {
 		return err
@@ -298,7 +298,7 @@
 		return false
 	}
 	l.shares.mu.Lock()
-	l.shares.taken[sl] = taken{o.VM, time.Now().Add(jitter(retryTaken))}
+	l.shares.taken[sl] = taken{o.VM, l.now().Add(jitter(retryTaken))}
 	l.shares.mu.Unlock()
 	l.hint(sl.Shard, o.VM)
 	return true
@@ -313,7 +313,7 @@
 func (l *Limiter) claimed(sl quota.Slice, rev store.Revision) {
 	s := &l.shares
 	s.mu.Lock()
-	s.holdings.Claimed(sl, time.Now())
+	s.holdings.Claimed(sl, l.now())
 	s.revisions[sl] = rev
 	delete(s.taken, sl)
 	s.mu.Unlock()
@@ -369,7 +369,7 @@
 	defer t.Stop()
 	for {
 		signal(l.kick)
-		if _, release := l.plan(time.Now()); len(release) == 0 {
+		if _, release := l.plan(l.now()); len(release) == 0 {
 			return nil
 		}
 		select {
--- a/internal/limit/view.go
+++ b/internal/limit/view.go
@@ -42,7 +42,7 @@
 	if cat == old.cat && slices.Equal(live, old.live) && self == old.self && !l.takeHints() {
 		return
 	}
-	now := time.Now()
+	now := l.now()
 	v := &view{cat: cat, live: live, self: self}
 	v.shards = cmp.Or(cat.Sharing.Shards, quota.DefaultShards)
 	v.slices = int(cmp.Or(cat.Sharing.Slices, quota.DefaultSlices))
@@ -201,7 +201,7 @@
 
 // configureShard gives the entries of a shard their setup.
 func (l *Limiter) configureShard(shard quota.Shard) {
-	v, now := l.view.Load(), time.Now()
+	v, now := l.view.Load(), l.now()
 	for ws, e := range v.entries {
 		if quota.ShardOf(ws, v.shards) == shard {
 			l.configure(e, v, now)
@@ -210,7 +210,7 @@
 }
 
 func (l *Limiter) configureAll() {
-	v, now := l.view.Load(), time.Now()
+	v, now := l.view.Load(), l.now()
 	for _, e := range v.entries {
 		l.configure(e, v, now)
 	}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,249 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/internal/disco"
+	"chervilspan.example/internal/engine"
+	"chervilspan.example/internal/evlog"
+	"chervilspan.example/internal/fleet"
+	"chervilspan.example/internal/follow"
+	"chervilspan.example/internal/lead"
+	"chervilspan.example/internal/limit"
+	"chervilspan.example/internal/metr"
+	"chervilspan.example/internal/peer"
+	"chervilspan.example/pkg/catal"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/member"
+	"chervilspan.example/pkg/roster"
+	"chervilspan.example/pkg/store"
+	"chervilspan.example/pkg/uptime"
+)
+
+// Adapters are what is particular to the platform.
+type Adapters struct {
+	Store    store.Store
+	Promoter lead.Promoter
+	Dialer   dbpool.Dialer
+	// Serve takes callers from a listener until it is closed.
+	Serve func(net.Listener, *engine.Engine, zerolog.Logger) error
+	// CatalogueKey is the key of the catalogue in the store, and TargetPrefix
+	// that of the databases' entries.
+	CatalogueKey string
+	Catalogue    func([]byte) (*catal.Catalogue, error)
+	TargetPrefix string
+	Target       func(key string, value []byte) (roster.Entry, error)
+}
+
+const (
+	// shareLease is the length of the lease of rate slices: a dead VM's are
+	// unused for as long, and an outage of the store up to it costs nothing.
+	shareLease = 30 * time.Second
+	// rateWait bounds the wait for tokens of a workspace's rate.
+	rateWait = 120 * time.Millisecond
+	// sweepPeriod is how often unused connections are looked for.
+	sweepPeriod = 2 * time.Second
+	// memoryPart of the VM's memory is the garbage collector's soft bound.
+	memoryPart = 0.6
+	// spareConns of a database's connections are left for connections that the
+	// database has not yet found closed.
+	spareConns = 1
+	// assumedVMs stands for the number of VMs until the list is known.
+	assumedVMs = 8
+)
+
+// Node is one VM's daemon.
+type Node struct {
+	s   *Settings
+	a   Adapters
+	log zerolog.Logger
+
+	roster  *roster.Table
+	pools   *dbpool.Pools
+	follow  *follow.Follower
+	fleet   *fleet.Fleet
+	limiter *limit.Limiter
+	leads   *lead.Leads
+	engine  *engine.Engine
+	metrics *metr.Metrics
+	peers   *peer.Cache
+	disco   *disco.Poller
+
+	stopping atomic.Bool
+	ready    atomic.Bool
+	// grace is the time of a planned stop; a reload may change it.
+	grace atomic.Int64
+}
+
+// New returns a Node that serves once Run is called.
+func New(s *Settings, a Adapters, log zerolog.Logger) *Node {
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryPart * (1 << 20)))
+	}
+	n := &Node{s: s, a: a, log: log, roster: &roster.Table{}, metrics: metr.New()}
+	n.grace.Store(int64(s.Grace()))
+	n.pools = &dbpool.Pools{Dialer: a.Dialer, Roster: n.roster, Limit: n.connLimit}
+	n.peers = peer.NewCache(peer.CacheConfig{Private: true, Scope: n.metrics.Scope})
+	self := member.Info{VM: s.VM, Zone: s.Zone, Region: s.Region, Address: s.Peers}
+	n.fleet = fleet.New(fleet.Config{Self: self, Store: a.Store, Seeds: s.Seeds, Log: log})
+	n.follow = follow.New(follow.Config{
+		Store: a.Store, Key: a.CatalogueKey, Decode: a.Catalogue, VM: s.VM, Fleet: n.fleet, Peers: n.peers, Log: log,
+	})
+	n.limiter = limit.New(limit.Config{
+		Catalogue: n.follow, Fleet: n.fleet, Peers: vmPeers{n}, Store: a.Store, Log: log, Scope: n.metrics.Scope,
+		RateWait: rateWait, ShareLease: shareLease, RatesOnly: true, Clock: uptime.Now,
+	})
+	n.leads = lead.New(lead.Config{
+		VM: s.VM, Roster: n.roster, Pools: n.pools, Store: a.Store, Promoter: a.Promoter, Peers: vmPeers{n},
+		Rank:   func(g ident.Group) int { return n.fleet.Rank("failover/"+string(g), s.home()) },
+		Region: n.region, Home: s.home(), Log: log,
+	})
+	n.engine = engine.New(engine.Config{
+		Access: n.follow, Limiter: n.limiter, Leads: n.leads, Pools: n.pools, Roster: n.roster,
+		Place: engine.Place{Zone: s.Zone, Region: s.Region, RegionOf: n.region},
+		Meter: newMeter(n.metrics.Scope), Log: log,
+	})
+	n.disco = &disco.Poller{Store: a.Store, Prefix: a.TargetPrefix, Decode: a.Target, Roster: n.roster, Log: log}
+	return n
+}
+
+// Reload applies the settings that may change while the VM runs.
+func (n *Node) Reload(s *Settings) { n.grace.Store(int64(s.Grace())) }
+
+func (n *Node) region(z ident.Zone) ident.Region { return n.s.Zones[z] }
+
+// connLimit is this VM's part of the connections of each database of a group.
+func (n *Node) connLimit(g ident.Group) int {
+	vms := len(n.fleet.Live())
+	if !n.fleet.Listed() {
+		vms = assumedVMs
+	}
+	limit := assumedVMs
+	if c := n.follow.Catalogue(); c != nil {
+		limit = int(c.Groups[g].Connections)
+	}
+	return max(1, (limit-spareConns)/vms)
+}
+
+// Run serves until ctx ends, and then stops gracefully. It returns an *Error
+// when it can't listen or sessions were cut.
+func (n *Node) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", n.s.Callers)
+	if err != nil {
+		return &Error{Op: "listen for callers", Kind: KindListen, Err: err}
+	}
+	peers, err := net.Listen("tcp", n.s.Peers)
+	if err != nil {
+		return &Error{Op: "listen for VMs", Kind: KindListen, Err: err}
+	}
+	ready, err := net.Listen("tcp", n.s.Ready)
+	if err != nil {
+		return &Error{Op: "listen for readiness checks", Kind: KindListen, Err: err}
+	}
+	evlog.At(n.log, evlog.DaemonStarted).Str("vm", string(n.s.VM)).Str("zone", string(n.s.Zone)).Send()
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	var wg sync.WaitGroup
+	for _, f := range []func(context.Context){n.follow.Run, n.fleet.Run, n.limiter.Run, n.leads.Run, n.disco.Run, n.housekeep} {
+		wg.Go(func() { f(work) })
+	}
+	server := peer.NewServer(peer.ServerConfig{Private: true}, peer.Handlers{Catalogue: n.follow, Lender: n.limiter, Watcher: watcher{n}})
+	go n.serve("VMs", func() error { return server.Serve(peers) })
+	go n.serve("readiness checks", func() error { return n.serveHTTP(ready, false) })
+	go n.serve("callers", func() error { return n.a.Serve(callers, n.engine, n.log) })
+	n.startMetrics()
+	<-ctx.Done()
+	cut := n.stop()
+	stop()
+	wg.Wait()
+	if cut > 0 {
+		evlog.At(n.log, evlog.DrainCut).Int("cut", cut).Send()
+		return &Error{Op: "stop", Kind: KindCut}
+	}
+	evlog.At(n.log, evlog.DrainDone).Send()
+	return nil
+}
+
+// serve logs a listener that fails while the VM is not stopping.
+func (n *Node) serve(what string, f func() error) {
+	if err := f(); err != nil && !n.stopping.Load() {
+		evlog.At(n.log, evlog.AcceptFailed).Str("listener", what).Err(err).Send()
+	}
+}
+
+func (n *Node) startMetrics() {
+	if n.s.Metrics == "" {
+		return
+	}
+	l, err := net.Listen("tcp", n.s.Metrics)
+	if err != nil {
+		// Callers are served without metrics too.
+		evlog.At(n.log, evlog.AcceptFailed).Str("listener", "metrics").Err(err).Send()
+		return
+	}
+	go n.serve("metrics", func() error { return n.serveHTTP(l, true) })
+}
+
+const headerTimeout = 2 * time.Second
+
+func (n *Node) serveHTTP(l net.Listener, metrics bool) error {
+	mux := http.NewServeMux()
+	if metrics {
+		mux.Handle("/metrics", n.metrics.Handler())
+	}
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
+		if !n.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	s := http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	return s.Serve(l)
+}
+
+// isReady reports whether the VM takes callers.
+func (n *Node) isReady() bool {
+	return !n.stopping.Load() && n.follow.Index() != nil && n.roster.Loaded() && n.limiter.Ready()
+}
+
+// housekeep closes unused connections, watches new groups and logs readiness.
+func (n *Node) housekeep(ctx context.Context) {
+	t := time.NewTicker(sweepPeriod)
+	defer t.Stop()
+	for {
+		changed := n.follow.Changed()
+		if c := n.follow.Catalogue(); c != nil {
+			groups := make([]ident.Group, 0, len(c.Groups))
+			for g := range c.Groups {
+				groups = append(groups, g)
+			}
+			n.leads.Watch(groups)
+		}
+		if n.isReady() && !n.ready.Swap(true) {
+			evlog.At(n.log, evlog.DaemonReady).Uint64("version", uint64(n.follow.Version())).Send()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		case <-t.C:
+			n.peers.Sweep()
+			n.pools.Sweep(n.keepPool)
+		}
+	}
+}
+
+// keepPool reports whether a database is still listed with the address and
+// start of a pool.
+func (n *Node) keepPool(g ident.Group, id ident.Target, address string, born int64) bool {
+	m, ok := n.roster.Member(g, id)
+	return ok && m.Address == address && m.Born == born
+}
--- /dev/null
+++ b/internal/node/settings.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"encoding/json"
+	"net/netip"
+	"os"
+	"time"
+
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/strict"
+)
+
+// Settings of a VM. Addresses are of the form IP:port.
+type Settings struct {
+	VM     ident.VM     `json:"vm"`
+	Zone   ident.Zone   `json:"zone"`
+	Region ident.Region `json:"region"`
+	// Zones has the region of each zone of the deployment.
+	Zones map[ident.Zone]ident.Region `json:"zones"`
+	// Callers, Ready and Peers are listened on: for callers, for the balancer's
+	// readiness checks, and for other VMs. Metrics, unless empty, serves
+	// counters and histograms.
+	Callers string `json:"callers"`
+	Ready   string `json:"ready"`
+	Peers   string `json:"peers"`
+	Metrics string `json:"metrics,omitempty"`
+	// Seeds are addresses of other VMs' peer services.
+	Seeds []string `json:"seeds,omitempty"`
+	// Store and Platform are the addresses of the platform's store and of the
+	// interface that makes a database primary.
+	Store    string `json:"store"`
+	Platform string `json:"platform"`
+	// MemoryMB is the VM's memory, in MiB; 0 stands for no bound.
+	MemoryMB int `json:"memory_mb,omitempty"`
+	// GraceS is the time of a planned stop, in seconds; 0 stands for 6.
+	GraceS float64 `json:"grace_s,omitempty"`
+}
+
+const defaultGrace = 6 * time.Second
+
+// Grace returns the time of a planned stop.
+func (s *Settings) Grace() time.Duration {
+	if s.GraceS <= 0 {
+		return defaultGrace
+	}
+	return time.Duration(s.GraceS * float64(time.Second))
+}
+
+// Load reads and checks a settings file. It returns an *Error of kind
+// KindSettings with every problem.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &Error{Op: "read settings", Kind: KindSettings, Err: err}
+	}
+	return Parse(raw)
+}
+
+// Parse reads and checks the text of a settings file.
+func Parse(raw []byte) (*Settings, error) {
+	var s Settings
+	if err := json.Unmarshal(raw, &s); err != nil {
+		return nil, &Error{Op: "read settings", Kind: KindSettings, Err: err}
+	}
+	if problems := s.check(); len(problems) > 0 {
+		return nil, &Error{Op: "check settings", Kind: KindSettings, Problems: problems}
+	}
+	return &s, nil
+}
+
+func (s *Settings) check() []strict.Problem {
+	var out []strict.Problem
+	add := func(path, text, allowed string) {
+		out = append(out, strict.Problem{Path: path, Text: text, Allowed: allowed})
+	}
+	for path, v := range map[string]string{"/vm": string(s.VM), "/zone": string(s.Zone), "/region": string(s.Region)} {
+		if v == "" {
+			add(path, "is missing", "a name")
+		}
+	}
+	if len(s.Zones) > 0 && s.Zones[s.Zone] != s.Region {
+		add("/zones", "gives the VM's zone another region", "the region of /region")
+	}
+	for path, v := range map[string]string{
+		"/callers": s.Callers, "/ready": s.Ready, "/peers": s.Peers, "/store": s.Store, "/platform": s.Platform,
+	} {
+		if _, err := netip.ParseAddrPort(v); err != nil {
+			add(path, "is no address", "IP:port")
+		}
+	}
+	if s.Metrics != "" {
+		if _, err := netip.ParseAddrPort(s.Metrics); err != nil {
+			add("/metrics", "is no address", "IP:port or nothing")
+		}
+	}
+	if s.MemoryMB < 0 {
+		add("/memory_mb", "is negative", "0 or more")
+	}
+	return out
+}
+
+// home returns the region that most zones are in; of equals the first by name.
+func (s *Settings) home() ident.Region {
+	count := map[ident.Region]int{}
+	for _, r := range s.Zones {
+		count[r]++
+	}
+	best := s.Region
+	for r, n := range count {
+		if n > count[best] || n == count[best] && r < best {
+			best = r
+		}
+	}
+	return best
+}
--- a/internal/peer/cache.go
+++ b/internal/peer/cache.go
@@ -22,6 +22,8 @@
 type CacheConfig struct {
 	// Keys for mutual TLS; nil means plain text.
 	Keys *Keys
+	// Private allows plain text on every address; the network is private.
+	Private bool
 	// Plain allows plain text to loopback addresses.
 	Plain bool
 	// Max is the greatest number of connections (96): links, the readers of
@@ -93,7 +95,7 @@
 }
 
 func (c *Cache) conn(address string) (*grpc.ClientConn, error) {
-	if err := allowPlain("dial", address, c.cfg.Keys, c.cfg.Plain); err != nil {
+	if err := allowPlain("dial", address, c.cfg.Keys, c.cfg.Plain, c.cfg.Private); err != nil {
 		return nil, err
 	}
 	c.mu.Lock()
@@ -192,12 +194,12 @@
 
 // allowPlain returns an error unless there are keys, or plain text is allowed
 // and the address is a loopback one.
-func allowPlain(op, address string, keys *Keys, plain bool) error {
+func allowPlain(op, address string, keys *Keys, plain, private bool) error {
 	a, err := netip.ParseAddrPort(address)
 	if err != nil {
 		return &Error{Op: op, Kind: KindAddress, Subject: address, Err: err}
 	}
-	if keys != nil || plain && a.Addr().IsLoopback() {
+	if keys != nil || private || plain && a.Addr().IsLoopback() {
 		return nil
 	}
 	return &Error{Op: op, Kind: KindPlain, Subject: address, Err: eris.New("plain text is not allowed here")}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -67,6 +67,8 @@
 type ServerConfig struct {
 	// Keys for mutual TLS; nil means plain text.
 	Keys *Keys
+	// Private allows plain text on every address; the network is private.
+	Private bool
 	// Plain allows plain text on loopback addresses.
 	Plain bool
 	// VMUnit, unless empty, is the organizational unit that a certificate
@@ -109,7 +111,7 @@
 // Serve accepts connections until Stop. It returns an *Error of kind KindPlain
 // when plain text is not allowed on the listener's address.
 func (s *Server) Serve(l net.Listener) error {
-	if err := allowPlain("listen", l.Addr().String(), s.cfg.Keys, s.cfg.Plain); err != nil {
+	if err := allowPlain("listen", l.Addr().String(), s.cfg.Keys, s.cfg.Plain, s.cfg.Private); err != nil {
 		return err
 	}
 	return s.srv.Serve(l)
--- a/pkg/access/access.go
+++ b/pkg/access/access.go
@@ -118,6 +118,7 @@
 		Group:     r.Group,
 		ReadOnly:  r.ReadOnly(),
 		MaxAge:    r.MaxAge(),
+		Reads:     r.Reads,
 		Deadline:  deadline,
 		Weight:    limits.FairWeight(),
 		Class:     class,
--- /dev/null
+++ b/pkg/access/index.go
@@ -0,0 +1,61 @@
+package access
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"time"
+
+	"chervilspan.example/pkg/catal"
+	"chervilspan.example/pkg/ident"
+)
+
+// Index finds the workspace of a key in a catalogue, for callers that give a key
+// without naming their workspace. It is not changed after NewIndex.
+type Index struct {
+	Catalogue *catal.Catalogue
+	// keys has the holders by the SHA-256 of the key.
+	keys map[string]holder
+}
+
+type holder struct {
+	workspace ident.Workspace
+	id        string
+}
+
+// NewIndex returns the index of a catalogue.
+func NewIndex(c *catal.Catalogue) *Index {
+	x := &Index{Catalogue: c, keys: map[string]holder{}}
+	for ws, w := range c.Workspaces {
+		for id, k := range w.Keys {
+			if k.Usable(time.Now()) {
+				x.keys[k.SHA256] = holder{ws, id}
+			}
+		}
+	}
+	return x
+}
+
+// Identify checks a caller that gives only its key. On open routes the key may
+// be missing or unknown; the grant then has no workspace. A nil Index has no
+// catalogue. It returns an *Error.
+func (x *Index) Identify(route ident.Route, key string) (Grant, error) {
+	const op = "identify"
+	if x == nil {
+		return Grant{}, &Error{Op: op, Kind: KindNotReady, Text: "the catalogue has not been read yet"}
+	}
+	r, ok := x.Catalogue.Routes[route]
+	if !ok {
+		return Grant{}, &Error{Op: op, Kind: KindRoute, Text: fmt.Sprintf("route %q does not exist", printable(string(route)))}
+	}
+	sum := sha256.Sum256([]byte(key))
+	hash := hex.EncodeToString(sum[:])
+	h, known := x.keys[hash]
+	if !known && !r.Open {
+		return Grant{}, &Error{Op: op, Kind: KindKey, Text: "the key was not accepted"}
+	}
+	if !known {
+		hash = ""
+	}
+	return grant(x.Catalogue, h.workspace, x.Catalogue.Workspaces[h.workspace], route, r, h.id, hash)
+}
--- a/pkg/access/types.go
+++ b/pkg/access/types.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
 )
 
@@ -21,6 +22,8 @@
 	ReadOnly bool
 	// MaxAge is the accepted age of data, 0 for none.
 	MaxAge time.Duration
+	// Reads says which commits a read has to see.
+	Reads catal.Reads
 	// Deadline is the time a statement may wait and run.
 	Deadline time.Duration
 	// Weight is the workspace's in fair queues.
--- a/pkg/catal/defaults.go
+++ b/pkg/catal/defaults.go
@@ -14,6 +14,8 @@
 	DefaultDeadline = 5 * time.Second
 	DefaultShards   = 16
 	DefaultSlices   = 12
+
+	DefaultIdleTransaction = time.Minute
 )
 
 // FairWeight returns the weight in fair queues, at least 1.
@@ -57,3 +59,8 @@
 
 // SliceCount returns the number of slices of each shard.
 func (s Sharing) SliceCount() uint32 { return cmp.Or(s.Slices, DefaultSlices) }
+
+// IdleTransaction bounds the wait for the next statement of a transaction.
+func (s Sessions) IdleTransaction() time.Duration {
+	return cmp.Or(time.Duration(s.IdleTransactionMS)*time.Millisecond, DefaultIdleTransaction)
+}
--- a/pkg/catal/delta.go
+++ b/pkg/catal/delta.go
@@ -118,8 +118,8 @@
 	delete(sections, "version")
 	out := map[string]json.RawMessage{}
 	for name, raw := range sections {
-		if name == "sharing" {
-			out["/sharing"] = raw
+		if name == "sharing" || name == "sessions" {
+			out["/"+name] = raw // a section without ids
 			continue
 		}
 		var m map[string]json.RawMessage
--- a/pkg/catal/types.go
+++ b/pkg/catal/types.go
@@ -18,6 +18,7 @@
 	Workspaces map[ident.Workspace]Workspace `json:"workspaces,omitempty"`
 	Routes     map[ident.Route]Route         `json:"routes,omitempty"`
 	Sharing    Sharing                       `json:"sharing,omitzero"`
+	Sessions   Sessions                      `json:"sessions,omitzero"`
 }
 
 // Zone is an availability zone.
@@ -35,6 +36,9 @@
 	MaxQueue uint32 `json:"max_queue,omitempty"`
 	// DeadlineMS is the time a statement may wait and run; 0 stands for 5000.
 	DeadlineMS uint32 `json:"deadline_ms,omitempty"`
+	// ObjectiveMS is the latency that callers expect of an operation; 0 says
+	// nothing.
+	ObjectiveMS uint32 `json:"objective_ms,omitempty"`
 }
 
 // Ack says when a commit is acknowledged.
@@ -56,6 +60,9 @@
 	// Ack is "majority" (default) or "primary".
 	Ack     Ack                     `json:"ack,omitempty"`
 	Targets map[ident.Target]Target `json:"targets"`
+	// Connections, unless 0, is the number of connections that each target of
+	// the group accepts; it is for groups whose targets are discovered.
+	Connections uint32 `json:"connections,omitempty"`
 }
 
 // Target is one database of a group.
@@ -103,6 +110,20 @@
 	ModeReadOnly  Mode = "read_only"
 )
 
+// Reads says which commits a read on a route has to see.
+type Reads string
+
+// Values of Reads. The zero value leaves the choice to MaxAgeMS: the session's
+// floor without an age, the age otherwise.
+const (
+	// ReadsPrimary needs every commit acknowledged before the read.
+	ReadsPrimary Reads = "primary"
+	// ReadsBounded needs the commits acknowledged longer ago than MaxAgeMS.
+	ReadsBounded Reads = "bounded"
+	// ReadsSession needs those, and the session's own.
+	ReadsSession Reads = "session"
+)
+
 // Route is what callers name as the database.
 type Route struct {
 	Owner string      `json:"owner"`
@@ -113,12 +134,22 @@
 	Open bool `json:"open,omitempty"`
 	// MaxAgeMS, unless 0, lets reads run on data that is at most so old.
 	MaxAgeMS uint32 `json:"max_age_ms,omitempty"`
+	// Reads is "primary", "bounded" or "session"; it is for targets that speak
+	// a line protocol.
+	Reads Reads `json:"reads,omitempty"`
 	// Workspaces that may use the route; empty means all.
 	Workspaces []ident.Workspace `json:"workspaces,omitempty"`
 	// Database is the name of the database at the targets.
 	Database string `json:"database,omitempty"`
 }
 
+// Sessions has limits of callers' sessions.
+type Sessions struct {
+	// IdleTransactionMS bounds the wait for the next statement of an open
+	// transaction; 0 stands for 60000.
+	IdleTransactionMS uint32 `json:"idle_transaction_ms,omitempty"`
+}
+
 // Sharing has the parameters of the fleet-wide rate limit.
 type Sharing struct {
 	// Shards is the number of workspace shards; 0 stands for 16.
--- a/pkg/catal/validate.go
+++ b/pkg/catal/validate.go
@@ -47,6 +47,7 @@
 	}
 	v.upTo("/sharing/shards", uint64(c.Sharing.Shards), 0, MaxShards)
 	v.upTo("/sharing/slices", uint64(c.Sharing.Slices), 0, MaxSlices)
+	v.upTo("/sessions/idle_transaction_ms", uint64(c.Sessions.IdleTransactionMS), 0, MaxDeadlineMS)
 	return v.problems
 }
 
--- a/pkg/store/errors.go
+++ b/pkg/store/errors.go
@@ -14,6 +14,9 @@
 	KindLeaseEnded
 	// KindFormat means that a stored value could not be read.
 	KindFormat
+	// KindCompacted means that the store has forgotten the history that a watch
+	// asked for.
+	KindCompacted
 )
 
 // Error is the error type of this package.
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -71,3 +71,9 @@
 	RevokeLease(ctx context.Context, id LeaseID) error
 	ListVMs(ctx context.Context) ([]VM, error)
 }
+
+// StaleLister is implemented by stores with a cheaper List whose answer may be
+// some seconds old.
+type StaleLister interface {
+	ListStale(ctx context.Context, prefix string) ([]Entry, error)
+}
