Find a new primary while the old one is down, and stop a takeover when another leads

Ruled out: the choice by position and the order status, fence, promote; the log shows the first promotion complete at 11.46 s and the claims of the others after it.

--- a/internal/lead/errors.go
+++ b/internal/lead/errors.go
@@ -18,6 +18,8 @@
 	KindRefused
 	// KindLate means that the claim may have ended.
 	KindLate
+	// KindLed means that another database than the lost one leads already.
+	KindLed
 )
 
 // Error is the error type of this package.
@@ -33,6 +35,7 @@
 var kindTexts = map[Kind]string{
 	KindClaimed: "another VM decides", KindStore: "the store did not answer", KindUnheard: "a replica did not answer",
 	KindRefused: "the platform refused", KindLate: "the claim may have ended",
+	KindLed: "it leads already",
 }
 
 // Error returns the step, the group and the cause.
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -68,7 +68,7 @@
 				return
 			}
 		}
-		l.look(ctx, st, &since)
+		l.look(st, &since)
 		why := l.need(st, since)
 		if why == "" || time.Now().Before(held) {
 			continue
@@ -79,7 +79,7 @@
 
 // look asks the primary, or all databases while none is known. since is when
 // the group was first found without a primary.
-func (l *Leads) look(ctx context.Context, st *state, since *time.Time) {
+func (l *Leads) look(st *state, since *time.Time) {
 	id, ok := l.cfg.Roster.Primary(st.id)
 	if ok {
 		*since = time.Time{}
@@ -90,21 +90,25 @@
 			l.probe(st, &m)
 		}
 		if _, ok = l.cfg.Roster.Primary(st.id); ok {
+			if st.down() {
+				// Another VM may have had another database promoted.
+				l.locate(st, id)
+			}
 			return
 		}
 	}
 	if since.IsZero() {
 		*since = time.Now()
 	}
-	l.locate(ctx, st)
+	l.locate(st, "")
 }
 
-// locate asks every database of the group.
-func (l *Leads) locate(_ context.Context, st *state) {
+// locate asks every database of the group but one.
+func (l *Leads) locate(st *state, but ident.Target) {
 	var wg sync.WaitGroup
 	now := time.Now()
 	for _, m := range l.cfg.Roster.All(st.id) {
-		if m.Missing.IsZero() && m.Reachable(now) {
+		if m.ID != but && m.Missing.IsZero() && m.Reachable(now) {
 			wg.Go(func() { l.probe(st, &m) })
 		}
 	}
@@ -195,7 +199,7 @@
 	if rank > 0 && !pause(ctx, time.Duration(rank)*rankDelay) {
 		return retryPause
 	}
-	l.look(ctx, st, &since)
+	l.look(st, &since)
 	if l.need(st, since) != why {
 		return 0
 	}
--- a/internal/lead/pick.go
+++ b/internal/lead/pick.go
@@ -50,6 +50,16 @@
 	return missing, n <= allowed
 }
 
+// leads returns a database other than old that says that it is the primary.
+func leads(replies []reply, old ident.Target) (ident.Target, bool) {
+	for _, r := range replies {
+		if r.heard && r.status.Primary && r.member.ID != old {
+			return r.member.ID, true
+		}
+	}
+	return "", false
+}
+
 // replicasOf returns the databases that answered, without the primary and
 // without old, which is to be replaced.
 func replicasOf(replies []reply, old ident.Target) []roster.Member {
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -116,6 +116,9 @@
 // returns the one to promote and those that were fenced.
 func (l *Leads) fence(st *state, old ident.Target, d *decision) (best roster.Member, fenced []roster.Member, err error) {
 	replies := l.controlAll(dbop.Statement{Kind: dbop.Status}, l.cfg.Roster.All(st.id))
+	if id, ok := leads(replies, old); ok {
+		return best, nil, &Error{Op: "status", Kind: KindLed, Group: st.id, Target: id}
+	}
 	if id, ok := unheard(replies); !ok {
 		return best, nil, &Error{Op: "status", Kind: KindUnheard, Group: st.id, Target: id}
 	}
