--- a/internal/lead/errors.go
+++ b/internal/lead/errors.go
@@ -20,6 +20,8 @@
 	KindLate
 	// KindLed means that another database than the lost one leads already.
 	KindLed
+	// KindUnsettled means that the list of databases may lack some.
+	KindUnsettled
 )
 
 // Error is the error type of this package.
@@ -35,7 +37,7 @@
 var kindTexts = map[Kind]string{
 	KindClaimed: "another VM decides", KindStore: "the store did not answer", KindUnheard: "a replica did not answer",
 	KindRefused: "the platform refused", KindLate: "the claim may have ended",
-	KindLed: "it leads already",
+	KindLed: "it leads already", KindUnsettled: "the list of databases may be incomplete",
 }
 
 // Error returns the step, the group and the cause.
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -204,7 +204,7 @@
 		return 0
 	}
 	old := l.cfg.Roster.LastPrimary(st.id)
-	if why == reasonSilent && l.reached(ctx, st.id, old) {
+	if (why == reasonSilent || why == reasonStalled) && l.reached(ctx, st.id, old, why == reasonStalled) {
 		l.logRefuted(st.id, old)
 		return retryPause
 	}
@@ -220,10 +220,10 @@
 	return 0
 }
 
-// reached reports whether another VM hears from the primary: then only this VM
-// is cut off from it.
-func (l *Leads) reached(ctx context.Context, g ident.Group, id ident.Target) bool {
-	return l.cfg.Peers != nil && l.cfg.Peers.Reaches(ctx, g, id)
+// reached reports whether another VM hears from the primary, or has writes
+// answered by it: then the fault is between this VM and the primary.
+func (l *Leads) reached(ctx context.Context, g ident.Group, id ident.Target, writes bool) bool {
+	return l.cfg.Peers != nil && l.cfg.Peers.Reaches(ctx, g, id, writes)
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -50,6 +50,9 @@
 
 // takeover replaces the primary. Without an error the new primary leads.
 func (l *Leads) takeover(ctx context.Context, st *state, old ident.Target) error {
+	if !l.cfg.Roster.Settled(time.Now()) {
+		return &Error{Op: "check", Kind: KindUnsettled, Group: st.id}
+	}
 	d, err := l.claim(ctx, st.id, old)
 	if err != nil {
 		return err
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -19,6 +19,10 @@
 	// returnGrace is how long entries may be missing after an outage of the
 	// list before their databases count as gone.
 	returnGrace = 2500 * time.Millisecond
+	// settleTime is how long the list must have been read without an outage
+	// before it counts as complete: entries that lapsed in an outage which ended
+	// just before are back within two seconds, and a report takes one more.
+	settleTime = 3500 * time.Millisecond
 )
 
 // Entry is a database as the platform's list has it.
@@ -79,6 +83,8 @@
 	// outage is when the list was last known to be incomplete.
 	outage time.Time
 	loaded bool
+	// first is when the list was first read.
+	first time.Time
 }
 
 // NoteOutage notes that the list could not be read at now: entries that are
@@ -94,7 +100,9 @@
 func (t *Table) Update(entries []Entry, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.loaded = true
+	if !t.loaded {
+		t.loaded, t.first = true, now
+	}
 	seen := make(map[ident.Target]bool, len(entries))
 	for _, e := range entries {
 		seen[e.ID] = true
@@ -193,6 +201,14 @@
 	return t.loaded
 }
 
+// Settled reports whether the list counts as complete at now: it has been read
+// for long enough, without an outage.
+func (t *Table) Settled(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.loaded && now.Sub(t.first) >= settleTime && now.Sub(t.outage) >= settleTime
+}
+
 // Members returns the databases of a group that may get work, in the order of
 // their ids. The caller must not change the slice.
 func (t *Table) Members(id ident.Group) []Member {
