Keep rate shares over restarts and lapsed leases, and watch from the store's revision

A VM that started alone in its own list claimed every slice and released most of them again.

Ruled out: the time from start to ready (0.5 s in the log), the target connections (no refusals by databases in those windows).

Change: one batch claims all slices; a slice that a former process of the VM had is used at once; buckets go on under a reclaimed slice while the old deadline holds; a new bucket starts with its part of half of the tolerated excess; no slice is claimed before the list of VMs is known.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -39,6 +39,8 @@
 	startPeriod = 400 * time.Millisecond
 	startTime   = 3 * time.Second
 	callTimeout = time.Second
+	// firstSettle covers the start of all VMs and two rounds of each.
+	firstSettle = time.Second
 )
 
 // Config has the parts of a Fleet.
@@ -48,7 +50,10 @@
 	Store store.Store
 	// Seeds are addresses of peer services, which may be stale.
 	Seeds []string
-	Log   zerolog.Logger
+	// FirstStart tells that all VMs start for the first time: the list is
+	// complete only after firstSettle.
+	FirstStart bool
+	Log        zerolog.Logger
 }
 
 // record is the value of a VM's key.
@@ -64,21 +69,24 @@
 type Fleet struct {
 	cfg Config
 
-	mu    sync.Mutex
-	live  []member.Info
+	mu   sync.Mutex
+	live []member.Info
+	// early is a list that may lack VMs.
+	early []member.Info
 	lease store.LeaseID
-	// listed tells that the list was read once.
+	// listed tells that the list was read and counts as complete.
 	listed bool
+	start  time.Time
 }
 
 // New returns a Fleet that knows only this VM.
-func New(cfg Config) *Fleet { return &Fleet{cfg: cfg, live: []member.Info{cfg.Self}} }
+func New(cfg Config) *Fleet { return &Fleet{cfg: cfg, start: time.Now()} }
 
 // Self returns this VM.
 func (f *Fleet) Self() member.Info { return f.cfg.Self }
 
 // Live returns the VMs of the last list in the order of their names, this one
-// included.
+// included; nil while no complete list is known.
 func (f *Fleet) Live() []member.Info {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -95,8 +103,11 @@
 // Addresses returns the peer addresses of the other VMs, and the seeds while no
 // other is known.
 func (f *Fleet) Addresses() []string {
+	f.mu.Lock()
+	known := append(slices.Clone(f.live), f.early...)
+	f.mu.Unlock()
 	var out []string
-	for _, m := range f.Live() {
+	for _, m := range known {
 		if m.VM != f.cfg.Self.VM {
 			out = append(out, m.Address)
 		}
@@ -139,7 +150,6 @@
 
 // Run keeps the entry and the list until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
-	start := time.Now()
 	down := false
 	for ctx.Err() == nil {
 		err := f.round(ctx)
@@ -148,7 +158,7 @@
 			f.logStore(err)
 		}
 		d := period*4/5 + rand.N(period*2/5)
-		if time.Since(start) < startTime {
+		if time.Since(f.start) < startTime {
 			d = startPeriod
 		}
 		t := time.NewTimer(d)
@@ -237,7 +247,11 @@
 	slices.SortFunc(live, func(a, b member.Info) int { return cmp.Compare(a.VM, b.VM) })
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.live, f.listed = live, true
+	if f.cfg.FirstStart && time.Since(f.start) < firstSettle {
+		f.early = live
+		return nil
+	}
+	f.live, f.early, f.listed = live, nil, true
 	return nil
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -15,7 +15,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -146,15 +145,13 @@
 		rev, err := f.read(ctx)
 		f.noteStore(err)
 		if err == nil {
-			err = f.cfg.Store.Watch(ctx, f.cfg.Key, rev, func(ev store.Event) {
+			// It ends when the store forgets the history or doesn't answer; the
+			// next read tells which.
+			_ = f.cfg.Store.Watch(ctx, f.cfg.Key, rev, func(ev store.Event) {
 				if !ev.Deleted && ev.Entry.Key == f.cfg.Key {
 					f.decode(ev.Entry)
 				}
 			})
-			var e *store.Error
-			if errors.As(err, &e) && e.Kind == store.KindCompacted {
-				continue
-			}
 		}
 		wait(ctx, retryStore/2+rand.N(retryStore))
 	}
@@ -170,7 +167,7 @@
 	if e.Revision != 0 {
 		f.decode(e)
 	}
-	return e.Revision, nil
+	return max(e.Revision, e.At), nil
 }
 
 func (f *Follower) decode(e store.Entry) {
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -67,6 +67,10 @@
 	RateWait time.Duration
 	// ShareLease is the length of the lease of the slices.
 	ShareLease time.Duration
+	// Lifetime of permits and grants; 0 stands for quota.DefaultLifetime.
+	Lifetime time.Duration
+	// Excess is what is tolerated above the rate and burst of a workspace.
+	Excess Excess
 	// Static splits the rates evenly over the live VMs instead of lending. It
 	// is the baseline of the measurements.
 	Static bool
@@ -77,6 +81,19 @@
 	Clock func() time.Time
 }
 
+// Excess says how much more than rate x Window + burst is tolerated in each
+// window: Part of that, and Tokens.
+type Excess struct {
+	Window time.Duration
+	Part   float64
+	Tokens float64
+}
+
+// of returns the tolerated tokens for a limit.
+func (x Excess) of(l quota.Limit) float64 {
+	return x.Part*(l.Rate*x.Window.Seconds()+float64(l.Burst)) + x.Tokens
+}
+
 // Limiter enforces rates and shares out slots on one VM. Its methods may be
 // called from several goroutines.
 type Limiter struct {
@@ -119,6 +136,7 @@
 		gates: map[ident.Target]*gateState{}, links: map[ident.VM]*link{},
 		hints: map[quota.Shard]map[ident.VM]bool{}, warmed: warmed{},
 	}
+	l.shares.holdings.SetLifetime(cfg.Lifetime)
 	l.answers.New = func() any { return make(chan error, 1) }
 	l.lease.Store(&time.Time{})
 	l.view.Store(&view{})
--- a/internal/limit/shares.go
+++ b/internal/limit/shares.go
@@ -140,6 +140,9 @@
 	case len(release) > 0:
 		return l.done(l.release(ctx, release[0])), true
 	case len(claim) > 0:
+		if b, ok := l.cfg.Store.(store.Batcher); ok {
+			return l.done(l.claimAll(ctx, b, claim, lease)), true
+		}
 		return l.done(l.claim(ctx, claim[0], lease)), true
 	}
 	return min(renew.Sub(now), refreshPeriod), false
@@ -150,7 +153,11 @@
 	s := &l.shares
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	wanted := l.view.Load().wanted
+	v := l.view.Load()
+	wanted := v.wanted
+	if len(v.live) == 0 && !s.draining {
+		return nil, nil // the list of VMs is not known yet
+	}
 	if s.draining {
 		wanted = nil
 	}
@@ -235,92 +242,6 @@
 	l.logLapse()
 }
 
-// claim creates the key of a slice, or takes over the key of a former process
-// with the same VM id.
-func (l *Limiter) claim(ctx context.Context, sl quota.Slice, lease store.LeaseID) error {
-	value, err := json.Marshal(owner{l.cfg.Fleet.Self().VM, l.boot})
-	if err != nil {
-		return err
-	}
-	w := store.Write{Key: sl.Key(), Value: value, Lease: lease}
-	current, known, err := l.lookTaken(ctx, sl)
-	if err != nil {
-		return err
-	}
-	if known && current.Revision != 0 {
-		if l.isTaken(sl, current) {
-			return nil
-		}
-		w.Expected = current.Revision
-	}
-	res, err := store.Swap(ctx, l.cfg.Store, w)
-	if err != nil {
-		l.doubt(sl)
-		return err
-	}
-	if res.Done {
-		l.claimed(sl, res.Current.Revision)
-		return nil
-	}
-	if l.isTaken(sl, res.Current) || res.Current.Revision == 0 {
-		return nil
-	}
-	// A former process of this VM id had it.
-	w.Expected = res.Current.Revision
-	res, err = store.Swap(ctx, l.cfg.Store, w)
-	if err != nil {
-		l.doubt(sl)
-		return err
-	}
-	if res.Done {
-		l.claimed(sl, res.Current.Revision)
-	}
-	return nil
-}
-
-// lookTaken reads the key of a slice that another VM had, since a read costs
-// the store less than a write that fails.
-func (l *Limiter) lookTaken(ctx context.Context, sl quota.Slice) (store.Entry, bool, error) {
-	l.shares.mu.Lock()
-	_, known := l.shares.taken[sl]
-	l.shares.mu.Unlock()
-	if !known {
-		return store.Entry{}, false, nil
-	}
-	e, err := store.Read(ctx, l.cfg.Store, sl.Key())
-	return e, true, err
-}
-
-// isTaken reports whether another VM holds the slice, and notes it.
-func (l *Limiter) isTaken(sl quota.Slice, e store.Entry) bool {
-	var o owner
-	if err := json.Unmarshal(e.Value, &o); err != nil || o.VM == l.cfg.Fleet.Self().VM {
-		return false
-	}
-	l.shares.mu.Lock()
-	l.shares.taken[sl] = taken{o.VM, l.now().Add(jitter(retryTaken))}
-	l.shares.mu.Unlock()
-	l.hint(sl.Shard, o.VM)
-	return true
-}
-
-func (l *Limiter) doubt(sl quota.Slice) {
-	l.shares.mu.Lock()
-	defer l.shares.mu.Unlock()
-	l.shares.holdings.Doubt(sl)
-}
-
-func (l *Limiter) claimed(sl quota.Slice, rev store.Revision) {
-	s := &l.shares
-	s.mu.Lock()
-	s.holdings.Claimed(sl, l.now())
-	s.revisions[sl] = rev
-	delete(s.taken, sl)
-	s.mu.Unlock()
-	l.configureShard(sl.Shard)
-	l.logClaim(sl)
-}
-
 // release stops the use of a slice first and deletes its key then. After a lost
 // answer, or when a claim was in doubt, the key is read before.
 func (l *Limiter) release(ctx context.Context, sl quota.Slice) error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,6 +50,9 @@
 	shareLease = 30 * time.Second
 	// rateWait bounds the wait for tokens of a workspace's rate.
 	rateWait = 120 * time.Millisecond
+	// permitLife is how long borrowed tokens may be used, and how long a slice
+	// of another VM rests before it is used.
+	permitLife = 400 * time.Millisecond
 	// sweepPeriod is how often unused connections are looked for.
 	sweepPeriod = 2 * time.Second
 	// memoryPart of the VM's memory is the garbage collector's soft bound.
@@ -94,13 +97,16 @@
 	n.pools = &dbpool.Pools{Dialer: a.Dialer, Roster: n.roster, Limit: n.connLimit}
 	n.peers = peer.NewCache(peer.CacheConfig{Private: true, Scope: n.metrics.Scope})
 	self := member.Info{VM: s.VM, Zone: s.Zone, Region: s.Region, Address: s.Peers}
-	n.fleet = fleet.New(fleet.Config{Self: self, Store: a.Store, Seeds: s.Seeds, Log: log})
+	n.fleet = fleet.New(fleet.Config{Self: self, Store: a.Store, Seeds: s.Seeds, FirstStart: s.FirstStart, Log: log})
 	n.follow = follow.New(follow.Config{
 		Store: a.Store, Key: a.CatalogueKey, Decode: a.Catalogue, VM: s.VM, Fleet: n.fleet, Peers: n.peers, Log: log,
 	})
 	n.limiter = limit.New(limit.Config{
 		Catalogue: n.follow, Fleet: n.fleet, Peers: vmPeers{n}, Store: a.Store, Log: log, Scope: n.metrics.Scope,
 		RateWait: rateWait, ShareLease: shareLease, RatesOnly: true, Clock: uptime.Now,
+		Lifetime: permitLife, Excess: limit.Excess{
+			Window: time.Duration(s.RateExcess.WindowS * float64(time.Second)), Part: s.RateExcess.Part, Tokens: s.RateExcess.Tokens,
+		},
 	})
 	n.leads = lead.New(lead.Config{
 		VM: s.VM, Roster: n.roster, Pools: n.pools, Store: a.Store, Promoter: a.Promoter, Peers: vmPeers{n},
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -30,12 +30,24 @@
 	// interface that makes a database primary.
 	Store    string `json:"store"`
 	Platform string `json:"platform"`
+	// FirstStart tells that the whole deployment starts for the first time.
+	FirstStart bool `json:"first_start,omitempty"`
+	// RateExcess is what is tolerated above the rates of workspaces.
+	RateExcess RateExcess `json:"rate_excess,omitzero"`
 	// MemoryMB is the VM's memory, in MiB; 0 stands for no bound.
 	MemoryMB int `json:"memory_mb,omitempty"`
 	// GraceS is the time of a planned stop, in seconds; 0 stands for 6.
 	GraceS float64 `json:"grace_s,omitempty"`
 }
 
+// RateExcess is what may be admitted in each window above a workspace's rate
+// and burst: a part of what these allow in it, and a number of operations.
+type RateExcess struct {
+	WindowS float64 `json:"window_s,omitempty"`
+	Part    float64 `json:"part,omitempty"`
+	Tokens  float64 `json:"tokens,omitempty"`
+}
+
 const defaultGrace = 6 * time.Second
 
 // Grace returns the time of a planned stop.
@@ -93,6 +105,9 @@
 			add("/metrics", "is no address", "IP:port or nothing")
 		}
 	}
+	if x := s.RateExcess; x.WindowS < 0 || x.Part < 0 || x.Tokens < 0 {
+		add("/rate_excess", "has a negative number", "0 or more")
+	}
 	if s.MemoryMB < 0 {
 		add("/memory_mb", "is negative", "0 or more")
 	}
--- a/pkg/quota/account.go
+++ b/pkg/quota/account.go
@@ -23,6 +23,10 @@
 	Since time.Time
 	// Static, unless nil, replaces slices and lending by this VM's fixed share.
 	Static *Share
+	// Credit is what all slices together may start with when they are claimed,
+	// in tokens. It is at most half of what the platform tolerates above the
+	// limit, so that each slice may be claimed twice in a window.
+	Credit float64
 }
 
 // Counts are totals since the Account was made.
@@ -54,12 +58,15 @@
 	layout  bool
 	changed time.Time // end of a transition between layouts
 	buckets []bucket
-	cache   cache
-	peers   []peer
-	asks    []ask
-	queue   []waiting
-	demand  demand
-	counts  Counts
+	// parked are the buckets of slices that are not held any more. One goes on
+	// when its slice is held again under the same claim.
+	parked []bucket
+	cache  cache
+	peers  []peer
+	asks   []ask
+	queue  []waiting
+	demand demand
+	counts Counts
 
 	lastGrant  GrantID
 	lastAsk    AskID
@@ -106,21 +113,53 @@
 	next := make([]bucket, 0, len(s.Held))
 	for _, h := range s.Held {
 		share := ShareOf(s.Limit, h.Slice.Index, s.Slices, s.Offset)
-		i := slices.IndexFunc(a.buckets, func(b bucket) bool {
-			return !moved && b.index == h.Slice.Index && b.ready.Equal(h.Ready)
-		})
-		b := bucket{index: h.Slice.Index, ready: h.Ready, last: later(h.Ready, s.Since)}
-		if i >= 0 {
-			b = a.buckets[i]
-		} else if !a.changed.After(now) {
-			b.share = share
+		b, known := a.former(h, moved)
+		if !known {
+			b = bucket{index: h.Slice.Index, ready: h.Ready, last: later(h.Ready, s.Since)}
+			if !a.changed.After(now) {
+				b.share = share
+				b.level = min(share.Burst, ident.Micro(s.Credit/float64(s.Slices)*float64(ident.Token)))
+			}
 		}
 		b.reshare(share, now, a.changed)
 		next = append(next, b)
 	}
+	a.park(next, moved)
 	a.buckets = next
 }
 
+// former returns the bucket of a held slice, if there was one under this claim.
+func (a *Account) former(h Held, moved bool) (bucket, bool) {
+	if moved {
+		return bucket{}, false
+	}
+	for _, list := range [][]bucket{a.buckets, a.parked} {
+		for _, b := range list {
+			if b.index == h.Slice.Index && b.ready.Equal(h.Ready) {
+				return b, true
+			}
+		}
+	}
+	return bucket{}, false
+}
+
+// park keeps the buckets that are not in next, one for each slice.
+func (a *Account) park(next []bucket, moved bool) {
+	if moved {
+		a.parked = nil
+		return
+	}
+	held := func(b bucket) bool {
+		return slices.ContainsFunc(next, func(n bucket) bool { return n.index == b.index })
+	}
+	for _, b := range a.buckets {
+		if !held(b) {
+			a.parked = append(slices.DeleteFunc(a.parked, func(p bucket) bool { return p.index == b.index }), b)
+		}
+	}
+	a.parked = slices.DeleteFunc(a.parked, held)
+}
+
 func (a *Account) static(s Share, now time.Time) {
 	if len(a.buckets) != 1 {
 		a.buckets = []bucket{{last: now, ready: now, share: s}}
--- a/pkg/quota/holdings.go
+++ b/pkg/quota/holdings.go
@@ -19,6 +19,9 @@
 	deadline time.Time
 	held     map[Slice]time.Time
 	leaving  map[Slice]bool
+	// former has the slices of a lease that ended before formerEnd, its deadline.
+	former    map[Slice]time.Time
+	formerEnd time.Time
 }
 
 // SetLifetime sets the lifetime of permits; 0 stands for DefaultLifetime.
@@ -38,18 +41,34 @@
 
 // Lapsed forgets everything: the lease has ended, or its deadline has passed.
 func (h *Holdings) Lapsed() {
+	h.former, h.formerEnd = h.held, h.deadline
 	h.deadline = time.Time{}
 	h.held, h.leaving = nil, nil
 }
 
 // Claimed notes that the slice's key is known, at now, to be this VM's. The
 // slice may be used one lifetime later, when all permits and grants of the
-// former holder have ended.
+// former holder have ended. A slice of a lease that the store ended early goes
+// on as it was while the lease's own deadline has not passed.
 func (h *Holdings) Claimed(s Slice, now time.Time) {
+	ready, ok := h.former[s]
+	if !ok || !now.Before(h.formerEnd) {
+		ready = now.Add(cmp.Or(h.lifetime, DefaultLifetime))
+	}
+	h.hold(s, ready)
+}
+
+// Inherited is Claimed for a slice that a former process of this VM had, which
+// has ended. Its grants may be in use for a lifetime more; tokens that are
+// minted meanwhile exceed the burst by the rate of one lifetime at most.
+func (h *Holdings) Inherited(s Slice, now time.Time) { h.hold(s, now) }
+
+func (h *Holdings) hold(s Slice, ready time.Time) {
 	if h.held == nil {
 		h.held = map[Slice]time.Time{}
 	}
-	h.held[s] = now.Add(cmp.Or(h.lifetime, DefaultLifetime))
+	h.held[s] = ready
+	delete(h.former, s)
 }
 
 // Stop ends the use of a slice, before its key is deleted.
@@ -58,6 +77,7 @@
 		return
 	}
 	delete(h.held, s)
+	delete(h.former, s)
 	if h.leaving == nil {
 		h.leaving = map[Slice]bool{}
 	}
--- a/pkg/quota/types.go
+++ b/pkg/quota/types.go
@@ -41,9 +41,12 @@
 	Index Index
 }
 
+// SlicePrefix starts the store keys of slices.
+const SlicePrefix = "slice/"
+
 // Key returns the slice's store key.
 func (s Slice) Key() string {
-	return "slice/" + strconv.Itoa(int(s.Shard)) + "/" + strconv.Itoa(int(s.Index))
+	return SlicePrefix + strconv.Itoa(int(s.Shard)) + "/" + strconv.Itoa(int(s.Index))
 }
 
 // GrantID identifies a grant at its lender. A lender starts from a random
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -19,6 +19,9 @@
 	Value    []byte
 	Revision Revision
 	Lease    LeaseID
+	// At is the revision of the whole store at a Get, from which a watch can go
+	// on; 0 when the store does not tell.
+	At Revision
 }
 
 // Write is a compare-and-swap.
@@ -77,3 +80,13 @@
 type StaleLister interface {
 	ListStale(ctx context.Context, prefix string) ([]Entry, error)
 }
+
+// Batcher is implemented by stores that do several writes or none of them.
+type Batcher interface {
+	// PutAll takes at most MaxBatch writes. done is false when a revision was
+	// not the expected one; nothing was written then.
+	PutAll(ctx context.Context, ws []Write) (done bool, rev Revision, err error)
+}
+
+// MaxBatch is the greatest number of writes of a batch.
+const MaxBatch = 30
--- a/pkg/store/swap.go
+++ b/pkg/store/swap.go
@@ -92,3 +92,24 @@
 	}
 	return env, nil
 }
+
+// SwapAll is Swap for several writes that are all done or none. An error of kind
+// KindUnavailable means that the outcome is unknown.
+func SwapAll(ctx context.Context, s Store, b Batcher, ws []Write) (done bool, rev Revision, err error) {
+	op := uuid.NewString()
+	wrapped := make([]Write, len(ws))
+	for i, w := range ws {
+		raw, err := json.Marshal(envelope{Op: op, Value: w.Value})
+		if err != nil {
+			return false, 0, &Error{Op: "swap", Key: w.Key, Kind: KindFormat, Err: err}
+		}
+		wrapped[i] = w
+		wrapped[i].Value = raw
+	}
+	done, rev, err = b.PutAll(ctx, wrapped)
+	if err == nil || len(ws) == 0 {
+		return done, rev, err
+	}
+	res, err := readBack(ctx, s, wrapped[0], op, err)
+	return res.Done, res.Current.Revision, err
+}
