--- a/internal/engine/config.go
+++ b/internal/engine/config.go
@@ -98,6 +98,9 @@
 	Pools   *dbpool.Pools
 	Roster  *roster.Table
 	Place   Place
+	// Started, unless nil, is closed when the VM is ready: logins wait for it
+	// for startWait.
+	Started <-chan struct{}
 	Meter   Meter
 	Log     zerolog.Logger
 }
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -38,8 +38,31 @@
 	return &Engine{cfg: cfg, sessions: map[*Session]bool{}}
 }
 
+// startWait bounds the wait of a login for the VM's start. Callers give up after
+// two seconds.
+const startWait = 1500 * time.Millisecond
+
+// awaitStart waits until the VM is ready to serve.
+func (e *Engine) awaitStart() {
+	if e.cfg.Started == nil {
+		return
+	}
+	select {
+	case <-e.cfg.Started:
+		return
+	default:
+	}
+	t := time.NewTimer(startWait)
+	defer t.Stop()
+	select {
+	case <-e.cfg.Started:
+	case <-t.C:
+	}
+}
+
 // Open checks a login and returns the session, or the refusal to send.
 func (e *Engine) Open(l Login, c Caller) (*Session, *dbop.Answer) {
+	e.awaitStart()
 	s := &Session{e: e, caller: c, login: l}
 	if a := s.authorize(); a != nil {
 		e.logLogin(l.Route, a)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -53,7 +53,9 @@
 	// FirstStart tells that all VMs start for the first time: the list is
 	// complete only after firstSettle.
 	FirstStart bool
-	Log        zerolog.Logger
+	// OnChange, unless nil, is called after the list has changed.
+	OnChange func()
+	Log      zerolog.Logger
 }
 
 // record is the value of a VM's key.
@@ -245,14 +247,24 @@
 		}
 	}
 	slices.SortFunc(live, func(a, b member.Info) int { return cmp.Compare(a.VM, b.VM) })
+	if f.take(live) && f.cfg.OnChange != nil {
+		f.cfg.OnChange()
+	}
+	return nil
+}
+
+// take puts a list in force unless it may lack VMs, and reports whether it
+// differs from the former one.
+func (f *Fleet) take(live []member.Info) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cfg.FirstStart && time.Since(f.start) < firstSettle {
 		f.early = live
-		return nil
+		return false
 	}
+	changed := !f.listed || !slices.Equal(f.live, live)
 	f.live, f.early, f.listed = live, nil, true
-	return nil
+	return changed
 }
 
 // Leave ends the entry, on a planned stop.
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -183,6 +183,9 @@
 	}
 }
 
+// Nudge makes the Limiter look at the membership at once.
+func (l *Limiter) Nudge() { signal(l.hinted) }
+
 // now returns the time by the limiter's clock.
 func (l *Limiter) now() time.Time { return l.cfg.Clock() }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -82,7 +82,8 @@
 	disco   *disco.Poller
 
 	stopping atomic.Bool
-	ready    atomic.Bool
+	// started is closed when the VM is ready for the first time.
+	started chan struct{}
 	// grace is the time of a planned stop; a reload may change it.
 	grace atomic.Int64
 }
@@ -92,12 +93,12 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryPart * (1 << 20)))
 	}
-	n := &Node{s: s, a: a, log: log, roster: &roster.Table{}, metrics: metr.New()}
+	n := &Node{s: s, a: a, log: log, roster: &roster.Table{}, metrics: metr.New(), started: make(chan struct{})}
 	n.grace.Store(int64(s.Grace()))
 	n.pools = &dbpool.Pools{Dialer: a.Dialer, Roster: n.roster, Limit: n.connLimit}
 	n.peers = peer.NewCache(peer.CacheConfig{Private: true, Scope: n.metrics.Scope})
 	self := member.Info{VM: s.VM, Zone: s.Zone, Region: s.Region, Address: s.Peers}
-	n.fleet = fleet.New(fleet.Config{Self: self, Store: a.Store, Seeds: s.Seeds, FirstStart: s.FirstStart, Log: log})
+	n.fleet = fleet.New(fleet.Config{Self: self, Store: a.Store, Seeds: s.Seeds, FirstStart: s.FirstStart, Log: log, OnChange: func() { n.limiter.Nudge() }})
 	n.follow = follow.New(follow.Config{
 		Store: a.Store, Key: a.CatalogueKey, Decode: a.Catalogue, VM: s.VM, Fleet: n.fleet, Peers: n.peers, Log: log,
 	})
@@ -115,8 +116,9 @@
 	})
 	n.engine = engine.New(engine.Config{
 		Access: n.follow, Limiter: n.limiter, Leads: n.leads, Pools: n.pools, Roster: n.roster,
-		Place: engine.Place{Zone: s.Zone, Region: s.Region, RegionOf: n.region},
-		Meter: newMeter(n.metrics.Scope), Log: log,
+		Started: n.started,
+		Place:   engine.Place{Zone: s.Zone, Region: s.Region, RegionOf: n.region},
+		Meter:   newMeter(n.metrics.Scope), Log: log,
 	})
 	n.disco = &disco.Poller{Store: a.Store, Prefix: a.TargetPrefix, Decode: a.Target, Roster: n.roster, Log: log}
 	return n
@@ -159,7 +161,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){n.follow.Run, n.fleet.Run, n.limiter.Run, n.leads.Run, n.disco.Run, n.housekeep} {
+	for _, f := range []func(context.Context){n.follow.Run, n.fleet.Run, n.limiter.Run, n.leads.Run, n.disco.Run, n.housekeep, n.awaitReady} {
 		wg.Go(func() { f(work) })
 	}
 	server := peer.NewServer(peer.ServerConfig{Private: true}, peer.Handlers{Catalogue: n.follow, Lender: n.limiter, Watcher: watcher{n}})
@@ -220,7 +222,25 @@
 	return !n.stopping.Load() && n.follow.Index() != nil && n.roster.Loaded() && n.limiter.Ready()
 }
 
-// housekeep closes unused connections, watches new groups and logs readiness.
+// readyPoll is how often a VM that starts looks whether it is ready.
+const readyPoll = 15 * time.Millisecond
+
+// awaitReady lets callers in when the VM is ready for the first time.
+func (n *Node) awaitReady(ctx context.Context) {
+	t := time.NewTicker(readyPoll)
+	defer t.Stop()
+	for !n.isReady() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+	close(n.started)
+	evlog.At(n.log, evlog.DaemonReady).Uint64("version", uint64(n.follow.Version())).Send()
+}
+
+// housekeep closes unused connections and watches new groups.
 func (n *Node) housekeep(ctx context.Context) {
 	t := time.NewTicker(sweepPeriod)
 	defer t.Stop()
@@ -233,9 +253,6 @@
 			}
 			n.leads.Watch(groups)
 		}
-		if n.isReady() && !n.ready.Swap(true) {
-			evlog.At(n.log, evlog.DaemonReady).Uint64("version", uint64(n.follow.Version())).Send()
-		}
 		select {
 		case <-ctx.Done():
 			return
