--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -206,8 +206,8 @@
 	for c.again() {
 		floor, ok := s.floor(c)
 		if !ok {
-			c.last = dbop.Lagging
-			break
+			// Without a confirmed position only the primary's lead proves the log.
+			return s.readPrimary(c)
 		}
 		m, ok := s.choose(tried)
 		if !ok {
--- a/internal/engine/txn.go
+++ b/internal/engine/txn.go
@@ -213,8 +213,9 @@
 	for c.again() {
 		floor, ok := s.floor(&call{arrived: tx.arrived, deadline: c.deadline})
 		if !ok {
-			c.last = dbop.Lagging
-			return false
+			conn, ok := s.primary(c)
+			tx.conn = conn
+			return ok
 		}
 		m, ok := s.choose(tried)
 		if !ok {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -78,7 +78,9 @@
 	lease store.LeaseID
 	// listed tells that the list was read and counts as complete.
 	listed bool
-	start  time.Time
+	// left tells that the entry was ended and must not come back.
+	left  bool
+	start time.Time
 }
 
 // New returns a Fleet that knows only this VM.
@@ -184,8 +186,11 @@
 // keep renews the lease, or writes the entry under a new one.
 func (f *Fleet) keep(ctx context.Context) error {
 	f.mu.Lock()
-	lease := f.lease
+	lease, left := f.lease, f.left
 	f.mu.Unlock()
+	if left {
+		return nil
+	}
 	if lease != 0 {
 		ok, err := f.cfg.Store.RenewLease(ctx, lease)
 		if err != nil || ok {
@@ -200,8 +205,11 @@
 		return err
 	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.lease = lease
+	f.lease, left = lease, f.left
+	f.mu.Unlock()
+	if left {
+		f.revoke(ctx, lease)
+	}
 	return nil
 }
 
@@ -271,10 +279,14 @@
 func (f *Fleet) Leave(ctx context.Context) {
 	f.mu.Lock()
 	lease := f.lease
+	f.left = true
 	f.mu.Unlock()
-	if lease == 0 {
-		return
+	if lease != 0 {
+		f.revoke(ctx, lease)
 	}
+}
+
+func (f *Fleet) revoke(ctx context.Context, lease store.LeaseID) {
 	if err := f.cfg.Store.RevokeLease(ctx, lease); err != nil {
 		f.logStore(err)
 	}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -164,9 +164,16 @@
 	}
 }
 
-// Covering implements engine.Leads.
+// coverWait bounds the wait for a position. It is above a round trip between
+// regions and a new connection; the caller then asks the primary itself.
+const coverWait = 400 * time.Millisecond
+
+// Covering implements engine.Leads. It gives up after coverWait.
 func (l *Leads) Covering(deadline time.Time, g ident.Group, since time.Time) (ident.Position, bool) {
 	st := l.state(g)
+	if by := time.Now().Add(coverWait); by.Before(deadline) {
+		deadline = by
+	}
 	for {
 		changed := st.waiter()
 		if pos, ok := st.track.Covering(since); ok {
--- a/internal/limit/shares.go
+++ b/internal/limit/shares.go
@@ -51,6 +51,8 @@
 	taken     map[quota.Slice]taken
 	down      bool
 	draining  bool
+	// ended tells that the lease was given back for good.
+	ended bool
 	rounds    int // completed passes without anything left to claim
 }
 
@@ -126,9 +128,12 @@
 	defer cancel()
 	s := &l.shares
 	s.mu.Lock()
-	lease, renew := s.lease, s.renew
+	lease, renew, ended := s.lease, s.renew, s.ended
 	s.mu.Unlock()
 	now := l.now()
+	if ended {
+		return refreshPeriod, false
+	}
 	if lease == 0 {
 		return l.done(l.grant(ctx)), true
 	}
@@ -301,13 +306,31 @@
 	}
 }
 
-// Ready reports whether this VM has claimed what it could, or the store does not
-// answer: it may take callers then.
+// Yield stops minting and gives all slices back by ending their lease, in one
+// call. Tokens are borrowed from then on.
+func (l *Limiter) Yield(ctx context.Context) error {
+	s := &l.shares
+	s.mu.Lock()
+	lease := s.lease
+	s.draining, s.ended = true, true
+	s.mu.Unlock()
+	l.lapsed()
+	if lease == 0 {
+		return nil
+	}
+	return l.cfg.Store.RevokeLease(ctx, lease)
+}
+
+// Ready reports whether this VM has claimed what it could and may use some of
+// it, or the store does not answer: it may take callers then.
 func (l *Limiter) Ready() bool {
 	if l.view.Load().cat == nil {
 		return false
 	}
 	l.shares.mu.Lock()
 	defer l.shares.mu.Unlock()
-	return l.cfg.Static || l.shares.down || l.shares.rounds > 0
+	if l.cfg.Static || l.shares.down {
+		return true
+	}
+	return l.shares.rounds > 0 && l.shares.holdings.Usable(l.now())
 }
--- a/internal/metr/metr.go
+++ b/internal/metr/metr.go
@@ -17,6 +17,7 @@
 	"sync"
 	"time"
 
+	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 )
@@ -40,7 +41,10 @@
 // New starts a root scope with the prefix "chervil" and latency buckets from
 // 1 ms to 8 s.
 func New() *Metrics {
+	// A registry of its own lets several daemons run in one test process.
+	reg := prom.NewRegistry()
 	reporter := prometheus.NewReporter(prometheus.Options{
+		Registerer: reg, Gatherer: reg,
 		DefaultTimerType: prometheus.HistogramTimerType,
 		DefaultHistogramBuckets: []float64{
 			.001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 4, 8,
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -30,9 +30,10 @@
 	left := n.engine.Wait(begin.Add(grace - grace/6 - leaveTime))
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
 	defer cancel()
-	if err := n.limiter.Drain(ctx); err != nil {
+	n.fleet.Leave(ctx)
+	if err := n.limiter.Yield(ctx); err != nil {
+		// The slices come free when their lease ends.
 		evlog.At(n.log, evlog.FleetUnlisted).Err(err).Send()
 	}
-	n.fleet.Leave(ctx)
 	return left
 }
--- a/pkg/quota/holdings.go
+++ b/pkg/quota/holdings.go
@@ -124,6 +124,16 @@
 	return claim, release
 }
 
+// Usable reports whether a held slice may be used at now, or none is held.
+func (h *Holdings) Usable(now time.Time) bool {
+	for _, ready := range h.held {
+		if !now.Before(ready) {
+			return true
+		}
+	}
+	return len(h.held) == 0
+}
+
 // Held returns the slices in use, in order.
 func (h *Holdings) Held() []Held {
 	out := make([]Held, 0, len(h.held))
