--- /dev/null
+++ b/internal/dbpool/pool_test.go
@@ -0,0 +1,172 @@
+package dbpool_test
+
+import (
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/internal/linktest"
+	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/roster"
+)
+
+func pools(c *linktest.Cluster, limit int) (*dbpool.Pools, *roster.Member) {
+	p := &dbpool.Pools{Dialer: c, Roster: c.Roster(), Limit: func(ident.Group) int { return limit }}
+	m, _ := c.Roster().Member("g", "a")
+	return p, &m
+}
+
+func in(d time.Duration) time.Time { return time.Now().Add(d) }
+
+// TestBound guards against more connections than the VM's part, and against a
+// connection that serves two workspaces.
+func TestBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := linktest.New("g", "a")
+		p, m := pools(c, 2)
+		x, err := p.Get(in(time.Second), m, "w1", nil)
+		is.NoErr(err)
+		y, err := p.Get(in(time.Second), m, "w1", nil)
+		is.NoErr(err)
+		_, err = p.Get(in(100*time.Millisecond), m, "w1", nil)
+		var e *dbpool.Error
+		is.True(errors.As(err, &e))
+		is.Equal(e.Kind, dbpool.KindWait)
+		x.Release(true)
+		z, err := p.Get(in(time.Second), m, "w2", nil)
+		is.NoErr(err)
+		is.Equal(z.Workspace, ident.Workspace("w2"))
+		is.Equal(c.Open("a"), 2)
+		is.Equal(c.Tenants("a"), map[ident.Workspace]int{"w1": 2, "w2": 1})
+		y.Release(true)
+		z.Release(true)
+	})
+}
+
+// TestWaitInOrder guards against a request that waits for a connection although
+// one came back, and against a later request that overtakes it.
+func TestWaitInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := linktest.New("g", "a")
+		p, m := pools(c, 1)
+		held, err := p.Get(in(time.Second), m, "w", nil)
+		is.NoErr(err)
+		var mu sync.Mutex
+		var order []int
+		var wg sync.WaitGroup
+		for i := range 3 {
+			wg.Go(func() {
+				conn, err := p.Get(in(10*time.Second), m, "w", nil)
+				if err != nil {
+					return
+				}
+				mu.Lock()
+				order = append(order, i)
+				mu.Unlock()
+				time.Sleep(10 * time.Millisecond)
+				conn.Release(true)
+			})
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(20 * time.Millisecond)
+		held.Release(true)
+		wg.Wait()
+		is.Equal(order, []int{0, 1, 2})
+		is.Equal(c.Open("a"), 1)
+	})
+}
+
+// TestOutstanding guards against a connection that is used again while an answer
+// is outstanding, or while a transaction is open on it.
+func TestOutstanding(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := linktest.New("g", "a")
+		p, m := pools(c, 4)
+		conn, _ := p.Get(in(time.Second), m, "w", nil)
+		c.Set("a", func(d *linktest.DB) { d.Mute[dbop.Read] = 1 })
+		_, err := conn.Do(in(time.Second), dbop.Statement{ID: "1", Kind: dbop.Read, Text: "READ x"})
+		is.True(err != nil)
+		conn.Release(true)
+		is.Equal(c.Open("a"), 0)
+		conn, _ = p.Get(in(time.Second), m, "w", nil)
+		_, err = conn.Do(in(time.Second), dbop.Statement{Kind: dbop.Begin})
+		is.NoErr(err)
+		conn.Release(true)
+		is.Equal(c.Open("a"), 0)
+		conn, _ = p.Get(in(time.Second), m, "w", nil)
+		_, err = conn.Do(in(time.Second), dbop.Statement{Kind: dbop.Begin})
+		is.NoErr(err)
+		conn.Rollback(in(time.Second))
+		is.Equal(c.Open("a"), 1)
+	})
+}
+
+// TestTooMany guards against a request that fails at once because the database
+// has too many connections of other VMs for a moment.
+func TestTooMany(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := linktest.New("g", "a")
+		p, m := pools(c, 4)
+		c.Set("a", func(d *linktest.DB) { d.Max = 1 })
+		held, err := p.Get(in(time.Second), m, "w", nil)
+		is.NoErr(err)
+		go func() {
+			time.Sleep(300 * time.Millisecond)
+			c.Set("a", func(d *linktest.DB) { d.Max = 2 })
+		}()
+		conn, err := p.Get(in(time.Second), m, "w", nil)
+		is.NoErr(err)
+		conn.Release(true)
+		held.Release(true)
+	})
+}
+
+// TestOwner guards against a session that loses the connection with its settings
+// to another one while there are others.
+func TestOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := linktest.New("g", "a")
+		p, m := pools(c, 4)
+		one, two := "session 1", "session 2"
+		x, _ := p.Get(in(time.Second), m, "w", one)
+		y, _ := p.Get(in(time.Second), m, "w", two)
+		x.Release(true)
+		y.Release(true)
+		again, err := p.Get(in(time.Second), m, "w", one)
+		is.NoErr(err)
+		is.True(again == x)
+	})
+}
+
+// TestSweep guards against connections that stay open after a database has gone
+// or while nobody uses them.
+func TestSweep(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := linktest.New("g", "a", "b")
+		p, m := pools(c, 4)
+		x, _ := p.Get(in(time.Second), m, "w", nil)
+		x.Release(true)
+		keep := func(ident.Group, ident.Target, string, int64) bool { return true }
+		p.Sweep(keep)
+		is.Equal(c.Open("a"), 1)
+		time.Sleep(30 * time.Second)
+		p.Sweep(keep)
+		is.Equal(c.Open("a"), 0)
+		x, _ = p.Get(in(time.Second), m, "w", nil)
+		x.Release(true)
+		p.Close()
+		is.Equal(c.Open("a"), 0)
+	})
+}
--- a/internal/engine/config.go
+++ b/internal/engine/config.go
@@ -60,11 +60,11 @@
 	// Await returns the primary of a group, and waits for it until the deadline.
 	Await(deadline time.Time, g ident.Group) (roster.Member, bool)
 	// Covering returns a position that covers the commits that were
-	// acknowledged before since, by package uptime. It asks the primary if it
+	// acknowledged before since, by Config.Clock. It asks the primary if it
 	// has to, until the deadline.
 	Covering(deadline time.Time, g ident.Group, since time.Time) (ident.Position, bool)
 	// Confirm notes that a database had the lead when it answered a request
-	// that was sent at the given time, by package uptime, with a position.
+	// that was sent at the given time, by Config.Clock, with a position.
 	Confirm(g ident.Group, id ident.Target, pos ident.Position, sent time.Time)
 	// Depose notes that a database refused for want of the lead.
 	Depose(g ident.Group, id ident.Target)
@@ -90,7 +90,8 @@
 	RegionOf func(ident.Zone) ident.Region
 }
 
-// Config has the parts of an Engine. All but Meter are required.
+// Config has the parts of an Engine. All but Started, Clock and Meter are
+// required.
 type Config struct {
 	Access  Access
 	Limiter Limiter
@@ -101,6 +102,10 @@
 	// Started, unless nil, is closed when the VM is ready: logins wait for it
 	// for startWait.
 	Started <-chan struct{}
-	Meter   Meter
-	Log     zerolog.Logger
+	// Clock tells the time by which accepted ages count; nil stands for the
+	// runtime's clock. Machines that can be suspended need one that counts the
+	// suspension.
+	Clock func() time.Time
+	Meter Meter
+	Log   zerolog.Logger
 }
--- /dev/null
+++ b/internal/engine/cost_test.go
@@ -0,0 +1,40 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/roster"
+)
+
+// TestReadCost guards against reads that cross regions, or go to the primary,
+// while a near replica is free, and against reads that wait at a near one while
+// others are free.
+func TestReadCost(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_000, 0)
+	at := Place{Zone: "z1", Region: "r1", RegionOf: func(z ident.Zone) ident.Region {
+		if z == "z3" {
+			return "r2"
+		}
+		return "r1"
+	}}
+	in := func(z ident.Zone) *roster.Member { return &roster.Member{Entry: roster.Entry{Zone: z}} }
+	cost := func(m *roster.Member, l dbpool.Load, leads bool) time.Duration { return readCost(m, at, l, leads, now) }
+	idle := dbpool.Load{Idle: true}
+	is.True(cost(in("z1"), idle, false) < cost(in("z2"), idle, false))
+	is.True(cost(in("z2"), idle, false) < cost(in("z1"), idle, true))
+	is.True(cost(in("z2"), idle, true) < cost(in("z3"), idle, false))
+	is.True(cost(in("z2"), idle, false) < cost(in("z1"), dbpool.Load{Busy: 2, Idle: true}, false))
+	is.True(cost(in("z3"), idle, false) < cost(in("z1"), dbpool.Load{Busy: 3, Waiting: 2, Full: true}, false))
+	behind := in("z1")
+	behind.Behind = now
+	is.True(cost(in("z3"), idle, false) < cost(behind, idle, false))
+	failed := in("z1")
+	failed.Failed = now
+	is.True(cost(in("z3"), dbpool.Load{Busy: 9}, true) < cost(failed, idle, false))
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -32,6 +32,9 @@
 
 // New returns an Engine.
 func New(cfg Config) *Engine {
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
 	if cfg.Meter == nil {
 		cfg.Meter = noMeter{}
 	}
--- /dev/null
+++ b/internal/engine/kit_test.go
@@ -0,0 +1,181 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/internal/engine"
+	"chervilspan.example/internal/lead"
+	"chervilspan.example/internal/linktest"
+	"chervilspan.example/pkg/access"
+	"chervilspan.example/pkg/catal"
+	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
+)
+
+// caller is a caller whose statements and answers pass through channels.
+type caller struct {
+	in     chan dbop.Statement
+	out    chan dbop.Answer
+	woken  chan struct{}
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newCaller() *caller {
+	return &caller{in: make(chan dbop.Statement), out: make(chan dbop.Answer, 1), woken: make(chan struct{}, 1), closed: make(chan struct{})}
+}
+
+func (c *caller) Receive(deadline time.Time) (dbop.Statement, error) {
+	var late <-chan time.Time
+	if !deadline.IsZero() {
+		t := time.NewTimer(time.Until(deadline))
+		defer t.Stop()
+		late = t.C
+	}
+	select {
+	case st, ok := <-c.in:
+		if !ok {
+			return st, io.EOF
+		}
+		return st, nil
+	case <-late:
+		return dbop.Statement{}, engine.ErrNothing
+	case <-c.woken:
+		return dbop.Statement{}, engine.ErrNothing
+	}
+}
+
+func (c *caller) Send(a *dbop.Answer) error { c.out <- *a; return nil }
+func (c *caller) Pending() bool             { return false }
+func (c *caller) Rest()                     {}
+func (c *caller) Close() error              { c.once.Do(func() { close(c.closed) }); return nil }
+func (c *caller) Wake() {
+	select {
+	case c.woken <- struct{}{}:
+	default:
+	}
+}
+
+// fixture is an engine in front of a cluster of three databases.
+type fixture struct {
+	c     *linktest.Cluster
+	e     *engine.Engine
+	mu    sync.Mutex
+	index *access.Index
+	// full makes the limiter refuse.
+	full   bool
+	admits int
+}
+
+func (f *fixture) Index() *access.Index {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.index
+}
+
+var errFull = errors.New("rate")
+
+func (f *fixture) Admit(context.Context, ident.Workspace) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.full {
+		return errFull
+	}
+	f.admits++
+	return nil
+}
+
+func (f *fixture) set(change func(*fixture)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+// catalogue has a route of each kind, and a tenant with a key.
+func catalogue(version ident.Version, key string) *catal.Catalogue {
+	k, err := catal.HashKey(key)
+	if err != nil {
+		panic(err)
+	}
+	return &catal.Catalogue{
+		Version: version, Groups: map[ident.Group]catal.Group{"g": {}},
+		Classes:    map[ident.Class]catal.Class{"c": {DeadlineMS: 1000}},
+		Workspaces: map[ident.Workspace]catal.Workspace{"w": {Keys: map[string]catal.Key{"k": k}}},
+		Routes: map[ident.Route]catal.Route{
+			"primary": {Group: "g", Class: "c", Reads: catal.ReadsPrimary},
+			"bounded": {Group: "g", Class: "c", Reads: catal.ReadsBounded, MaxAgeMS: 1500},
+			"session": {Group: "g", Class: "c", Reads: catal.ReadsSession, MaxAgeMS: 1500},
+		},
+		Sessions: catal.Sessions{IdleTransactionMS: 3000},
+	}
+}
+
+// session is an open session.
+type session struct {
+	t *testing.T
+	*caller
+	n int
+}
+
+func (f *fixture) open(t *testing.T, route ident.Route) *session {
+	t.Helper()
+	c := newCaller()
+	s, refusal := f.e.Open(engine.Login{Route: route, Key: "key"}, c)
+	if refusal != nil {
+		t.Fatalf("login: %+v", refusal)
+	}
+	go s.Serve()
+	return &session{t: t, caller: c}
+}
+
+func (s *session) run(k dbop.Kind, edit ...func(*dbop.Statement)) dbop.Answer {
+	s.t.Helper()
+	s.n++
+	st := dbop.Statement{ID: "id", Kind: k, Text: "text"}
+	for _, e := range edit {
+		e(&st)
+	}
+	s.in <- st
+	return <-s.out
+}
+
+func (s *session) end() {
+	close(s.in)
+	<-s.closed
+}
+
+// run calls f in a bubble with a paused clock, two seconds after the start.
+func run(t *testing.T, f func(*testing.T, *fixture)) {
+	synctest.Test(t, func(t *testing.T) {
+		fx := &fixture{c: linktest.New("g", "a", "b", "c"), index: access.NewIndex(catalogue(1, "key"))}
+		pools := &dbpool.Pools{Dialer: fx.c, Roster: fx.c.Roster(), Limit: func(ident.Group) int { return 4 }}
+		leads := lead.New(lead.Config{Roster: fx.c.Roster(), Pools: pools, Store: downStore(), Promoter: &linktest.Promoter{Cluster: fx.c}})
+		ctx, cancel := context.WithCancel(t.Context())
+		leads.Watch([]ident.Group{"g"})
+		var wg sync.WaitGroup
+		wg.Go(func() { leads.Run(ctx) })
+		fx.e = engine.New(engine.Config{
+			Access: fx, Limiter: fx, Leads: leads, Pools: pools, Roster: fx.c.Roster(),
+			Place: engine.Place{Zone: "z", RegionOf: func(ident.Zone) ident.Region { return "" }},
+		})
+		time.Sleep(2 * time.Second)
+		f(t, fx)
+		cancel()
+		wg.Wait()
+		time.Sleep(2 * time.Second) // rollbacks in the background
+	})
+}
+
+// downStore keeps the failover of these tests from acting.
+func downStore() *linktest.Store {
+	s := &linktest.Store{}
+	s.SetDown(true)
+	return s
+}
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -9,7 +9,6 @@
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
-	"chervilspan.example/pkg/uptime"
 )
 
 const (
@@ -77,7 +76,7 @@
 	if err != nil {
 		return nil, s.missed(m, err)
 	}
-	sent := uptime.Now()
+	sent := s.e.cfg.Clock()
 	sts := append(s.setup(conn, &c.st), begin)
 	answers, err := conn.Do(s.probeBy(c), sts...)
 	if err != nil {
@@ -317,7 +316,7 @@
 		return a, false
 	}
 	c.offered = true
-	sent := uptime.Now()
+	sent := s.e.cfg.Clock()
 	answers, err := conn.Do(c.deadline, c.st)
 	if err != nil {
 		c.ran = true
@@ -349,7 +348,7 @@
 	if !quiet && len(sts) == 0 {
 		return dbop.OK
 	}
-	sent := uptime.Now()
+	sent := s.e.cfg.Clock()
 	if quiet {
 		sts = append(sts, dbop.Statement{Kind: dbop.Begin}, dbop.Statement{Kind: dbop.Rollback})
 	}
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -13,7 +13,6 @@
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
-	"chervilspan.example/pkg/uptime"
 )
 
 const (
@@ -57,7 +56,7 @@
 // call is a statement that is being served.
 type call struct {
 	st dbop.Statement
-	// arrived is by package uptime, start and deadline by the runtime's clock.
+	// arrived is by Config.Clock, start and deadline by the runtime's clock.
 	arrived  time.Time
 	start    time.Time
 	deadline time.Time
@@ -171,7 +170,7 @@
 
 // handle serves one statement.
 func (s *Session) handle(st dbop.Statement) dbop.Answer {
-	c := &call{st: st, start: time.Now(), arrived: uptime.Now()}
+	c := &call{st: st, start: time.Now(), arrived: s.e.cfg.Clock()}
 	a := s.dispatch(c)
 	if s.tx == nil {
 		a.State = dbop.Idle
--- a/internal/engine/txn.go
+++ b/internal/engine/txn.go
@@ -7,7 +7,6 @@
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
-	"chervilspan.example/pkg/uptime"
 )
 
 // rollbackTimeout bounds the end of an abandoned transaction at a database.
@@ -17,7 +16,7 @@
 type txn struct {
 	// reads tells that the caller will only read.
 	reads bool
-	// arrived is when the transaction began, by package uptime.
+	// arrived is when the transaction began, by Config.Clock.
 	arrived time.Time
 	// used is when the last statement was served.
 	used time.Time
@@ -158,7 +157,7 @@
 		}
 	}
 	c.offered = true
-	sent = uptime.Now()
+	sent = s.e.cfg.Clock()
 	answers, err := tx.conn.Do(c.deadline, c.st)
 	if err != nil {
 		return a, sent, false
@@ -245,7 +244,7 @@
 	c.offered = true
 	var p pauses
 	for {
-		sent := uptime.Now()
+		sent := s.e.cfg.Clock()
 		answers, err := conn.Do(c.deadline, c.st)
 		if err != nil {
 			c.ran = true
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -52,7 +52,11 @@
 	// for primaries.
 	Region func(ident.Zone) ident.Region
 	Home   ident.Region
-	Log    zerolog.Logger
+	// Clock tells the time by which claims and positions count; nil stands for
+	// the runtime's clock. Machines that can be suspended need one that counts
+	// the suspension.
+	Clock func() time.Time
+	Log   zerolog.Logger
 }
 
 // Leads knows the primaries of groups. Its methods may be called from several
@@ -90,6 +94,9 @@
 
 // New returns Leads without groups.
 func New(cfg Config) *Leads {
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
 	if cfg.Rank == nil {
 		cfg.Rank = func(ident.Group) int { return 0 }
 	}
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -10,7 +10,6 @@
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
-	"chervilspan.example/pkg/uptime"
 )
 
 // Periods of the monitor.
@@ -134,7 +133,7 @@
 	if err != nil {
 		return dbop.Unknown, err
 	}
-	sent := uptime.Now()
+	sent := l.cfg.Clock()
 	answers, err := conn.Do(time.Now().Add(probeTimeout), dbop.Statement{Kind: dbop.Begin}, dbop.Statement{Kind: dbop.Rollback})
 	if err != nil {
 		conn.Release(false)
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -12,7 +12,6 @@
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
 	"chervilspan.example/pkg/store"
-	"chervilspan.example/pkg/uptime"
 )
 
 const (
@@ -40,13 +39,14 @@
 type decision struct {
 	lease store.LeaseID
 	token store.Revision
-	// until is the end of the claim, by package uptime.
+	// until is the end of the claim, by Config.Clock.
 	until time.Time
 	// called tells that a promotion was asked for.
 	called bool
 }
 
-func (d *decision) valid() bool { return uptime.Now().Before(d.until.Add(-claimMargin)) }
+// valid reports whether a call may still be sent at now.
+func (d *decision) valid(now time.Time) bool { return now.Before(d.until.Add(-claimMargin)) }
 
 // takeover replaces the primary. Without an error the new primary leads.
 func (l *Leads) takeover(ctx context.Context, st *state, old ident.Target) error {
@@ -81,7 +81,7 @@
 func (l *Leads) claim(ctx context.Context, g ident.Group, old ident.Target) (*decision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	sent := uptime.Now()
+	sent := l.cfg.Clock()
 	lease, err := l.cfg.Store.GrantLease(ctx, claimTTL)
 	if err != nil {
 		return nil, &Error{Op: "claim", Kind: KindStore, Group: g, Err: err}
@@ -136,7 +136,7 @@
 	if !ok {
 		return best, replicas, &Error{Op: "fence", Kind: KindUnheard, Group: st.id}
 	}
-	if !d.valid() {
+	if !d.valid(l.cfg.Clock()) {
 		return best, replicas, &Error{Op: "fence", Kind: KindLate, Group: st.id}
 	}
 	return best, replicas, nil
@@ -189,7 +189,7 @@
 
 // promote asks the platform until it answers or the claim may have ended.
 func (l *Leads) promote(ctx context.Context, g ident.Group, m roster.Member, d *decision) error {
-	for d.valid() {
+	for d.valid(l.cfg.Clock()) {
 		d.called = true
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		v, err := l.cfg.Promoter.Promote(call, g, m.ID, d.token)
--- a/internal/limit/shares.go
+++ b/internal/limit/shares.go
@@ -52,8 +52,8 @@
 	down      bool
 	draining  bool
 	// ended tells that the lease was given back for good.
-	ended bool
-	rounds    int // completed passes without anything left to claim
+	ended  bool
+	rounds int // completed passes without anything left to claim
 }
 
 // of returns the held slices of a shard.
--- /dev/null
+++ b/internal/linktest/store.go
@@ -0,0 +1,235 @@
+package linktest
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"sync"
+	"time"
+
+	"chervilspan.example/internal/lead"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/store"
+)
+
+// Store is a store in memory. The zero Store is empty; its methods may be called
+// from several goroutines.
+type Store struct {
+	mu      sync.Mutex
+	rev     store.Revision
+	items   map[string]store.Entry
+	leases  map[store.LeaseID]time.Time
+	ttls    map[store.LeaseID]time.Duration
+	down    bool
+	changed chan struct{}
+	calls   int
+}
+
+var errDown = errors.New("linktest: the store is down")
+
+// SetDown makes every call fail.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// Calls returns the number of calls.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// enter takes the lock and ends leases. The caller unlocks, also after an error.
+func (s *Store) enter(op, key string) error {
+	s.mu.Lock()
+	s.calls++
+	if s.items == nil {
+		s.items, s.leases, s.ttls = map[string]store.Entry{}, map[store.LeaseID]time.Time{}, map[store.LeaseID]time.Duration{}
+	}
+	for id, end := range s.leases {
+		if time.Now().After(end) {
+			s.end(id)
+		}
+	}
+	if s.down {
+		return &store.Error{Op: op, Key: key, Kind: store.KindUnavailable, Err: errDown}
+	}
+	return nil
+}
+
+func (s *Store) end(id store.LeaseID) {
+	delete(s.leases, id)
+	for k, e := range s.items {
+		if e.Lease == id {
+			delete(s.items, k)
+		}
+	}
+	s.bump()
+}
+
+func (s *Store) bump() {
+	s.rev++
+	if s.changed != nil {
+		close(s.changed)
+		s.changed = nil
+	}
+}
+
+// Get implements store.Store.
+func (s *Store) Get(_ context.Context, key string) (store.Entry, error) {
+	err := s.enter("get", key)
+	defer s.mu.Unlock()
+	e := s.items[key]
+	e.Key, e.At = key, s.rev
+	return e, err
+}
+
+// List implements store.Store.
+func (s *Store) List(_ context.Context, prefix string) ([]store.Entry, error) {
+	err := s.enter("list", prefix)
+	defer s.mu.Unlock()
+	var out []store.Entry
+	for k, e := range s.items {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, e)
+		}
+	}
+	return out, err
+}
+
+// Put implements store.Store.
+func (s *Store) Put(_ context.Context, w store.Write) (store.Result, error) {
+	err := s.enter("put", w.Key)
+	defer s.mu.Unlock()
+	if err != nil {
+		return store.Result{}, err
+	}
+	if now := s.items[w.Key]; now.Revision != w.Expected {
+		return store.Result{Current: now}, nil
+	}
+	if _, ok := s.leases[w.Lease]; w.Lease != 0 && !ok {
+		return store.Result{}, &store.Error{Op: "put", Key: w.Key, Kind: store.KindLeaseEnded}
+	}
+	s.bump()
+	e := store.Entry{Key: w.Key, Value: w.Value, Revision: s.rev, Lease: w.Lease}
+	s.items[w.Key] = e
+	return store.Result{Done: true, Current: e}, nil
+}
+
+// Delete implements store.Store.
+func (s *Store) Delete(_ context.Context, key string, expected store.Revision) (store.Result, error) {
+	err := s.enter("delete", key)
+	defer s.mu.Unlock()
+	if err != nil || s.items[key].Revision != expected {
+		return store.Result{Current: s.items[key]}, err
+	}
+	delete(s.items, key)
+	s.bump()
+	return store.Result{Done: true}, nil
+}
+
+// Watch implements store.Store. It tells of present keys that changed after from.
+func (s *Store) Watch(ctx context.Context, prefix string, from store.Revision, f func(store.Event)) error {
+	for {
+		if err := s.enter("watch", prefix); err != nil {
+			s.mu.Unlock()
+			return err
+		}
+		var found []store.Entry
+		for k, e := range s.items {
+			if strings.HasPrefix(k, prefix) && e.Revision > from {
+				found = append(found, e)
+			}
+		}
+		from = s.rev
+		if s.changed == nil {
+			s.changed = make(chan struct{})
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		for _, e := range found {
+			f(store.Event{Entry: e})
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// GrantLease implements store.Store.
+func (s *Store) GrantLease(_ context.Context, ttl time.Duration) (store.LeaseID, error) {
+	err := s.enter("grant", "")
+	defer s.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	s.bump()
+	id := store.LeaseID(s.rev)
+	s.leases[id], s.ttls[id] = time.Now().Add(ttl), ttl
+	return id, nil
+}
+
+// RenewLease implements store.Store.
+func (s *Store) RenewLease(_ context.Context, id store.LeaseID) (bool, error) {
+	err := s.enter("renew", "")
+	defer s.mu.Unlock()
+	_, ok := s.leases[id]
+	if err != nil || !ok {
+		return false, err
+	}
+	s.leases[id] = time.Now().Add(s.ttls[id])
+	return true, nil
+}
+
+// RevokeLease implements store.Store.
+func (s *Store) RevokeLease(_ context.Context, id store.LeaseID) error {
+	err := s.enter("revoke", "")
+	defer s.mu.Unlock()
+	if err == nil {
+		s.end(id)
+	}
+	return err
+}
+
+// ListVMs implements store.Store.
+func (*Store) ListVMs(context.Context) ([]store.VM, error) { return nil, nil }
+
+// Promoter carries promotions out at a cluster, and checks their tokens.
+type Promoter struct {
+	Cluster *Cluster
+	// Lose is the number of calls that are not carried out and get no answer.
+	Lose int
+	// Refuse answers every call with a refusal.
+	Refuse bool
+
+	mu     sync.Mutex
+	tokens []store.Revision
+}
+
+// Promote implements lead.Promoter.
+func (p *Promoter) Promote(_ context.Context, _ ident.Group, id ident.Target, token store.Revision) (lead.Verdict, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := len(p.tokens) > 0 && token < p.tokens[len(p.tokens)-1]
+	p.tokens = append(p.tokens, token)
+	switch {
+	case p.Lose > 0:
+		p.Lose--
+		return 0, errDown
+	case old || p.Refuse:
+		return lead.Refused, nil
+	}
+	p.Cluster.Promote(id)
+	return lead.Promoted, nil
+}
+
+// Tokens returns the tokens of the calls so far.
+func (p *Promoter) Tokens() []store.Revision {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]store.Revision(nil), p.tokens...)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -112,7 +112,7 @@
 	n.leads = lead.New(lead.Config{
 		VM: s.VM, Roster: n.roster, Pools: n.pools, Store: a.Store, Promoter: a.Promoter, Peers: vmPeers{n},
 		Rank:   func(g ident.Group) int { return n.fleet.Rank("failover/"+string(g), s.home()) },
-		Region: n.region, Home: s.home(), Log: log,
+		Region: n.region, Home: s.home(), Clock: uptime.Now, Log: log,
 	})
 	n.engine = engine.New(engine.Config{
 		Access: n.follow, Limiter: n.limiter, Leads: n.leads, Pools: n.pools, Roster: n.roster,
--- /dev/null
+++ b/internal/node/settings_test.go
@@ -0,0 +1,44 @@
+package node
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"chervilspan.example/pkg/ident"
+)
+
+const good = `{"vm":"a","zone":"z1","region":"r1","zones":{"z1":"r1","z2":"r1","z3":"r2"},"callers":"10.0.0.1:1","ready":"10.0.0.1:2",
+"peers":"10.0.0.1:3","store":"10.0.0.9:4","platform":"10.0.0.9:5","grace_s":6,"rate_excess":{"window_s":5,"part":0.1,"tokens":20},"later":1}`
+
+// TestSettings guards against settings that are refused without a line for each
+// fault, and against a fault that is only found when it is used.
+func TestSettings(t *testing.T) {
+	is := is.New(t)
+	s, err := Parse([]byte(good))
+	is.NoErr(err)
+	is.Equal(s.home(), ident.Region("r1"))
+	path := filepath.Join(t.TempDir(), "settings.json")
+	is.NoErr(os.WriteFile(path, []byte(good), 0o600))
+	_, err = Load(path)
+	is.NoErr(err)
+	_, err = Load(path + "x")
+	is.True(err != nil)
+	for bad, want := range map[string]string{
+		strings.Replace(good, `"vm":"a",`, "", 1):               "/vm: is missing",
+		strings.Replace(good, `"10.0.0.1:2"`, `"here"`, 1):      "/ready: is no address",
+		strings.Replace(good, `"zone":"z1"`, `"zone":"z3"`, 1):  "/zones: gives the VM's zone another region",
+		strings.Replace(good, `"part":0.1`, `"part":-1`, 1):     "/rate_excess: has a negative number",
+		strings.Replace(good, `"later":1`, `"memory_mb":-1`, 1): "/memory_mb: is negative",
+		strings.Replace(good, `"later":1`, `"metrics":"x"`, 1):  "/metrics: is no address",
+		"{": "read settings",
+	} {
+		_, err := Parse([]byte(bad))
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Fatalf("%v instead of %q", err, want)
+		}
+	}
+}
--- a/pkg/catal/keys.go
+++ b/pkg/catal/keys.go
@@ -33,6 +33,15 @@
 	return text, Key{SHA256: hashKey(text)}, nil
 }
 
+// HashKey returns the Key of a text that was made elsewhere. It returns an
+// *Error of kind KindInvalid for an empty text.
+func HashKey(text string) (Key, error) {
+	if text == "" {
+		return Key{}, &Error{Op: "hash key", Kind: KindInvalid}
+	}
+	return Key{SHA256: hashKey(text)}, nil
+}
+
 func hashKey(text string) string {
 	sum := sha256.Sum256([]byte(text))
 	return hex.EncodeToString(sum[:])
--- /dev/null
+++ b/pkg/quota/slice_test.go
@@ -0,0 +1,142 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"chervilspan.example/pkg/ident"
+)
+
+// TestSettleAfterDecrease guards against a settlement that puts back more than
+// a burst that was lowered meanwhile allows.
+func TestSettleAfterDecrease(t *testing.T) {
+	is := is.New(t)
+	b := bucket{share: Share{Rate: 1, Burst: 10 * ident.Token}, level: 10 * ident.Token, last: epoch}
+	is.Equal(b.lend(1, 9*ident.Token, epoch.Add(time.Second)), 9*ident.Token)
+	b.reshare(Share{Rate: 1, Burst: 3 * ident.Token}, epoch, time.Time{})
+	is.Equal(b.level, ident.Micro(0)) // what is out is above the burst already
+	b.settle(1, 9*ident.Token)
+	is.Equal(b.level, 3*ident.Token)
+}
+
+// TestSettleNeverAboveBurst guards against any order of lending, lowered and
+// raised shares and settlements after which a bucket holds and has lent more
+// than the greater of its burst and what was lent before the decrease.
+func TestSettleNeverAboveBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		burst := ident.Micro(10 * ident.Token)
+		b := bucket{share: Share{Rate: 5, Burst: burst}, level: burst, last: epoch}
+		now := epoch
+		var open []GrantID
+		var last GrantID
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			b.advance(now)
+			lent := b.lent
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0:
+				last++
+				if b.lend(last, ident.Micro(rapid.IntRange(1, 5).Draw(t, "tokens"))*ident.Token, now.Add(time.Second)) > 0 {
+					open = append(open, last)
+				}
+			case 1:
+				burst = ident.Micro(rapid.IntRange(0, 12).Draw(t, "burst")) * ident.Token
+				b.reshare(Share{Rate: 5, Burst: burst}, now, time.Time{})
+			case 2:
+				if len(open) > 0 {
+					b.settle(open[0], ident.Micro(rapid.IntRange(0, 5).Draw(t, "unused"))*ident.Token)
+					open = open[1:]
+				}
+			}
+			if b.level > 0 && b.level+b.lent > max(burst, lent) {
+				t.Fatalf("level %d, lent %d, burst %d", b.level, b.lent, burst)
+			}
+		}
+	})
+}
+
+// TestReclaimedSlice guards against a slice that starts empty, or rests, after
+// the store ended its lease before the lease's own deadline, and against one
+// that goes on after the deadline.
+func TestReclaimedSlice(t *testing.T) {
+	is := is.New(t)
+	var h Holdings
+	s := Slice{0, 3}
+	h.Renewed(epoch, 10*time.Second)
+	h.Claimed(s, epoch)
+	before := h.Held()
+	h.Lapsed()
+	is.Equal(len(h.Held()), 0)
+	h.Claimed(s, epoch.Add(5*time.Second))
+	is.Equal(h.Held(), before)
+	h.Renewed(epoch.Add(5*time.Second), 10*time.Second)
+	h.Lapsed()
+	h.Claimed(s, epoch.Add(15*time.Second))
+	is.Equal(h.Held()[0].Ready, epoch.Add(15*time.Second+DefaultLifetime))
+	h.Lapsed()
+	h.Inherited(s, epoch.Add(20*time.Second))
+	is.Equal(h.Held()[0].Ready, epoch.Add(20*time.Second))
+}
+
+// TestParkedBucket guards against tokens that are lost while a slice is claimed
+// again, and against tokens that a slice of a new claim takes over.
+func TestParkedBucket(t *testing.T) {
+	is := is.New(t)
+	l := Limit{Rate: 1, Burst: 10}
+	held := Held{Slice{0, 0}, epoch}
+	setup := Setup{Limit: l, Slices: 1, Held: []Held{held}}
+	a := NewAccount(Config{Self: "vm1"})
+	a.Configure(setup, epoch)
+	now := epoch.Add(8 * time.Second)
+	lease := now.Add(time.Minute)
+	is.True(a.Admit(now, lease)) // 7 are left
+	setup.Held = nil
+	a.Configure(setup, now)
+	is.True(!a.Admit(now, lease))
+	setup.Held = []Held{held}
+	a.Configure(setup, now)
+	for range 7 {
+		is.True(a.Admit(now, lease))
+	}
+	is.True(!a.Admit(now, lease))
+	setup.Held = []Held{{held.Slice, now}}
+	a.Configure(setup, now)
+	is.True(!a.Admit(now, lease))
+}
+
+// TestCredit guards against a fleet in which all slices are claimed anew, twice
+// in a window, and more is admitted than the limit and what is tolerated above
+// it.
+func TestCredit(t *testing.T) {
+	is := is.New(t)
+	const window, part, tokens = 5 * time.Second, 0.1, 20.0
+	l := Limit{Rate: 40, Burst: 40}
+	const slices = 12
+	excess := part*(l.Rate*window.Seconds()+float64(l.Burst)) + tokens
+	admitted := 0
+	now := epoch
+	lease := epoch.Add(time.Hour)
+	for _, claim := range []time.Time{epoch, epoch.Add(2 * time.Second)} {
+		a := NewAccount(Config{Self: "vm1"})
+		var held []Held
+		for i := range slices {
+			held = append(held, Held{Slice{0, Index(i)}, claim})
+		}
+		a.Configure(Setup{Limit: l, Slices: slices, Held: held, Credit: excess / 2, Since: claim}, claim)
+		end := claim.Add(2 * time.Second)
+		if claim != epoch {
+			end = epoch.Add(window)
+		}
+		for now = claim; now.Before(end); now = now.Add(time.Millisecond) {
+			for a.Admit(now, lease) {
+				admitted++
+			}
+		}
+	}
+	bound := (l.Rate*window.Seconds()+float64(l.Burst))*(1+part) + tokens
+	is.True(float64(admitted) <= bound)
+	is.True(admitted > int(l.Rate*window.Seconds()*9/10))
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -112,7 +112,9 @@
 	for _, g := range t.groups {
 		for id, m := range g.members {
 			if seen[id] {
-				m.Missing = time.Time{}
+				if !m.Missing.IsZero() {
+					m.Missing, g.snapshot = time.Time{}, nil
+				}
 				continue
 			}
 			if grace {
