Replace a primary only on proof, and let claims outlast a promotion

Timeouts of writes at a loaded primary counted as a stall, a session that did not begin in time as an unreachable database, and a claim could end before the promoted database led: the successor saw the former primary still leading and decided again.

Ruled out: the choice by position (the statuses in the log are right).

Change: a stall counts when an entry of the primary's log is at no replica after 250 ms; a slow start of a session is no failure; two failed connections are needed; the last call of a claim is sent 3 s before its end.

Also: the engine in internal/node counted ages by the time of day since the last commit but one, and the watch over primaries by the time since boot.

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -1,6 +1,7 @@
 package dbpool
 
 import (
+	"errors"
 	"time"
 
 	"chervilspan.example/pkg/dbop"
@@ -32,10 +33,15 @@
 	Close() error
 }
 
+// ErrSlow is the error of a session that did not begin in time.
+var ErrSlow = errors.New("dbpool: the session did not begin in time")
+
 // Dialer opens connections.
 type Dialer interface {
 	// Dial connects to a database for a workspace; "" stands for the proxy
-	// itself. A Code other than OK in the answer is the database's refusal.
+	// itself. A Code other than OK in the answer is the database's refusal. The
+	// error is ErrSlow when the database took the connection and did not answer
+	// in time.
 	Dial(deadline time.Time, m *roster.Member, ws ident.Workspace) (Link, dbop.Answer, error)
 }
 
--- a/internal/dbpool/errors.go
+++ b/internal/dbpool/errors.go
@@ -20,6 +20,9 @@
 	KindBroken
 	// KindClosed means that the pool is closed.
 	KindClosed
+	// KindSlow means that the database took a connection and did not begin the
+	// session in time, as when it has no free slot.
+	KindSlow
 )
 
 // Error is the error type of this package.
@@ -40,6 +43,8 @@
 		s += ": no connection became free in time"
 	case KindRefused:
 		s += ": refused: " + e.Code.String()
+	case KindSlow:
+		s += ": the session did not begin in time"
 	case KindClosed:
 		s += ": the pool is closed"
 	}
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -173,7 +173,10 @@
 			p.full = now
 		}
 		p.wake()
-		if err != nil {
+		switch {
+		case errors.Is(err, ErrSlow):
+			return nil, &Error{Op: "dial", Kind: KindSlow, Target: p.member.ID, Err: err}
+		case err != nil:
 			return nil, &Error{Op: "dial", Kind: KindUnreachable, Target: p.member.ID, Err: err}
 		}
 		return nil, &Error{Op: "dial", Kind: KindRefused, Target: p.member.ID, Code: a.Code}
--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -1,6 +1,7 @@
 package dbpool
 
 import (
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -59,6 +60,7 @@
 func (s *Pools) noteDial(m *roster.Member, code dbop.Code, err error) {
 	s.Dials.Add(1)
 	switch {
+	case errors.Is(err, ErrSlow):
 	case err != nil || code == dbop.WrongTarget:
 		s.Roster.Fail(m.Group, m.ID, time.Now())
 	case code == dbop.OK:
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -135,6 +135,8 @@
 	case dbpool.KindUnreachable:
 		s.e.cfg.Leads.Doubt(m.Group, m.ID)
 		return dbop.Unknown
+	case dbpool.KindSlow:
+		return dbop.Busy
 	}
 	return dbop.TooMany
 }
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -33,9 +33,9 @@
 }
 
 // Peers asks other VMs. Reaches reports whether one of them had a sign of the
-// database's lead lately, or, with writes set, an answer to a write.
+// database's lead lately.
 type Peers interface {
-	Reaches(ctx context.Context, g ident.Group, id ident.Target, writes bool) bool
+	Reaches(ctx context.Context, g ident.Group, id ident.Target) bool
 }
 
 // Config has the parts of Leads. Peers and Rank may be nil.
@@ -86,8 +86,8 @@
 	dials   int
 	// stalls counts writes without an answer since the last one with one.
 	stalls int
-	// wrote is when a write was last answered.
-	wrote time.Time
+	// starvedAt is when a decision was last taken because of them.
+	starvedAt time.Time
 	// changed is closed at the next sign of a lead.
 	changed chan struct{}
 }
@@ -212,7 +212,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if st.leader != id {
-		st.stalls, st.wrote = 0, time.Time{}
+		st.stalls = 0
 	}
 	st.leader, st.confirmed = id, time.Now()
 	st.failing, st.dials = time.Time{}, 0
@@ -255,23 +255,22 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if st.leader == id {
-		st.stalls, st.wrote = 0, time.Now()
+		st.stalls = 0
 	}
 }
 
 // freshLead is the age up to which a sign of a lead counts for other VMs.
 const freshLead = 800 * time.Millisecond
 
-// Heard returns the database whose lead was shown within freshLead, or "", and
-// whether it answered a write within that time.
-func (l *Leads) Heard(g ident.Group) (id ident.Target, writes bool) {
+// Heard returns the database whose lead was shown within freshLead, or "".
+func (l *Leads) Heard(g ident.Group) ident.Target {
 	st := l.state(g)
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if st.failing.IsZero() && time.Since(st.confirmed) < freshLead {
-		return st.leader, time.Since(st.wrote) < freshLead
+		return st.leader
 	}
-	return "", false
+	return ""
 }
 
 func (st *state) waiter() <-chan struct{} {
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -41,10 +41,9 @@
 	self int
 }
 
-func (p peers) Reaches(_ context.Context, g ident.Group, id ident.Target, writes bool) bool {
+func (p peers) Reaches(_ context.Context, g ident.Group, id ident.Target) bool {
 	for i, l := range p.f.leads {
-		heard, wrote := l.Heard(g)
-		if i != p.self && heard == id && (wrote || !writes) {
+		if i != p.self && l.Heard(g) == id {
 			return true
 		}
 	}
@@ -200,24 +199,42 @@
 	})
 }
 
-// TestStalled guards against a primary that answers but can't commit, and
-// against one that is replaced because of timeouts while others have writes
-// answered.
+// TestStalled guards against a primary that answers but whose log no replica
+// takes, and against replacing it again and again when that does not help.
 func TestStalled(t *testing.T) {
 	run(t, 2, func(is *is.I, f *fixture) {
-		time.Sleep(time.Second)
-		f.leads[1].Confirm("g", "a", ident.Position{}, time.Now())
-		f.leads[1].Wrote("g", "a")
-		f.leads[0].Stalled("g", "a")
+		f.c.Set("a", func(d *linktest.DB) { d.Index = 9 })
 		f.leads[0].Stalled("g", "a")
-		f.leads[0].Stalled("g", "a")
-		time.Sleep(300 * time.Millisecond)
+		time.Sleep(time.Second)
 		is.Equal(len(f.promotions()), 0)
-		time.Sleep(2 * time.Second)
+		f.leads[0].Stalled("g", "a")
+		time.Sleep(time.Second)
+		is.Equal(len(f.promotions()), 1)
+		id := ident.Target(strings.TrimPrefix(f.promotions()[0], "promote "))
+		f.c.Set(id, func(d *linktest.DB) { d.Index = 19 })
+		for range 3 {
+			f.leads[0].Stalled("g", id)
+			time.Sleep(time.Second)
+		}
 		is.Equal(len(f.promotions()), 1)
 	})
 }
 
+// TestLoaded guards against the replacement of a primary whose writes time out
+// because of its load while its replicas take its log.
+func TestLoaded(t *testing.T) {
+	run(t, 2, func(is *is.I, f *fixture) {
+		for range 20 {
+			f.leads[0].Stalled("g", "a")
+			for _, id := range []ident.Target{"a", "b", "c"} {
+				f.c.Set(id, func(d *linktest.DB) { d.Index += 5 })
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		is.Equal(len(f.promotions()), 0)
+	})
+}
+
 // TestUnanswered guards against a call without an answer that is repeated with
 // another token, and against replicas that are let go on while it may still be
 // carried out.
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -25,9 +25,18 @@
 	probeTimeout = 300 * time.Millisecond
 	// silentAfter is how long a primary is silent before it counts as lost.
 	silentAfter = 600 * time.Millisecond
-	// stallsNeeded is the number of writes in a row without an answer after
-	// which a primary that answers otherwise counts as cut off from its replicas.
+	// stallsNeeded is the number of writes in a row without an answer after which
+	// the replicas are asked whether they get the primary's log.
 	stallsNeeded = 2
+	// starveTime is how long an entry may take to a replica. It is above the
+	// round trip between regions.
+	starveTime = 250 * time.Millisecond
+	// starveAgain separates two decisions for want of replicas that take the log:
+	// another primary may have none either.
+	starveAgain = 5 * time.Second
+	// dialsNeeded is the number of connections that could not be made before a
+	// primary counts as lost.
+	dialsNeeded = 2
 	// goneAfter is how long the list lacks the primary before it is replaced.
 	goneAfter = 300 * time.Millisecond
 	// leaderless is how long no database accepts writes before one is promoted.
@@ -148,10 +157,10 @@
 }
 
 // noteFailure counts what speaks for the loss of the primary. A pool without a
-// free connection does not.
+// free connection, or a database without a free slot, does not.
 func (st *state) noteFailure(err error) {
 	var e *dbpool.Error
-	if !errors.As(err, &e) || e.Kind == dbpool.KindWait || e.Kind == dbpool.KindRefused && e.Code != dbop.WrongTarget {
+	if !errors.As(err, &e) || e.Kind == dbpool.KindWait || e.Kind == dbpool.KindSlow || e.Kind == dbpool.KindRefused && e.Code != dbop.WrongTarget {
 		return
 	}
 	st.mu.Lock()
@@ -183,14 +192,41 @@
 		return reasonGone
 	case m.Leaving:
 		return reasonLeaving
-	case st.dials > 0 && now.Sub(st.failing) > silentAfter:
+	case st.dials >= dialsNeeded && now.Sub(st.failing) > silentAfter:
 		return reasonSilent
-	case st.stalls >= stallsNeeded && st.leader == id:
+	case st.stalls >= stallsNeeded && st.leader == id && now.Sub(st.starvedAt) > starveAgain:
 		return reasonStalled
 	}
 	return ""
 }
 
+// starved reports whether no replica takes the primary's log: an entry that the
+// primary had is still at none of them after starveTime. Writes that time out
+// because of the primary's load are no sign of that.
+func (l *Leads) starved(ctx context.Context, st *state, id ident.Target) bool {
+	m, ok := l.cfg.Roster.Member(st.id, id)
+	if !ok {
+		return false
+	}
+	if code, err := l.ask(st, &m); err != nil || code != dbop.OK {
+		return false
+	}
+	pos, _ := st.track.Latest()
+	if !pause(ctx, starveTime) {
+		return false
+	}
+	heard := false
+	for _, r := range l.controlAll(dbop.Statement{Kind: dbop.Status}, l.cfg.Roster.All(st.id)) {
+		if r.heard && r.member.ID != id {
+			heard = true
+			if !r.status.Received.Less(pos) {
+				return false
+			}
+		}
+	}
+	return heard
+}
+
 // act has another database promoted, and returns how long to wait before the
 // next attempt.
 func (l *Leads) act(ctx context.Context, st *state, why reason, since time.Time) time.Duration {
@@ -203,10 +239,16 @@
 		return 0
 	}
 	old := l.cfg.Roster.LastPrimary(st.id)
-	if (why == reasonSilent || why == reasonStalled) && l.reached(ctx, st.id, old, why == reasonStalled) {
+	if why == reasonSilent && l.reached(ctx, st.id, old) || why == reasonStalled && !l.starved(ctx, st, old) {
+		st.unstall()
 		l.logRefuted(st.id, old)
 		return retryPause
 	}
+	if why == reasonStalled {
+		st.mu.Lock()
+		st.starvedAt = time.Now()
+		st.mu.Unlock()
+	}
 	l.logSuspected(st.id, old, why)
 	if err := l.takeover(ctx, st, old); err != nil {
 		l.logAbandoned(st.id, err)
@@ -219,10 +261,17 @@
 	return 0
 }
 
-// reached reports whether another VM hears from the primary, or has writes
-// answered by it: then the fault is between this VM and the primary.
-func (l *Leads) reached(ctx context.Context, g ident.Group, id ident.Target, writes bool) bool {
-	return l.cfg.Peers != nil && l.cfg.Peers.Reaches(ctx, g, id, writes)
+// unstall forgets writes without an answer.
+func (st *state) unstall() {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.stalls = 0
+}
+
+// reached reports whether another VM hears from the primary: then the fault is
+// between this VM and the primary.
+func (l *Leads) reached(ctx context.Context, g ident.Group, id ident.Target) bool {
+	return l.cfg.Peers != nil && l.cfg.Peers.Reaches(ctx, g, id)
 }
 
 func pause(ctx context.Context, d time.Duration) bool {
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -17,9 +17,11 @@
 const (
 	// claimTTL is the length of a claim. A VM that dies with one delays its
 	// successor by as much.
-	claimTTL = 5 * time.Second
-	// claimMargin is left of a claim when the last call is sent.
-	claimMargin = time.Second
+	claimTTL = 6 * time.Second
+	// claimMargin is left of a claim when the last call is sent: the time of the
+	// call, and that until the database leads. A successor that decides before it
+	// leads would not see it, and could roll back what it acknowledges.
+	claimMargin = 3 * time.Second
 	// callTimeout bounds a call to the store or the platform.
 	callTimeout = time.Second
 	// controlTimeout bounds the answer of one database.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -118,6 +118,7 @@
 		Access: n.follow, Limiter: n.limiter, Leads: n.leads, Pools: n.pools, Roster: n.roster,
 		Started: n.started,
 		Place:   engine.Place{Zone: s.Zone, Region: s.Region, RegionOf: n.region},
+		Clock:   uptime.Now,
 		Meter:   newMeter(n.metrics.Scope), Log: log,
 	})
 	n.disco = &disco.Poller{Store: a.Store, Prefix: a.TargetPrefix, Decode: a.Target, Roster: n.roster, Log: log}
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -24,14 +24,14 @@
 }
 
 // Reaches implements lead.Peers.
-func (p vmPeers) Reaches(ctx context.Context, g ident.Group, id ident.Target, writes bool) bool {
+func (p vmPeers) Reaches(ctx context.Context, g ident.Group, id ident.Target) bool {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	all := p.n.fleet.Addresses()
 	all = all[:min(askVMs, len(all))]
 	answers := make(chan bool, len(all))
 	for _, address := range all {
-		go func() { answers <- p.ask(ctx, address, g, id, writes) }()
+		go func() { answers <- p.ask(ctx, address, g, id) }()
 	}
 	for range all {
 		if <-answers {
@@ -41,14 +41,14 @@
 	return false
 }
 
-func (p vmPeers) ask(ctx context.Context, address string, g ident.Group, id ident.Target, writes bool) bool {
+func (p vmPeers) ask(ctx context.Context, address string, g ident.Group, id ident.Target) bool {
 	c, err := p.n.peers.Client(address)
 	if err != nil {
 		return false
 	}
 	r, err := c.Suspect(ctx, &peerpb.SuspectRequest{Group: string(g)})
 	// A VM that doesn't answer knows nothing that could be used here.
-	return err == nil && ident.Target(r.GetHint().GetPrimary()) == id && (r.GetWatching() || !writes)
+	return err == nil && ident.Target(r.GetHint().GetPrimary()) == id
 }
 
 // watcher answers other VMs' questions about primaries.
@@ -56,6 +56,6 @@
 
 // Suspect implements peer.Watcher.
 func (w watcher) Suspect(_ context.Context, r *peerpb.SuspectRequest) (*peerpb.SuspectReply, error) {
-	id, writes := w.n.leads.Heard(ident.Group(r.GetGroup()))
-	return &peerpb.SuspectReply{Watching: writes, Hint: &peerpb.GroupHint{Group: r.GetGroup(), Primary: string(id)}}, nil
+	id := w.n.leads.Heard(ident.Group(r.GetGroup()))
+	return &peerpb.SuspectReply{Watching: true, Hint: &peerpb.GroupHint{Group: r.GetGroup(), Primary: string(id)}}, nil
 }
--- a/pkg/posn/posn.go
+++ b/pkg/posn/posn.go
@@ -77,10 +77,10 @@
 	return ident.Position{}, false
 }
 
-// Latest returns when the last confirmed request was sent; zero when there was
-// none.
-func (t *Track) Latest() time.Time {
+// Latest returns the position that was confirmed last and when its request was
+// sent; zero when there was none.
+func (t *Track) Latest() (pos ident.Position, sent time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.last.sent
+	return t.last.pos, t.last.sent
 }
--- a/pkg/posn/posn_test.go
+++ b/pkg/posn/posn_test.go
@@ -62,5 +62,7 @@
 	pos, ok := tr.Covering(at(100))
 	is.True(ok)
 	is.Equal(pos.Index, uint64(7))
-	is.Equal(tr.Latest(), at(100))
+	last, sent := tr.Latest()
+	is.Equal(last, pos)
+	is.Equal(sent, at(100))
 }
