--- a/model/promotion.pml
+++ b/model/promotion.pml
@@ -23,7 +23,7 @@
 #define TTL 3    /* ticks of a claim */
 #define MARGIN 1 /* ticks within which a call is carried out */
 #define NONE 3
-#define MAXTOKEN 3
+#define MAXTOKEN 2
 
 #ifdef NO_MARGIN
 #define MAYCALL(v) (own[v] > 0)
