--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -250,7 +250,7 @@
 		st.mu.Unlock()
 	}
 	l.logSuspected(st.id, old, why)
-	if err := l.takeover(ctx, st, old); err != nil {
+	if err := l.takeover(ctx, st, old, why); err != nil {
 		l.logAbandoned(st.id, err)
 		var e *Error
 		if errors.As(err, &e) && e.Kind == KindClaimed {
--- a/internal/lead/pick.go
+++ b/internal/lead/pick.go
@@ -60,12 +60,31 @@
 	return "", false
 }
 
-// replicasOf returns the databases that answered, without the primary and
-// without old, which is to be replaced.
-func replicasOf(replies []reply, old ident.Target) []roster.Member {
+// working returns the database to be replaced if it answered as the primary.
+func working(replies []reply, old ident.Target) (roster.Member, bool) {
+	for _, r := range replies {
+		if r.heard && r.status.Primary && r.member.ID == old {
+			return r.member, true
+		}
+	}
+	return roster.Member{}, false
+}
+
+// answered reports whether a database answered.
+func answered(replies []reply, id ident.Target) bool {
+	for _, r := range replies {
+		if r.member.ID == id {
+			return r.heard
+		}
+	}
+	return false
+}
+
+// replicasOf returns the databases that answered and don't lead.
+func replicasOf(replies []reply) []roster.Member {
 	var out []roster.Member
 	for _, r := range replies {
-		if r.heard && !r.status.Primary && r.member.ID != old {
+		if r.heard && !r.status.Primary {
 			out = append(out, r.member)
 		}
 	}
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -51,7 +51,7 @@
 func (d *decision) valid(now time.Time) bool { return now.Before(d.until.Add(-claimMargin)) }
 
 // takeover replaces the primary. Without an error the new primary leads.
-func (l *Leads) takeover(ctx context.Context, st *state, old ident.Target) error {
+func (l *Leads) takeover(ctx context.Context, st *state, old ident.Target, why reason) error {
 	if !l.cfg.Roster.Settled(time.Now()) {
 		return &Error{Op: "check", Kind: KindUnsettled, Group: st.id}
 	}
@@ -60,7 +60,7 @@
 		return err
 	}
 	defer l.release(d)
-	best, fenced, err := l.fence(st, old, d)
+	best, fenced, err := l.fence(st, old, why, d)
 	if err != nil {
 		if !d.called {
 			l.unfence(fenced)
@@ -117,17 +117,40 @@
 	}()
 }
 
-// fence stops every replica from taking log entries of the present term, and
-// returns the one to promote and those that were fenced.
-func (l *Leads) fence(st *state, old ident.Target, d *decision) (best roster.Member, fenced []roster.Member, err error) {
+// statuses asks every database of the group. When a replica does not answer and
+// the primary is to be replaced while it works, the primary is demoted: from
+// then on it acknowledges nothing, and its own log has every acknowledged commit.
+func (l *Leads) statuses(st *state, old ident.Target, why reason) ([]reply, error) {
 	replies := l.controlAll(dbop.Statement{Kind: dbop.Status}, l.cfg.Roster.All(st.id))
 	if id, ok := leads(replies, old); ok {
-		return best, nil, &Error{Op: "status", Kind: KindLed, Group: st.id, Target: id}
+		return nil, &Error{Op: "status", Kind: KindLed, Group: st.id, Target: id}
+	}
+	id, ok := unheard(replies)
+	if ok {
+		return replies, nil
+	}
+	if m, works := working(replies, old); works && (why == reasonLeaving || why == reasonGone) {
+		if s, demoted := l.control(dbop.Statement{Kind: dbop.Demote, Term: nextTerm(replies)}, &m); demoted && !s.Primary {
+			replies = l.controlAll(dbop.Statement{Kind: dbop.Status}, l.cfg.Roster.All(st.id))
+			id, ok = unheard(replies)
+			// Without the demoted one's log the others' need not be complete.
+			ok = ok && answered(replies, old)
+		}
+	}
+	if !ok {
+		return nil, &Error{Op: "status", Kind: KindUnheard, Group: st.id, Target: id}
 	}
-	if id, ok := unheard(replies); !ok {
-		return best, nil, &Error{Op: "status", Kind: KindUnheard, Group: st.id, Target: id}
+	return replies, nil
+}
+
+// fence stops every replica from taking log entries of the present term, and
+// returns the one to promote and those that were fenced.
+func (l *Leads) fence(st *state, old ident.Target, why reason, d *decision) (best roster.Member, fenced []roster.Member, err error) {
+	replies, err := l.statuses(st, old, why)
+	if err != nil {
+		return best, nil, err
 	}
-	replicas := replicasOf(replies, old)
+	replicas := replicasOf(replies)
 	replies = l.controlAll(dbop.Statement{Kind: dbop.Fence, Term: nextTerm(replies)}, replicas)
 	for _, r := range replies {
 		if !r.heard {
--- a/internal/linktest/linktest.go
+++ b/internal/linktest/linktest.go
@@ -342,6 +342,9 @@
 	case dbop.Fence:
 		d.Fenced = st.Term
 		l.c.order = append(l.c.order, "fence "+string(d.ID))
+	case dbop.Demote:
+		d.Lead = d.Lead && st.Term <= d.Term
+		l.c.order = append(l.c.order, "demote "+string(d.ID))
 	case dbop.Unfence:
 		d.Fenced = 0
 		l.c.order = append(l.c.order, "unfence "+string(d.ID))
