--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -289,9 +289,10 @@
 	}
 }
 
-// down reports whether no connection to the primary could be made lately.
+// down reports whether connections to the primary could not be made lately. One
+// alone may have met a full queue of connections, as after a restart of all VMs.
 func (st *state) down() bool {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	return st.dials > 0
+	return st.dials >= dialsNeeded
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,7 +31,10 @@
 
 // Adapters are what is particular to the platform.
 type Adapters struct {
-	Store    store.Store
+	Store store.Store
+	// StoreCounts, unless nil, returns the calls to the store and those without
+	// a usable answer.
+	StoreCounts func() (calls, failures uint64)
 	Promoter lead.Promoter
 	Dialer   dbpool.Dialer
 	// Serve takes callers from a listener until it is closed.
@@ -259,12 +262,24 @@
 			return
 		case <-changed:
 		case <-t.C:
+			n.gauge()
 			n.peers.Sweep()
 			n.pools.Sweep(n.keepPool)
 		}
 	}
 }
 
+// gauge reports totals that other packages count.
+func (n *Node) gauge() {
+	n.metrics.Scope.Gauge("target_dials").Update(float64(n.pools.Dials.Load()))
+	n.metrics.Scope.Gauge("sessions").Update(float64(n.engine.Sessions()))
+	if n.a.StoreCounts != nil {
+		calls, failures := n.a.StoreCounts()
+		n.metrics.Scope.Gauge("store_calls").Update(float64(calls))
+		n.metrics.Scope.Gauge("store_failures").Update(float64(failures))
+	}
+}
+
 // keepPool reports whether a database is still listed with the address and
 // start of a pool.
 func (n *Node) keepPool(g ident.Group, id ident.Target, address string, born int64) bool {
