--- a/internal/engine/cost.go
+++ b/internal/engine/cost.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -55,3 +56,25 @@
 	}
 	return d
 }
+
+// choose returns the database to read from.
+func (s *Session) choose(tried map[ident.Target]bool) (*roster.Member, bool) {
+	members := s.e.cfg.Roster.Members(s.grant.Group)
+	leader, _ := s.e.cfg.Roster.Primary(s.grant.Group)
+	now := time.Now()
+	best, score := -1, time.Duration(0)
+	for i := range members {
+		m := &members[i]
+		if tried[m.ID] {
+			continue
+		}
+		load := s.e.cfg.Pools.Load(m, s.grant.Workspace)
+		if n := readCost(m, s.e.cfg.Place, load, m.ID == leader, now); best < 0 || n < score {
+			best, score = i, n
+		}
+	}
+	if best < 0 {
+		return nil, false
+	}
+	return &members[best], true
+}
--- a/internal/limit/claim.go
+++ b/internal/limit/claim.go
@@ -102,55 +102,67 @@
 	l.logClaim(sl)
 }
 
+// batch is a set of slices to claim in one call.
+type batch struct {
+	writes []store.Write
+	slices []quota.Slice
+	// own has the slices that a former process of this VM had.
+	own map[quota.Slice]bool
+}
+
 // claimAll claims slices in one call, after a look at who has them.
 func (l *Limiter) claimAll(ctx context.Context, b store.Batcher, sls []quota.Slice, lease store.LeaseID) error {
 	entries, err := l.cfg.Store.List(ctx, quota.SlicePrefix)
 	if err != nil {
 		return err
 	}
+	t, err := l.batch(sls, entries, lease)
+	if err != nil || len(t.writes) == 0 {
+		return err
+	}
+	done, rev, err := store.SwapAll(ctx, l.cfg.Store, b, t.writes)
+	for _, sl := range t.slices {
+		switch {
+		case err != nil:
+			l.doubt(sl)
+		case done && t.own[sl]:
+			l.inherited(sl, rev)
+		case done:
+			l.claimed(sl, rev)
+		}
+	}
+	return err
+}
+
+// batch returns the slices that no other VM has, with the writes to claim them.
+func (l *Limiter) batch(sls []quota.Slice, entries []store.Entry, lease store.LeaseID) (batch, error) {
 	owners := make(map[string]store.Entry, len(entries))
 	for _, e := range entries {
 		owners[e.Key] = e
 	}
+	t := batch{own: map[quota.Slice]bool{}}
 	value, err := json.Marshal(owner{l.cfg.Fleet.Self().VM, l.boot})
 	if err != nil {
-		return err
+		return t, err
 	}
-	var ws []store.Write
-	var mine []quota.Slice
-	own := map[quota.Slice]bool{}
 	for _, sl := range sls {
 		e := owners[sl.Key()]
 		if e.Revision != 0 {
 			if e, err = store.Plain(e); err != nil {
-				return err
+				return t, err
 			}
 			if l.isTaken(sl, e) {
 				continue
 			}
-			own[sl] = l.former(e)
+			t.own[sl] = l.former(e)
 		}
-		if len(ws) == store.MaxBatch {
+		if len(t.writes) == store.MaxBatch {
 			break
 		}
-		ws = append(ws, store.Write{Key: sl.Key(), Value: value, Lease: lease, Expected: e.Revision})
-		mine = append(mine, sl)
-	}
-	if len(ws) == 0 {
-		return nil
+		t.writes = append(t.writes, store.Write{Key: sl.Key(), Value: value, Lease: lease, Expected: e.Revision})
+		t.slices = append(t.slices, sl)
 	}
-	done, rev, err := store.SwapAll(ctx, l.cfg.Store, b, ws)
-	for _, sl := range mine {
-		switch {
-		case err != nil:
-			l.doubt(sl)
-		case done && own[sl]:
-			l.inherited(sl, rev)
-		case done:
-			l.claimed(sl, rev)
-		}
-	}
-	return err
+	return t, nil
 }
 
 // former reports whether a former process of this VM wrote the entry.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,8 +35,8 @@
 	// StoreCounts, unless nil, returns the calls to the store and those without
 	// a usable answer.
 	StoreCounts func() (calls, failures uint64)
-	Promoter lead.Promoter
-	Dialer   dbpool.Dialer
+	Promoter    lead.Promoter
+	Dialer      dbpool.Dialer
 	// Serve takes callers from a listener until it is closed.
 	Serve func(net.Listener, *engine.Engine, zerolog.Logger) error
 	// CatalogueKey is the key of the catalogue in the store, and TargetPrefix
