--- a/internal/engine/txn.go
+++ b/internal/engine/txn.go
@@ -6,7 +6,6 @@
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
-	"chervilspan.example/pkg/roster"
 )
 
 // rollbackTimeout bounds the end of an abandoned transaction at a database.
