--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,156 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+
+	"chervilspan.example/internal/linktest"
+	"chervilspan.example/internal/proto/peerpb"
+	"chervilspan.example/pkg/catal"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/store"
+)
+
+// network has the followers of several VMs by address.
+type network map[string]*Follower
+
+// Client implements Peers.
+func (n network) Client(address string) (peerpb.PeerClient, error) {
+	f, ok := n[address]
+	if !ok {
+		return nil, errors.New("no such VM")
+	}
+	return client{f: f}, nil
+}
+
+// client calls a follower in the same process.
+type client struct {
+	peerpb.PeerClient
+	f *Follower
+}
+
+func (c client) PushCatalogue(ctx context.Context, r *peerpb.PushCatalogueRequest, _ ...grpc.CallOption) (*peerpb.PushCatalogueReply, error) {
+	return c.f.PushCatalogue(ctx, r)
+}
+
+func (c client) GetCatalogue(ctx context.Context, r *peerpb.GetCatalogueRequest, _ ...grpc.CallOption) (*peerpb.GetCatalogueReply, error) {
+	return c.f.GetCatalogue(ctx, r)
+}
+
+// addresses implements Fleet.
+type addresses []string
+
+func (a addresses) Addresses() []string { return append([]string(nil), a...) }
+
+func decode(raw []byte) (*catal.Catalogue, error) {
+	v, err := strconv.ParseUint(string(raw), 10, 64)
+	return &catal.Catalogue{Version: ident.Version(v)}, err
+}
+
+func put(is *is.I, s *linktest.Store, version string) {
+	e, err := s.Get(context.Background(), "catalogue")
+	is.NoErr(err)
+	_, err = s.Put(context.Background(), store.Write{Key: "catalogue", Value: []byte(version), Expected: e.Revision})
+	is.NoErr(err)
+}
+
+// run starts followers with a store each and calls f.
+func run(t *testing.T, stores []*linktest.Store, f func(*is.I, []*Follower)) {
+	synctest.Test(t, func(t *testing.T) {
+		net := network{}
+		var all addresses
+		for i := range stores {
+			all = append(all, fmt.Sprint(i))
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var fs []*Follower
+		done := make(chan struct{}, len(stores))
+		for i, s := range stores {
+			n := New(Config{Store: s, Key: "catalogue", Decode: decode, VM: ident.VM(all[i]), Fleet: all, Peers: net})
+			net[all[i]] = n
+			fs = append(fs, n)
+		}
+		for _, n := range fs {
+			go func() { n.Run(ctx); done <- struct{}{} }()
+		}
+		f(is.New(t), fs)
+		cancel()
+		for range fs {
+			<-done
+		}
+	})
+}
+
+// TestNeverBack guards against a version that is followed by a lower one, from
+// the store or from another VM, and against one that can't be read.
+func TestNeverBack(t *testing.T) {
+	s := &linktest.Store{}
+	run(t, []*linktest.Store{s}, func(is *is.I, fs []*Follower) {
+		f := fs[0]
+		is.True(f.Index() == nil)
+		put(is, s, "5")
+		time.Sleep(time.Second)
+		is.Equal(f.Version(), ident.Version(5))
+		changed := f.Changed()
+		put(is, s, "4")
+		put(is, s, "unreadable")
+		time.Sleep(time.Second)
+		is.Equal(f.Version(), ident.Version(5))
+		is.True(!f.Take(&catal.Catalogue{Version: 5}, "peer"))
+		select {
+		case <-changed:
+			is.Fail()
+		default:
+		}
+		put(is, s, "9")
+		time.Sleep(time.Second)
+		is.Equal(f.Version(), ident.Version(9))
+		<-changed
+	})
+}
+
+// TestTurnedAway guards against a VM that the store turns away and that hears
+// nothing of versions which other VMs have.
+func TestTurnedAway(t *testing.T) {
+	up, down := &linktest.Store{}, &linktest.Store{}
+	down.SetDown(true)
+	run(t, []*linktest.Store{up, down, down}, func(is *is.I, fs []*Follower) {
+		put(is, up, "3")
+		time.Sleep(5 * time.Second)
+		for _, f := range fs {
+			is.Equal(f.Version(), ident.Version(3))
+		}
+		is.True(fs[0].StoreUp())
+		is.True(!fs[1].StoreUp())
+		put(is, up, "7")
+		time.Sleep(5 * time.Second)
+		for _, f := range fs {
+			is.Equal(f.Version(), ident.Version(7))
+		}
+	})
+}
+
+// TestStoreReturns guards against a VM that stays without a catalogue after an
+// outage of the store, and against one that asks without a pause meanwhile.
+func TestStoreReturns(t *testing.T) {
+	s := &linktest.Store{}
+	run(t, []*linktest.Store{s}, func(is *is.I, fs []*Follower) {
+		put(is, s, "3")
+		s.SetDown(true)
+		time.Sleep(time.Second)
+		before := s.Calls()
+		time.Sleep(10 * time.Second)
+		is.True(s.Calls()-before < 100)
+		s.SetDown(false)
+		time.Sleep(time.Second)
+		is.Equal(fs[0].Version(), ident.Version(3))
+	})
+}
