--- a/standin/fleet/fleet.go
+++ b/standin/fleet/fleet.go
@@ -61,6 +61,8 @@
 	ca    *authority
 	ops   *peer.Cache
 	store *Proc
+	// given has the addresses that freeAddress has returned.
+	given map[string]bool
 }
 
 // New prepares a deployment: addresses, certificates, settings and keys.
--- a/standin/fleet/proc.go
+++ b/standin/fleet/proc.go
@@ -86,12 +86,25 @@
 	return netip.AddrFrom4([4]byte{127, byte(1 + rand.IntN(254)), byte(rand.IntN(256)), byte(1 + rand.IntN(254))}).String()
 }
 
-// freeAddress returns an address of the fleet whose port is free.
+// freeAddress returns an address of the fleet whose port is free. The kernel may
+// give a port again that was closed before, so ports in use by the fleet are
+// remembered: two processes with one port kept a deployment from starting.
 func (f *Fleet) freeAddress() (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(f.ip, "0"))
-	if err != nil {
-		return "", err
+	for {
+		l, err := net.Listen("tcp", net.JoinHostPort(f.ip, "0"))
+		if err != nil {
+			return "", err
+		}
+		addr := l.Addr().String()
+		if err := l.Close(); err != nil {
+			return "", err
+		}
+		if !f.given[addr] {
+			if f.given == nil {
+				f.given = map[string]bool{}
+			}
+			f.given[addr] = true
+			return addr, nil
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
 }
