Lend connections to databases between the VMs of a zone

Cause: on the deployment with 79 VMs a VM may have 3 connections to a database and serves 82 workspaces. A connection serves one workspace, so most statements opened one, whose start takes a slot for 27 ms; and every VM asked every idle primary for its lead twice a second.

internal/relay lends connections: when the part of a VM is below half a connection for each workspace, two VMs of each zone hold the zone's part of the connections to a database, and the others run statements there. Statements about a database itself are not relayed. Only eight VMs of the fleet ask an idle primary (TestIdleWatch, fails without the bound).

Ruled out: a home VM for each workspace (six workspaces on three connections still evict each other).

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -45,10 +45,26 @@
 	Dial(deadline time.Time, m *roster.Member, ws ident.Workspace) (Link, dbop.Answer, error)
 }
 
+// Owner identifies the user of connections over all VMs; 0 stands for none.
+type Owner uint64
+
+// Lent is a connection that another VM holds, with what is in force on it.
+type Lent struct {
+	Link Link
+	// Return gives the connection back. It is closed unless keep is set.
+	Return func(keep bool)
+	Vars   map[string]string
+	Names  map[string]bool
+	// Quiet is the time since the connection's last answer.
+	Quiet time.Duration
+}
+
 // Conn is a connection that its user has to Release. It is used by one
 // goroutine at a time.
 type Conn struct {
+	// pool is nil for a lent connection, which back gives back.
 	pool *pool
+	back func(keep bool)
 	link Link
 	// Target, Group and Workspace are those of the connection.
 	Target    ident.Target
@@ -63,8 +79,8 @@
 	// answered is when the last answer was complete.
 	answered time.Time
 	broken   bool
-	// owner is the session that used the connection last.
-	owner any
+	// owner used the connection last.
+	owner Owner
 }
 
 // State returns the state after the last answer.
@@ -128,7 +144,12 @@
 // Release gives the connection back. It is closed unless it is idle, complete
 // and healthy is set.
 func (c *Conn) Release(healthy bool) {
-	c.pool.put(c, healthy && !c.broken && c.state == dbop.Idle)
+	keep := healthy && !c.broken && c.state == dbop.Idle
+	if c.pool == nil {
+		c.back(keep)
+		return
+	}
+	c.pool.put(c, keep)
 }
 
 // Rollback ends an open transaction and gives the connection back.
--- a/internal/dbpool/errors.go
+++ b/internal/dbpool/errors.go
@@ -23,6 +23,8 @@
 	// KindSlow means that the database took a connection and did not begin the
 	// session in time, as when it has no free slot.
 	KindSlow
+	// KindLender means that the VM that lends the connection failed.
+	KindLender
 )
 
 // Error is the error type of this package.
@@ -45,6 +47,8 @@
 		s += ": refused: " + e.Code.String()
 	case KindSlow:
 		s += ": the session did not begin in time"
+	case KindLender:
+		s += ": the lending VM failed"
 	case KindClosed:
 		s += ": the pool is closed"
 	}
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -40,7 +40,7 @@
 
 // get returns a connection for a workspace. It waits until the deadline when
 // the pool is at its bound.
-func (p *pool) get(deadline time.Time, ws ident.Workspace, owner any) (*Conn, error) {
+func (p *pool) get(deadline time.Time, ws ident.Workspace, owner Owner) (*Conn, error) {
 	for {
 		c, dial, wait, err := p.take(ws, owner)
 		switch {
@@ -69,7 +69,7 @@
 }
 
 // take returns an idle connection, the right to dial, or a channel to wait on.
-func (p *pool) take(ws ident.Workspace, owner any) (c *Conn, dial bool, wait chan struct{}, err error) {
+func (p *pool) take(ws ident.Workspace, owner Owner) (c *Conn, dial bool, wait chan struct{}, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -83,7 +83,7 @@
 		return c, false, nil, nil
 	}
 	refused := time.Since(p.full) < fullPause
-	if p.open < p.parent.Limit(p.member.Group) && !refused {
+	if p.open < p.parent.Limit(&p.member) && !refused {
 		p.open++
 		return nil, true, nil, nil
 	}
@@ -100,14 +100,14 @@
 
 // pick returns the index of the idle connection to use: the session's last one,
 // else the workspace's that was used last. ws "" takes any.
-func (p *pool) pick(ws ident.Workspace, owner any) int {
+func (p *pool) pick(ws ident.Workspace, owner Owner) int {
 	best := -1
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
 		if ws != "" && c.Workspace != ws {
 			continue
 		}
-		if owner != nil && c.owner == owner {
+		if owner != 0 && c.owner == owner {
 			return i
 		}
 		if best < 0 || len(c.Vars) == 0 && len(p.idle[best].Vars) > 0 {
@@ -158,7 +158,7 @@
 	}
 }
 
-func (p *pool) dial(deadline time.Time, ws ident.Workspace, owner any) (*Conn, error) {
+func (p *pool) dial(deadline time.Time, ws ident.Workspace, owner Owner) (*Conn, error) {
 	if d := time.Now().Add(dialTimeout); d.Before(deadline) {
 		deadline = d
 	}
@@ -192,7 +192,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.busy--
-	if keep && !p.closed && p.open <= p.parent.Limit(p.member.Group) {
+	if keep && !p.closed && p.open <= p.parent.Limit(&p.member) {
 		p.idle = append(p.idle, c)
 	} else {
 		p.open--
--- a/internal/dbpool/pool_test.go
+++ b/internal/dbpool/pool_test.go
@@ -17,7 +17,7 @@
 )
 
 func pools(c *linktest.Cluster, limit int) (*dbpool.Pools, *roster.Member) {
-	p := &dbpool.Pools{Dialer: c, Roster: c.Roster(), Limit: func(ident.Group) int { return limit }}
+	p := &dbpool.Pools{Dialer: c, Roster: c.Roster(), Limit: func(*roster.Member) int { return limit }}
 	m, _ := c.Roster().Member("g", "a")
 	return p, &m
 }
@@ -31,16 +31,16 @@
 		is := is.New(t)
 		c := linktest.New("g", "a")
 		p, m := pools(c, 2)
-		x, err := p.Get(in(time.Second), m, "w1", nil)
+		x, err := p.Get(in(time.Second), m, "w1", 0)
 		is.NoErr(err)
-		y, err := p.Get(in(time.Second), m, "w1", nil)
+		y, err := p.Get(in(time.Second), m, "w1", 0)
 		is.NoErr(err)
-		_, err = p.Get(in(100*time.Millisecond), m, "w1", nil)
+		_, err = p.Get(in(100*time.Millisecond), m, "w1", 0)
 		var e *dbpool.Error
 		is.True(errors.As(err, &e))
 		is.Equal(e.Kind, dbpool.KindWait)
 		x.Release(true)
-		z, err := p.Get(in(time.Second), m, "w2", nil)
+		z, err := p.Get(in(time.Second), m, "w2", 0)
 		is.NoErr(err)
 		is.Equal(z.Workspace, ident.Workspace("w2"))
 		is.Equal(c.Open("a"), 2)
@@ -57,14 +57,14 @@
 		is := is.New(t)
 		c := linktest.New("g", "a")
 		p, m := pools(c, 1)
-		held, err := p.Get(in(time.Second), m, "w", nil)
+		held, err := p.Get(in(time.Second), m, "w", 0)
 		is.NoErr(err)
 		var mu sync.Mutex
 		var order []int
 		var wg sync.WaitGroup
 		for i := range 3 {
 			wg.Go(func() {
-				conn, err := p.Get(in(10*time.Second), m, "w", nil)
+				conn, err := p.Get(in(10*time.Second), m, "w", 0)
 				if err != nil {
 					return
 				}
@@ -91,18 +91,18 @@
 		is := is.New(t)
 		c := linktest.New("g", "a")
 		p, m := pools(c, 4)
-		conn, _ := p.Get(in(time.Second), m, "w", nil)
+		conn, _ := p.Get(in(time.Second), m, "w", 0)
 		c.Set("a", func(d *linktest.DB) { d.Mute[dbop.Read] = 1 })
 		_, err := conn.Do(in(time.Second), dbop.Statement{ID: "1", Kind: dbop.Read, Text: "READ x"})
 		is.True(err != nil)
 		conn.Release(true)
 		is.Equal(c.Open("a"), 0)
-		conn, _ = p.Get(in(time.Second), m, "w", nil)
+		conn, _ = p.Get(in(time.Second), m, "w", 0)
 		_, err = conn.Do(in(time.Second), dbop.Statement{Kind: dbop.Begin})
 		is.NoErr(err)
 		conn.Release(true)
 		is.Equal(c.Open("a"), 0)
-		conn, _ = p.Get(in(time.Second), m, "w", nil)
+		conn, _ = p.Get(in(time.Second), m, "w", 0)
 		_, err = conn.Do(in(time.Second), dbop.Statement{Kind: dbop.Begin})
 		is.NoErr(err)
 		conn.Rollback(in(time.Second))
@@ -118,13 +118,13 @@
 		c := linktest.New("g", "a")
 		p, m := pools(c, 4)
 		c.Set("a", func(d *linktest.DB) { d.Max = 1 })
-		held, err := p.Get(in(time.Second), m, "w", nil)
+		held, err := p.Get(in(time.Second), m, "w", 0)
 		is.NoErr(err)
 		go func() {
 			time.Sleep(300 * time.Millisecond)
 			c.Set("a", func(d *linktest.DB) { d.Max = 2 })
 		}()
-		conn, err := p.Get(in(time.Second), m, "w", nil)
+		conn, err := p.Get(in(time.Second), m, "w", 0)
 		is.NoErr(err)
 		conn.Release(true)
 		held.Release(true)
@@ -138,7 +138,7 @@
 		is := is.New(t)
 		c := linktest.New("g", "a")
 		p, m := pools(c, 4)
-		one, two := "session 1", "session 2"
+		const one, two dbpool.Owner = 1, 2
 		x, _ := p.Get(in(time.Second), m, "w", one)
 		y, _ := p.Get(in(time.Second), m, "w", two)
 		x.Release(true)
@@ -156,7 +156,7 @@
 		is := is.New(t)
 		c := linktest.New("g", "a", "b")
 		p, m := pools(c, 4)
-		x, _ := p.Get(in(time.Second), m, "w", nil)
+		x, _ := p.Get(in(time.Second), m, "w", 0)
 		x.Release(true)
 		keep := func(ident.Group, ident.Target, string, int64) bool { return true }
 		p.Sweep(keep)
@@ -164,7 +164,7 @@
 		time.Sleep(30 * time.Second)
 		p.Sweep(keep)
 		is.Equal(c.Open("a"), 0)
-		x, _ = p.Get(in(time.Second), m, "w", nil)
+		x, _ = p.Get(in(time.Second), m, "w", 0)
 		x.Release(true)
 		p.Close()
 		is.Equal(c.Open("a"), 0)
--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -16,9 +16,12 @@
 type Pools struct {
 	Dialer Dialer
 	Roster *roster.Table
-	// Limit returns the number of connections that this VM may have to one
-	// database of a group.
-	Limit func(ident.Group) int
+	// Limit returns the number of connections that this VM may have to a
+	// database.
+	Limit func(*roster.Member) int
+
+	// Lender, unless nil, is asked for connections of other VMs first.
+	Lender Lender
 
 	// Dials counts attempts to open a connection.
 	Dials atomic.Uint64
@@ -35,10 +38,43 @@
 	born    int64
 }
 
+// Lender gets connections that other VMs hold.
+type Lender interface {
+	// Borrow returns a connection that another VM holds. ok is false when this
+	// VM is to use its own. The error is an *Error; nothing was run then.
+	Borrow(deadline time.Time, m *roster.Member, ws ident.Workspace, owner Owner) (l Lent, ok bool, err error)
+	// Load returns what is known of the load of a database that this VM borrows
+	// connections to. ok is false when this VM is to use its own.
+	Load(m *roster.Member) (l Load, ok bool)
+}
+
 // Get returns a connection of a workspace to a database; "" takes a connection
 // of any. owner is preferred to get the connection that it used last. It
 // returns an *Error when there is none by the deadline; nothing was run then.
-func (s *Pools) Get(deadline time.Time, m *roster.Member, ws ident.Workspace, owner any) (*Conn, error) {
+func (s *Pools) Get(deadline time.Time, m *roster.Member, ws ident.Workspace, owner Owner) (*Conn, error) {
+	if s.Lender == nil {
+		return s.Own(deadline, m, ws, owner)
+	}
+	l, ok, err := s.Lender.Borrow(deadline, m, ws, owner)
+	if !ok {
+		return s.Own(deadline, m, ws, owner)
+	}
+	if err != nil {
+		var e *Error
+		if errors.As(err, &e) && e.Kind == KindUnreachable {
+			s.Roster.Fail(m.Group, m.ID, time.Now())
+		}
+		return nil, err
+	}
+	s.Roster.Reach(m.Group, m.ID)
+	return &Conn{
+		back: l.Return, link: l.Link, Target: m.ID, Group: m.Group, Workspace: ws,
+		Vars: l.Vars, Names: l.Names, answered: time.Now().Add(-l.Quiet), owner: owner,
+	}, nil
+}
+
+// Own is Get without connections of other VMs.
+func (s *Pools) Own(deadline time.Time, m *roster.Member, ws ident.Workspace, owner Owner) (*Conn, error) {
 	return s.of(m).get(deadline, ws, owner)
 }
 
@@ -81,8 +117,13 @@
 
 // Load returns the load of a database as a request of the workspace sees it.
 func (s *Pools) Load(m *roster.Member, ws ident.Workspace) Load {
+	if s.Lender != nil {
+		if l, ok := s.Lender.Load(m); ok {
+			return l
+		}
+	}
 	p := s.of(m)
-	limit := s.Limit(m.Group)
+	limit := s.Limit(m)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l := Load{Busy: p.busy, Waiting: len(p.wait), Full: p.open >= limit && len(p.idle) == 0}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -1,10 +1,12 @@
 package engine
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/pkg/dbop"
 )
 
@@ -66,7 +68,7 @@
 // Open checks a login and returns the session, or the refusal to send.
 func (e *Engine) Open(l Login, c Caller) (*Session, *dbop.Answer) {
 	e.awaitStart()
-	s := &Session{e: e, caller: c, login: l}
+	s := &Session{e: e, caller: c, login: l, owner: dbpool.Owner(rand.Uint64())}
 	if a := s.authorize(); a != nil {
 		e.logLogin(l.Route, a)
 		return nil, a
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -72,7 +72,7 @@
 // begun returns a connection on which a transaction was started, with the
 // session's settings in force.
 func (s *Session) begun(c *call, m *roster.Member, begin dbop.Statement) (*dbpool.Conn, dbop.Code) {
-	conn, err := s.e.cfg.Pools.Get(c.deadline, m, s.grant.Workspace, s)
+	conn, err := s.e.cfg.Pools.Get(c.deadline, m, s.grant.Workspace, s.owner)
 	if err != nil {
 		return nil, s.missed(m, err)
 	}
@@ -240,7 +240,7 @@
 
 // readAt runs a read at one database. done is false when another may be tried.
 func (s *Session) readAt(c *call, m *roster.Member, floor ident.Position) (a dbop.Answer, done bool) {
-	conn, err := s.e.cfg.Pools.Get(s.waitBy(c), m, s.grant.Workspace, s)
+	conn, err := s.e.cfg.Pools.Get(s.waitBy(c), m, s.grant.Workspace, s.owner)
 	if err != nil {
 		s.retry(c, m.ID, s.missed(m, err))
 		return a, false
@@ -308,7 +308,7 @@
 
 // writeAt sends a write to one database. done is false when nothing was run.
 func (s *Session) writeAt(c *call, m *roster.Member) (a dbop.Answer, done bool) {
-	conn, err := s.e.cfg.Pools.Get(c.deadline, m, s.grant.Workspace, s)
+	conn, err := s.e.cfg.Pools.Get(c.deadline, m, s.grant.Workspace, s.owner)
 	if err != nil {
 		s.retry(c, m.ID, s.missed(m, err))
 		return a, false
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/pkg/access"
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/dbop"
@@ -38,6 +39,8 @@
 	e      *Engine
 	caller Caller
 	login  Login
+	// owner names the session to the pools.
+	owner dbpool.Owner
 	// index is that of the last check, and granted the one of grant, which
 	// stays as it is in a transaction.
 	index   *access.Index
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -88,8 +88,12 @@
 	stalls int
 	// starvedAt is when a decision was last taken because of them.
 	starvedAt time.Time
-	// changed is closed at the next sign of a lead.
+	// changed is closed at the next sign of a lead; waiting is the number of
+	// callers that need one.
 	changed chan struct{}
+	waiting int
+	// doubted tells that a caller had no answer since the primary was last asked.
+	doubted bool
 }
 
 // New returns Leads without groups.
@@ -156,21 +160,38 @@
 		if id, ok := l.cfg.Roster.Primary(g); ok && !st.down() {
 			return l.cfg.Roster.Member(g, id)
 		}
-		st.wake()
-		d := time.Until(deadline)
-		if d <= 0 {
+		if !st.await(deadline, changed, moved) {
 			return roster.Member{}, false
 		}
-		t := time.NewTimer(d)
-		select {
-		case <-changed:
-		case <-moved:
-		case <-t.C:
-		}
-		t.Stop()
 	}
 }
 
+// await has the primary asked, and waits for one of the channels. It returns
+// false after the deadline.
+func (st *state) await(deadline time.Time, changed, moved <-chan struct{}) bool {
+	d := time.Until(deadline)
+	if d <= 0 {
+		return false
+	}
+	st.wait(1)
+	defer st.wait(-1)
+	st.wake()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-changed:
+	case <-moved:
+	case <-t.C:
+	}
+	return true
+}
+
+func (st *state) wait(n int) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.waiting += n
+}
+
 // coverWait bounds the wait for a position. It is above a round trip between
 // regions and a new connection; the caller then asks the primary itself.
 const coverWait = 400 * time.Millisecond
@@ -186,17 +207,9 @@
 		if pos, ok := st.track.Covering(since); ok {
 			return pos, true
 		}
-		st.wake()
-		d := time.Until(deadline)
-		if d <= 0 {
+		if !st.await(deadline, changed, nil) {
 			return ident.Position{}, false
 		}
-		t := time.NewTimer(d)
-		select {
-		case <-changed:
-		case <-t.C:
-		}
-		t.Stop()
 	}
 }
 
@@ -235,7 +248,11 @@
 	if leader, ok := l.cfg.Roster.Primary(g); !ok || leader != id {
 		return
 	}
-	l.state(g).wake()
+	st := l.state(g)
+	st.mu.Lock()
+	st.doubted = true
+	st.mu.Unlock()
+	st.wake()
 }
 
 // Stalled implements engine.Leads.
@@ -245,6 +262,7 @@
 	if st.leader == id {
 		st.stalls++
 	}
+	st.doubted = true
 	st.mu.Unlock()
 	st.wake()
 }
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -59,7 +59,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
 		for i := range n {
-			pools := &dbpool.Pools{Dialer: fx.c, Roster: fx.c.Roster(), Limit: func(ident.Group) int { return 4 }}
+			pools := &dbpool.Pools{Dialer: fx.c, Roster: fx.c.Roster(), Limit: func(*roster.Member) int { return 4 }}
 			l := lead.New(lead.Config{
 				VM: ident.VM(rune('x' + i)), Roster: fx.c.Roster(), Pools: pools, Store: fx.store, Promoter: fx.prom,
 				Peers: peers{fx, i}, Rank: func(ident.Group) int { return i }, Clock: fx.now,
@@ -167,7 +167,7 @@
 func TestOneCutOff(t *testing.T) {
 	run(t, 1, func(is *is.I, f *fixture) {
 		other := lead.New(lead.Config{Roster: f.c.Roster(), Pools: &dbpool.Pools{
-			Dialer: f.c, Roster: f.c.Roster(), Limit: func(ident.Group) int { return 4 },
+			Dialer: f.c, Roster: f.c.Roster(), Limit: func(*roster.Member) int { return 4 },
 		}})
 		f.leads = append(f.leads, other)
 		f.c.Set("a", func(d *linktest.DB) { d.Dark = true })
@@ -309,7 +309,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		l := lead.New(lead.Config{
 			VM: "x", Roster: c.Roster(), Store: s, Promoter: p,
-			Pools: &dbpool.Pools{Dialer: c, Roster: c.Roster(), Limit: func(ident.Group) int { return 4 }},
+			Pools: &dbpool.Pools{Dialer: c, Roster: c.Roster(), Limit: func(*roster.Member) int { return 4 }},
 		})
 		l.Watch([]ident.Group{"g"})
 		c.Set("a", func(d *linktest.DB) { d.Gone = true })
@@ -357,3 +357,23 @@
 		is.True(!ok)
 	})
 }
+
+// TestIdleWatch guards against probes of an idle primary by every VM of a large
+// fleet, and against a VM beyond the watchers that does not ask when a request
+// needs a position.
+func TestIdleWatch(t *testing.T) {
+	const vms = 12
+	run(t, vms, func(is *is.I, fx *fixture) {
+		time.Sleep(3 * time.Second)
+		before := len(fx.c.Ran("a", dbop.Begin))
+		time.Sleep(10 * time.Second)
+		idle := len(fx.c.Ran("a", dbop.Begin)) - before
+		is.True(idle > 0)
+		is.True(idle <= 8*10*2) // eight watchers, each at most twice a second
+		last := fx.leads[vms-1]
+		start := time.Now()
+		_, ok := last.Covering(time.Now().Add(time.Second), "g", fx.now().Add(-100*time.Millisecond))
+		is.True(ok)
+		is.True(time.Since(start) < 200*time.Millisecond)
+	})
+}
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -15,6 +15,11 @@
 // Periods of the monitor.
 const (
 	tick = 150 * time.Millisecond
+	// idleTick is the period of VMs that leave the watch to others.
+	idleTick = time.Second
+	// watchers is the number of VMs that ask an idle primary for its lead; the
+	// others only ask when requests need to know.
+	watchers = 8
 	// leastTick separates two rounds that callers ask for.
 	leastTick = 30 * time.Millisecond
 	// quietLead is how long no statement has shown the lead before it is asked
@@ -63,20 +68,23 @@
 
 // monitor watches one group until ctx ends.
 func (l *Leads) monitor(ctx context.Context, st *state) {
-	t := time.NewTicker(tick)
+	t := time.NewTimer(tick)
 	defer t.Stop()
-	var since, held time.Time
+	var since, held, looked time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		case <-st.kick:
-			if !pause(ctx, leastTick) {
+			if !pause(ctx, time.Until(looked.Add(leastTick))) {
 				return
 			}
 		}
-		l.look(st, &since)
+		watches := l.cfg.Rank(st.id) < watchers
+		looked = time.Now()
+		l.look(st, &since, watches)
+		t.Reset(st.period(watches || !since.IsZero()))
 		why := l.need(st, since)
 		if why == "" || time.Now().Before(held) {
 			continue
@@ -85,16 +93,28 @@
 	}
 }
 
+// period is the time to the next look. It is short while something is wrong.
+func (st *state) period(watches bool) time.Duration {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if watches || st.waiting > 0 || !st.failing.IsZero() {
+		return tick
+	}
+	return idleTick
+}
+
 // look asks the primary, or all databases while none is known. since is when
-// the group was first found without a primary.
-func (l *Leads) look(st *state, since *time.Time) {
+// the group was first found without a primary. An idle primary is asked only by
+// a VM that watches the group.
+func (l *Leads) look(st *state, since *time.Time, watches bool) {
 	id, ok := l.cfg.Roster.Primary(st.id)
 	if ok {
 		*since = time.Time{}
 		st.mu.Lock()
-		quiet := time.Since(st.confirmed) > quietLead || !st.failing.IsZero() || st.changed != nil
+		ask := watches && time.Since(st.confirmed) > quietLead || !st.failing.IsZero() || st.waiting > 0 || st.doubted
+		st.doubted = false
 		st.mu.Unlock()
-		if m, known := l.cfg.Roster.Member(st.id, id); known && quiet {
+		if m, known := l.cfg.Roster.Member(st.id, id); known && ask {
 			l.probe(st, &m)
 		}
 		if _, ok = l.cfg.Roster.Primary(st.id); ok {
@@ -138,7 +158,7 @@
 // ask starts and ends a writing transaction, which takes no slot.
 func (l *Leads) ask(st *state, m *roster.Member) (dbop.Code, error) {
 	deadline := time.Now().Add(probeTimeout)
-	conn, err := l.cfg.Pools.Get(deadline, m, "", nil)
+	conn, err := l.cfg.Pools.Get(deadline, m, "", 0)
 	if err != nil {
 		return dbop.Unknown, err
 	}
@@ -234,7 +254,7 @@
 	if rank > 0 && !pause(ctx, time.Duration(rank)*rankDelay) {
 		return retryPause
 	}
-	l.look(st, &since)
+	l.look(st, &since, true)
 	if l.need(st, since) != why {
 		return 0
 	}
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -186,7 +186,7 @@
 func (l *Leads) control(st dbop.Statement, m *roster.Member) (dbpool.Status, bool) {
 	end := time.Now().Add(2 * controlTimeout)
 	for time.Now().Before(end) {
-		conn, err := l.cfg.Pools.Get(time.Now().Add(controlTimeout), m, "", nil)
+		conn, err := l.cfg.Pools.Own(time.Now().Add(controlTimeout), m, "", 0)
 		if err != nil {
 			if !waits(err) {
 				return dbpool.Status{}, false
--- a/internal/linktest/linktest.go
+++ b/internal/linktest/linktest.go
@@ -5,7 +5,7 @@
 // # Usage
 //
 //	c := linktest.New("g", "a", "b", "c") // a leads
-//	pools := &dbpool.Pools{Dialer: c, Roster: c.Roster(), Limit: func(ident.Group) int { return 4 }}
+//	pools := &dbpool.Pools{Dialer: c, Roster: c.Roster(), Limit: func(*roster.Member) int { return 4 }}
 //	c.DB("a").Silent = true
 package linktest
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"chervilspan.example/internal/limit"
 	"chervilspan.example/internal/metr"
 	"chervilspan.example/internal/peer"
+	"chervilspan.example/internal/relay"
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/member"
@@ -60,11 +61,6 @@
 	sweepPeriod = 2 * time.Second
 	// memoryPart of the VM's memory is the garbage collector's soft bound.
 	memoryPart = 0.6
-	// spareConns of a database's connections are left for connections that the
-	// database has not yet found closed.
-	spareConns = 1
-	// assumedVMs stands for the number of VMs until the list is known.
-	assumedVMs = 8
 )
 
 // Node is one VM's daemon.
@@ -82,6 +78,8 @@
 	engine  *engine.Engine
 	metrics *metr.Metrics
 	peers   *peer.Cache
+	lending lending
+	lender  *relay.Server
 	disco   *disco.Poller
 
 	stopping atomic.Bool
@@ -100,6 +98,8 @@
 	n.grace.Store(int64(s.Grace()))
 	n.pools = &dbpool.Pools{Dialer: a.Dialer, Roster: n.roster, Limit: n.connLimit}
 	n.peers = peer.NewCache(peer.CacheConfig{Private: true, Scope: n.metrics.Scope})
+	n.pools.Lender = relay.NewClient(relay.Config{Lenders: n.lenders, Peers: n.peers})
+	n.lender = &relay.Server{Pools: n.pools}
 	self := member.Info{VM: s.VM, Zone: s.Zone, Region: s.Region, Address: s.Peers}
 	n.fleet = fleet.New(fleet.Config{Self: self, Store: a.Store, Seeds: s.Seeds, FirstStart: s.FirstStart, Log: log, OnChange: func() { n.limiter.Nudge() }})
 	n.follow = follow.New(follow.Config{
@@ -133,19 +133,6 @@
 
 func (n *Node) region(z ident.Zone) ident.Region { return n.s.Zones[z] }
 
-// connLimit is this VM's part of the connections of each database of a group.
-func (n *Node) connLimit(g ident.Group) int {
-	vms := len(n.fleet.Live())
-	if !n.fleet.Listed() {
-		vms = assumedVMs
-	}
-	limit := assumedVMs
-	if c := n.follow.Catalogue(); c != nil {
-		limit = int(c.Groups[g].Connections)
-	}
-	return max(1, (limit-spareConns)/vms)
-}
-
 // Run serves until ctx ends, and then stops gracefully. It returns an *Error
 // when it can't listen or sessions were cut.
 func (n *Node) Run(ctx context.Context) error {
@@ -168,7 +155,7 @@
 	for _, f := range []func(context.Context){n.follow.Run, n.fleet.Run, n.limiter.Run, n.leads.Run, n.disco.Run, n.housekeep, n.awaitReady} {
 		wg.Go(func() { f(work) })
 	}
-	server := peer.NewServer(peer.ServerConfig{Private: true}, peer.Handlers{Catalogue: n.follow, Lender: n.limiter, Watcher: watcher{n}})
+	server := peer.NewServer(peer.ServerConfig{Private: true}, peer.Handlers{Catalogue: n.follow, Lender: n.limiter, Watcher: watcher{n}, Relay: n.lender})
 	go n.serve("VMs", func() error { return server.Serve(peers) })
 	go n.serve("readiness checks", func() error { return n.serveHTTP(ready, false) })
 	go n.serve("callers", func() error { return n.a.Serve(callers, n.engine, n.log) })
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -20,6 +20,7 @@
 func (n *Node) stop() int {
 	begin, grace := time.Now(), time.Duration(n.grace.Load())
 	n.stopping.Store(true)
+	n.lender.Stop()
 	evlog.At(n.log, evlog.DrainStarted).Int("sessions", n.engine.Sessions()).Send()
 	time.Sleep(min(noticeTime, grace/2))
 	n.engine.CloseIdle()
@@ -27,7 +28,9 @@
 	if n.engine.Wait(half) > 0 {
 		n.engine.CloseAll()
 	}
-	left := n.engine.Wait(begin.Add(grace - grace/6 - leaveTime))
+	end := begin.Add(grace - grace/6 - leaveTime)
+	left := n.engine.Wait(end)
+	n.lender.Wait(end)
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTime)
 	defer cancel()
 	n.fleet.Leave(ctx)
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -51,6 +51,11 @@
 	Suspect(context.Context, *peerpb.SuspectRequest) (*peerpb.SuspectReply, error)
 }
 
+// Relay lends connections to databases.
+type Relay interface {
+	Relay(grpc.BidiStreamingServer[peerpb.RelayRequest, peerpb.RelayReply]) error
+}
+
 // Handlers are the parts of the daemon behind the server. Methods of nil parts
 // answer with codes.Unimplemented.
 type Handlers struct {
@@ -60,6 +65,7 @@
 	Gate       Gate
 	Canceller  Canceller
 	Watcher    Watcher
+	Relay      Relay
 	Admin      adminpb.AdminServer
 }
 
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -78,3 +78,11 @@
 	}
 	return s.h.Watcher.Suspect(ctx, r)
 }
+
+// Relay implements peerpb.PeerServer.
+func (s *service) Relay(stream grpc.BidiStreamingServer[peerpb.RelayRequest, peerpb.RelayReply]) error {
+	if s.h.Relay == nil {
+		return s.UnimplementedPeerServer.Relay(stream)
+	}
+	return s.h.Relay.Relay(stream)
+}
--- /dev/null
+++ b/internal/relay/codec.go
@@ -0,0 +1,80 @@
+package relay
+
+import (
+	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/internal/proto/peerpb"
+	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/roster"
+)
+
+func toOpen(m *roster.Member, ws ident.Workspace, owner dbpool.Owner) *peerpb.RelayOpen {
+	return &peerpb.RelayOpen{
+		Target: string(m.ID), Address: m.Address, Born: m.Born, Group: string(m.Group), Zone: string(m.Zone),
+		Workspace: string(ws), Owner: uint64(owner),
+	}
+}
+
+func fromOpen(o *peerpb.RelayOpen) *roster.Member {
+	return &roster.Member{Entry: roster.Entry{
+		ID: ident.Target(o.Target), Address: o.Address, Born: o.Born, Group: ident.Group(o.Group), Zone: ident.Zone(o.Zone),
+	}}
+}
+
+func toStatements(sts []dbop.Statement) []*peerpb.RelayStatement {
+	out := make([]*peerpb.RelayStatement, len(sts))
+	for i := range sts {
+		st := &sts[i]
+		out[i] = &peerpb.RelayStatement{
+			Id: []byte(st.ID), Kind: uint32(st.Kind), Text: []byte(st.Text), Name: []byte(st.Name), Arg: []byte(st.Arg),
+			Writes: st.Writes, AfterTerm: uint64(st.After.Term), AfterIndex: st.After.Index,
+		}
+	}
+	return out
+}
+
+// fromStatements returns false when a statement is not one that callers run.
+func fromStatements(in []*peerpb.RelayStatement) ([]dbop.Statement, bool) {
+	out := make([]dbop.Statement, len(in))
+	for i, st := range in {
+		if st.Kind == 0 || st.Kind > uint32(dbop.Reset) {
+			return nil, false
+		}
+		out[i] = dbop.Statement{
+			ID: string(st.Id), Kind: dbop.Kind(st.Kind), Text: string(st.Text), Name: string(st.Name), Arg: string(st.Arg),
+			Writes: st.Writes, After: ident.Position{Term: ident.Term(st.AfterTerm), Index: st.AfterIndex},
+		}
+	}
+	return out, len(out) > 0
+}
+
+func toAnswers(in []dbop.Answer) []*peerpb.RelayAnswer {
+	out := make([]*peerpb.RelayAnswer, len(in))
+	for i := range in {
+		a := &in[i]
+		b := &peerpb.RelayAnswer{
+			Signature: []byte(a.Signature), Code: uint32(a.Code), Text: []byte(a.Text), State: uint32(a.State),
+			Term: uint64(a.Position.Term), Index: a.Position.Index,
+		}
+		for _, r := range a.Rows {
+			b.Rows = append(b.Rows, []byte(r))
+		}
+		out[i] = b
+	}
+	return out
+}
+
+func fromAnswers(in []*peerpb.RelayAnswer) []dbop.Answer {
+	out := make([]dbop.Answer, len(in))
+	for i, b := range in {
+		a := dbop.Answer{
+			Signature: string(b.Signature), Code: dbop.Code(b.Code), Text: string(b.Text), State: dbop.State(b.State),
+			Position: ident.Position{Term: ident.Term(b.Term), Index: b.Index},
+		}
+		for _, r := range b.Rows {
+			a.Rows = append(a.Rows, string(r))
+		}
+		out[i] = a
+	}
+	return out
+}
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,189 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/internal/linktest"
+	"chervilspan.example/internal/peer"
+	"chervilspan.example/internal/relay"
+	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/roster"
+)
+
+// lenderVM is a VM that lends its connections.
+type lenderVM struct {
+	address string
+	server  *relay.Server
+	pools   *dbpool.Pools
+	stop    func()
+}
+
+func newLender(t *testing.T, c *linktest.Cluster, limit int) *lenderVM {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	pools := &dbpool.Pools{Dialer: c, Roster: c.Roster(), Limit: func(*roster.Member) int { return limit }}
+	vm := &lenderVM{address: l.Addr().String(), server: &relay.Server{Pools: pools}, pools: pools}
+	srv := peer.NewServer(peer.ServerConfig{Private: true}, peer.Handlers{Relay: vm.server})
+	served := make(chan error, 1)
+	go func() { served <- srv.Serve(l) }()
+	vm.stop = sync.OnceFunc(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		srv.Stop(ctx)
+		<-served
+	})
+	t.Cleanup(vm.stop)
+	return vm
+}
+
+// borrower returns the pools of a VM that borrows from others first.
+func borrower(t *testing.T, c *linktest.Cluster, lenders ...*lenderVM) *dbpool.Pools {
+	t.Helper()
+	var addresses []string
+	for _, l := range lenders {
+		addresses = append(addresses, l.address)
+	}
+	cache := peer.NewCache(peer.CacheConfig{Private: true})
+	t.Cleanup(cache.Close)
+	return &dbpool.Pools{
+		Dialer: c, Roster: c.Roster(), Limit: func(*roster.Member) int { return 1 },
+		Lender: relay.NewClient(relay.Config{Lenders: func(*roster.Member) []string { return addresses }, Peers: cache}),
+	}
+}
+
+func member(c *linktest.Cluster) *roster.Member {
+	m, _ := c.Roster().Member("g", "a")
+	return &m
+}
+
+func in(d time.Duration) time.Time { return time.Now().Add(d) }
+
+func read(text string) dbop.Statement { return dbop.Statement{Kind: dbop.Read, Text: text} }
+
+// TestShared guards against a new connection for each VM: statements of several
+// VMs run on the lender's one, with what was set there before.
+func TestShared(t *testing.T) {
+	is := is.New(t)
+	c := linktest.New("g", "a")
+	l := newLender(t, c, 4)
+	for range 3 {
+		p := borrower(t, c, l)
+		conn, err := p.Get(in(time.Second), member(c), "w", 7)
+		is.NoErr(err)
+		if conn.Vars["v"] == "" {
+			_, err = conn.Do(in(time.Second), dbop.Statement{Kind: dbop.Set, Name: "v", Arg: "1"})
+			is.NoErr(err)
+		}
+		is.Equal(conn.Vars, map[string]string{"v": "1"})
+		answers, err := conn.Do(in(time.Second), read("READ 1"))
+		is.NoErr(err)
+		is.Equal(answers[0].Code, dbop.OK)
+		conn.Release(true)
+		time.Sleep(20 * time.Millisecond) // the lender gets the return
+	}
+	is.Equal(c.Tenants("a"), map[ident.Workspace]int{"w": 1})
+	is.Equal(len(c.Ran("a", dbop.Read)), 3)
+}
+
+// TestNextLender guards against requests that fail because a lender has died or
+// stops, while another one or the VM itself can serve.
+func TestNextLender(t *testing.T) {
+	is := is.New(t)
+	c := linktest.New("g", "a")
+	dead, leaving, good := newLender(t, c, 4), newLender(t, c, 4), newLender(t, c, 4)
+	dead.stop()
+	leaving.server.Stop()
+	p := borrower(t, c, dead, leaving, good)
+	conn, err := p.Get(in(time.Second), member(c), "w", 0)
+	is.NoErr(err)
+	_, err = conn.Do(in(time.Second), read("READ 1"))
+	is.NoErr(err)
+	conn.Release(true)
+	good.stop()
+	conn, err = p.Get(in(time.Second), member(c), "w", 0)
+	is.NoErr(err) // on a connection of its own
+	conn.Release(true)
+	is.Equal(p.Dials.Load(), uint64(1))
+}
+
+// TestUnreachable guards against a database that a lender can't reach and that
+// still counts as reachable, and against blaming it for a dead lender.
+func TestUnreachable(t *testing.T) {
+	is := is.New(t)
+	c := linktest.New("g", "a")
+	l := newLender(t, c, 4)
+	p := borrower(t, c, l)
+	c.Set("a", func(d *linktest.DB) { d.Dark = true })
+	_, err := p.Get(in(time.Second), member(c), "w", 0)
+	var e *dbpool.Error
+	is.True(errors.As(err, &e))
+	is.Equal(e.Kind, dbpool.KindUnreachable)
+	is.True(!member(c).Failed.IsZero())
+}
+
+// TestBorrowerGone guards against a transaction that stays open at the database
+// after its VM has died.
+func TestBorrowerGone(t *testing.T) {
+	is := is.New(t)
+	c := linktest.New("g", "a")
+	l := newLender(t, c, 4)
+	cache := peer.NewCache(peer.CacheConfig{Private: true})
+	p := &dbpool.Pools{Roster: c.Roster(), Lender: relay.NewClient(relay.Config{
+		Lenders: func(*roster.Member) []string { return []string{l.address} }, Peers: cache,
+	})}
+	conn, err := p.Get(in(time.Second), member(c), "w", 0)
+	is.NoErr(err)
+	_, err = conn.Do(in(time.Second), dbop.Statement{Kind: dbop.Begin})
+	is.NoErr(err)
+	is.Equal(c.Open("a"), 1)
+	cache.Close()
+	is.Equal(l.server.Wait(in(time.Second)), 0)
+	is.Equal(c.Open("a"), 0)
+}
+
+// TestFull guards against more connections than the lender's part, and against
+// a request that waits for a connection which came back.
+func TestFull(t *testing.T) {
+	is := is.New(t)
+	c := linktest.New("g", "a")
+	l := newLender(t, c, 1)
+	p, q := borrower(t, c, l), borrower(t, c, l)
+	held, err := p.Get(in(time.Second), member(c), "w", 0)
+	is.NoErr(err)
+	_, err = q.Get(in(50*time.Millisecond), member(c), "w", 0)
+	var e *dbpool.Error
+	is.True(errors.As(err, &e))
+	is.Equal(e.Kind, dbpool.KindWait)
+	time.AfterFunc(30*time.Millisecond, func() { held.Release(true) })
+	conn, err := q.Get(in(2*time.Second), member(c), "w", 0)
+	is.NoErr(err)
+	conn.Release(true)
+	is.Equal(c.Open("a"), 1)
+}
+
+// TestControl guards against a statement about the database itself that a
+// lender could carry out late.
+func TestControl(t *testing.T) {
+	is := is.New(t)
+	c := linktest.New("g", "a")
+	p := borrower(t, c, newLender(t, c, 4))
+	conn, err := p.Get(in(time.Second), member(c), "", 0)
+	is.NoErr(err)
+	_, _, err = conn.Control(in(time.Second), dbop.Statement{Kind: dbop.Fence, Term: 9})
+	is.True(err != nil)
+	conn.Release(false)
+	_, err = p.Own(in(time.Second), member(c), "", 0)
+	is.NoErr(err)
+}
--- a/scripts/generate.sh
+++ b/scripts/generate.sh
@@ -1,14 +1,13 @@
 #!/usr/bin/env bash
-# Regenerates the committed protobuf code. Needs protoc (Debian's
-# protobuf-compiler) and the plugins of the tools module.
+# Regenerates the committed code with the plugins of the tools module.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bash scripts/tools.sh
-PATH="$PWD/.bin:$PATH" protoc -I proto \
-  --go_out=. --go_opt=module=chervilspan.example \
-  --go-grpc_out=. --go-grpc_opt=module=chervilspan.example \
-  proto/*.proto
+(cd tools && GOWORK=off go build -o ../.bin/genpb ./genpb)
+for plugin in go go-grpc; do
+  .bin/genpb -plugin ".bin/protoc-gen-$plugin" -opt module=chervilspan.example -dir proto \
+    $(cd proto && ls ./*.proto | sed 's|^\./||')
+done
 go run ./internal/evlog/gen
 go run ./pkg/catal/gen
 go run ./internal/conf/gen
-go run ./pkg/catal/gen
