--- a/internal/ctl/keys.go
+++ b/internal/ctl/keys.go
@@ -13,6 +13,7 @@
 
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/wait"
 )
 
 func (c *command) keys(ctx context.Context, a *keysArgs) error {
@@ -57,23 +58,12 @@
 			return version, err
 		}
 		// The daemon that was asked may learn of the version that won later.
-		if !sleep(ctx, time.Duration(try)*200*time.Millisecond) {
+		if !wait.For(ctx, time.Duration(try)*200*time.Millisecond) {
 			return 0, err
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // workspaceOf returns a workspace with a map of keys that can be written.
 func workspaceOf(op string, cat *catal.Catalogue, id string) (catal.Workspace, error) {
 	w, ok := cat.Workspaces[ident.Workspace(id)]
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"chervilspan.example/internal/proto/adminpb"
+	"chervilspan.example/pkg/wait"
 )
 
 func (c *command) vms(ctx context.Context, op string) ([]*adminpb.VMStatus, error) {
@@ -49,7 +50,7 @@
 		switch {
 		case len(missing) == 0:
 			return nil
-		case time.Now().After(deadline) || !sleep(ctx, waitPeriod):
+		case time.Now().After(deadline) || !wait.For(ctx, waitPeriod):
 			text := fmt.Sprintf("version %d is stored, but after %s it is not in force on %s", version, limit, strings.Join(missing, ", "))
 			return &Error{Op: op, Kind: KindFailed, Lines: []string{text}}
 		}
@@ -164,7 +165,7 @@
 				return err
 			}
 		}
-		if n == a.Count || !sleep(ctx, a.Every) {
+		if n == a.Count || !wait.For(ctx, a.Every) {
 			return nil
 		}
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -28,6 +28,7 @@
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/store"
+	"chervilspan.example/pkg/wait"
 )
 
 const (
@@ -153,7 +154,7 @@
 				}
 			})
 		}
-		wait(ctx, retryStore/2+rand.N(retryStore))
+		wait.For(ctx, retryStore/2+rand.N(retryStore))
 	}
 }
 
@@ -271,12 +272,3 @@
 	}
 	return &peerpb.PushCatalogueReply{Version: uint64(f.Version())}, nil
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -10,6 +10,7 @@
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
+	"chervilspan.example/pkg/wait"
 )
 
 // Periods of the monitor.
@@ -77,7 +78,7 @@
 			return
 		case <-t.C:
 		case <-st.kick:
-			if !pause(ctx, time.Until(looked.Add(leastTick))) {
+			if !wait.For(ctx, time.Until(looked.Add(leastTick))) {
 				return
 			}
 		}
@@ -232,7 +233,7 @@
 		return false
 	}
 	pos, _ := st.track.Latest()
-	if !pause(ctx, starveTime) {
+	if !wait.For(ctx, starveTime) {
 		return false
 	}
 	heard := false
@@ -251,7 +252,7 @@
 // next attempt.
 func (l *Leads) act(ctx context.Context, st *state, why reason, since time.Time) time.Duration {
 	rank := min(l.cfg.Rank(st.id), maxRank)
-	if rank > 0 && !pause(ctx, time.Duration(rank)*rankDelay) {
+	if rank > 0 && !wait.For(ctx, time.Duration(rank)*rankDelay) {
 		return retryPause
 	}
 	l.look(st, &since, true)
@@ -293,14 +294,3 @@
 func (l *Leads) reached(ctx context.Context, g ident.Group, id ident.Target) bool {
 	return l.cfg.Peers != nil && l.cfg.Peers.Reaches(ctx, g, id)
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/spread/edit.go
+++ b/internal/spread/edit.go
@@ -12,6 +12,7 @@
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/store"
+	"chervilspan.example/pkg/wait"
 )
 
 // Edit is a wish to replace the catalogue.
@@ -147,7 +148,7 @@
 	}
 	var res store.Result
 	for try := range editTries {
-		if !pause(ctx, time.Duration(try)*s.cfg.StoreTimeout) {
+		if !wait.For(ctx, time.Duration(try)*s.cfg.StoreTimeout) {
 			break
 		}
 		call, cancel := context.WithTimeout(ctx, s.cfg.StoreTimeout)
@@ -164,7 +165,7 @@
 func (s *Spread) swap(ctx context.Context, w store.Write) (Record, error) {
 	var err error
 	for try := range editTries {
-		if !pause(ctx, time.Duration(try)*s.cfg.StoreTimeout) {
+		if !wait.For(ctx, time.Duration(try)*s.cfg.StoreTimeout) {
 			break
 		}
 		var res store.Result
@@ -207,7 +208,7 @@
 // time for daemons that ended before they did.
 func (s *Spread) prune(ctx context.Context, v ident.Version) {
 	const again = 5
-	if v <= keepVersions+1 || !pause(ctx, pruneDelay) {
+	if v <= keepVersions+1 || !wait.For(ctx, pruneDelay) {
 		return
 	}
 	last := v - keepVersions - 1
--- a/internal/spread/pull.go
+++ b/internal/spread/pull.go
@@ -17,6 +17,7 @@
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/member"
+	"chervilspan.example/pkg/wait"
 )
 
 // fanOut is the number of VMs that a new version is pushed to.
@@ -118,9 +119,9 @@
 func (s *Spread) noteVersion(vm ident.VM, address string, v ident.Version) {
 	s.state.Lock()
 	behind := v > s.fresh.Version() && !s.pulling[vm]
-	var wait time.Duration
+	var delay time.Duration
 	if from, ok := s.node.Lookup(vm); ok && s.serving && from.Region != s.cfg.Self.Region && !s.relaying {
-		wait = time.Second + time.Duration(s.rng.Int64N(int64(time.Second)))
+		delay = time.Second + time.Duration(s.rng.Int64N(int64(time.Second)))
 	}
 	if behind {
 		s.pulling[vm] = true
@@ -135,7 +136,7 @@
 			delete(s.pulling, vm)
 			s.state.Unlock()
 		}()
-		if !pause(ctx, wait) || v <= s.version() {
+		if !wait.For(ctx, delay) || v <= s.version() {
 			return
 		}
 		// After an error the next ping tells of the version again.
@@ -145,21 +146,6 @@
 	})
 }
 
-// pause waits and reports whether ctx is still on.
-func pause(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 func (s *Spread) version() ident.Version {
 	s.state.Lock()
 	defer s.state.Unlock()
@@ -297,7 +283,7 @@
 		s.state.Lock()
 		busy := s.pulling[from.VM]
 		s.state.Unlock()
-		if !busy || !pause(ctx, 10*time.Millisecond) {
+		if !busy || !wait.For(ctx, 10*time.Millisecond) {
 			break
 		}
 	}
--- a/internal/spread/store.go
+++ b/internal/spread/store.go
@@ -10,6 +10,7 @@
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/member"
 	"chervilspan.example/pkg/store"
+	"chervilspan.example/pkg/wait"
 )
 
 // readers is the number of VMs of a zone that check the store's version.
@@ -35,7 +36,7 @@
 func (s *Spread) storeLoop(ctx context.Context) {
 	var next time.Time
 	delay := 2 * time.Second
-	for pause(ctx, s.jitter(s.cfg.pace())) {
+	for wait.For(ctx, s.jitter(s.cfg.pace())) {
 		s.state.Lock()
 		always := s.reads() || s.relaying || !s.serving
 		age := s.fresh.Decide(time.Now()).Age
@@ -163,7 +164,7 @@
 
 // watchLoop holds a watch while this VM is the relay of its region.
 func (s *Spread) watchLoop(ctx context.Context) {
-	for pause(ctx, s.jitter(s.cfg.pace())) {
+	for wait.For(ctx, s.jitter(s.cfg.pace())) {
 		relay := s.isRelay()
 		if relay {
 			s.setRelay(true)
@@ -208,7 +209,7 @@
 		s.takeEntry(e, sent)
 	}
 	go func() {
-		for pause(ctx, s.jitter(time.Second)) {
+		for wait.For(ctx, s.jitter(time.Second)) {
 			if !s.isRelay() {
 				cancel()
 			}
@@ -225,7 +226,7 @@
 // askLoop asks the readers of the zone for the age of the version. Readers
 // without a young proof ask the readers of the other zones.
 func (s *Spread) askLoop(ctx context.Context) {
-	for pause(ctx, s.jitter(s.cfg.pace())) {
+	for wait.For(ctx, s.jitter(s.cfg.pace())) {
 		for _, i := range s.askNext() {
 			s.background(func(ctx context.Context) { s.ask(ctx, i, false) })
 		}
@@ -288,7 +289,7 @@
 
 // factsLoop logs changes of the cut-off rule's outcome and sets gauges.
 func (s *Spread) factsLoop(ctx context.Context) {
-	for pause(ctx, 500*time.Millisecond) {
+	for wait.For(ctx, 500*time.Millisecond) {
 		s.state.Lock()
 		d := s.fresh.Decide(time.Now())
 		old := s.decision
@@ -313,7 +314,7 @@
 
 // platformLoop takes candidates and leaving VMs from the platform's list.
 func (s *Spread) platformLoop(ctx context.Context) {
-	for pause(ctx, s.jitter(platformPeriod)) {
+	for wait.For(ctx, s.jitter(platformPeriod)) {
 		s.state.Lock()
 		reads := s.reads()
 		s.state.Unlock()
--- a/internal/spread/wire_test.go
+++ b/internal/spread/wire_test.go
@@ -13,6 +13,7 @@
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/member"
+	"chervilspan.example/pkg/wait"
 )
 
 // TestOverSockets guards against parts that work with calls in one process and
@@ -51,7 +52,7 @@
 		}()
 		go func() {
 			for ctx.Err() == nil && (len(s.Live()) < 3 || !s.inTouch()) {
-				pause(ctx, time.Millisecond)
+				wait.For(ctx, time.Millisecond)
 			}
 			met <- s
 		}()
--- /dev/null
+++ b/pkg/wait/wait_test.go
@@ -0,0 +1,29 @@
+package wait_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilspan.example/pkg/wait"
+)
+
+// TestFor guards against a pause that outlasts its context, and against one that
+// reports a context as live which has ended.
+func TestFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		start := time.Now()
+		is.True(wait.For(ctx, time.Second))
+		is.Equal(time.Since(start), time.Second)
+		is.True(wait.For(ctx, 0))
+		time.AfterFunc(time.Minute, cancel)
+		is.True(!wait.For(ctx, time.Hour))
+		is.Equal(time.Since(start), time.Second+time.Minute)
+		is.True(!wait.For(ctx, 0))
+	})
+}
