--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -45,7 +45,7 @@
 	Borrow(deadline time.Time, m *roster.Member, ws ident.Workspace, owner Owner) (l Lent, ok bool, err error)
 	// Load returns what is known of the load of a database that this VM borrows
 	// connections to. ok is false when this VM is to use its own.
-	Load(m *roster.Member) (l Load, ok bool)
+	Load(m *roster.Member, ws ident.Workspace) (l Load, ok bool)
 }
 
 // Get returns a connection of a workspace to a database; "" takes a connection
@@ -118,7 +118,7 @@
 // Load returns the load of a database as a request of the workspace sees it.
 func (s *Pools) Load(m *roster.Member, ws ident.Workspace) Load {
 	if s.Lender != nil {
-		if l, ok := s.Lender.Load(m); ok {
+		if l, ok := s.Lender.Load(m, ws); ok {
 			return l
 		}
 	}
--- a/internal/disco/disco.go
+++ b/internal/disco/disco.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -31,13 +32,20 @@
 
 // Poller reads the list. Its fields are set before Run.
 type Poller struct {
-	Store  store.Store
+	Store store.Store
+	// List, unless nil, takes the place of the store's: it reads the entries under
+	// a prefix, and returns since when they may be outdated. Unless fresh is
+	// set, the list may be some seconds older.
+	List   func(ctx context.Context, prefix string, fresh bool) ([]store.Entry, time.Time, error)
 	Prefix string
 	Decode func(key string, value []byte) (roster.Entry, error)
 	Roster *roster.Table
 	Log    zerolog.Logger
 
-	down    bool
+	down bool
+
+	// mu guards skipped.
+	mu      sync.Mutex
 	skipped map[string]store.Revision
 }
 
@@ -57,17 +65,49 @@
 func (p *Poller) read(ctx context.Context, stale bool) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	list := p.Store.List
-	if s, ok := p.Store.(store.StaleLister); ok && stale {
-		list = s.ListStale
-	}
-	entries, err := list(ctx, p.Prefix)
-	now := time.Now()
+	entries, at, err := p.list(ctx, !stale)
 	p.note(err)
 	if err != nil {
-		p.Roster.NoteOutage(now)
+		p.Roster.NoteOutage(time.Now())
+		return
+	}
+	out := p.decode(entries)
+	if stale {
+		// A stale list may lack what was added and have what was removed.
+		p.Roster.Merge(out, at)
 		return
 	}
+	p.Roster.Update(out, at)
+}
+
+func (p *Poller) list(ctx context.Context, fresh bool) ([]store.Entry, time.Time, error) {
+	if p.List != nil {
+		return p.List(ctx, p.Prefix, fresh)
+	}
+	at := time.Now()
+	if s, ok := p.Store.(store.StaleLister); ok && !fresh {
+		entries, err := s.ListStale(ctx, p.Prefix)
+		return entries, at, err
+	}
+	entries, err := p.Store.List(ctx, p.Prefix)
+	return entries, at, err
+}
+
+// Refresh reads the list from the store itself, before a decision that needs
+// every database.
+func (p *Poller) Refresh(ctx context.Context) error {
+	at := time.Now()
+	entries, err := p.Store.List(ctx, p.Prefix)
+	if err != nil {
+		p.Roster.NoteOutage(time.Now())
+		return err
+	}
+	p.Roster.Update(p.decode(entries), at)
+	return nil
+}
+
+// decode returns the entries that can be read.
+func (p *Poller) decode(entries []store.Entry) []roster.Entry {
 	out := make([]roster.Entry, 0, len(entries))
 	for _, e := range entries {
 		r, err := p.Decode(e.Key, e.Value)
@@ -77,16 +117,13 @@
 		}
 		out = append(out, r)
 	}
-	if stale {
-		// A stale list may lack what was added and have what was removed.
-		p.Roster.Merge(out, now)
-		return
-	}
-	p.Roster.Update(out, now)
+	return out
 }
 
 // skip logs an entry that can't be read, once for each of its values.
 func (p *Poller) skip(e store.Entry, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.skipped[e.Key] == e.Revision {
 		return
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -48,6 +48,9 @@
 	// Self describes this VM; Address is that of its peer service.
 	Self  member.Info
 	Store store.Store
+	// List, unless nil, takes the place of the store's once the VM has started:
+	// it returns the entries under a prefix, which may be some seconds old.
+	List func(ctx context.Context, prefix string) ([]store.Entry, error)
 	// Seeds are addresses of peer services, which may be stale.
 	Seeds []string
 	// FirstStart tells that all VMs start for the first time: the list is
@@ -235,6 +238,9 @@
 	if s, ok := f.cfg.Store.(store.StaleLister); ok {
 		read = s.ListStale
 	}
+	if f.cfg.List != nil && time.Since(f.start) > startTime {
+		read = f.cfg.List
+	}
 	entries, err := read(ctx, prefix)
 	if err != nil {
 		return err
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -46,6 +46,8 @@
 	Store    store.Store
 	Promoter Promoter
 	Peers    Peers
+	// Refresh, unless nil, reads the list of databases before a decision.
+	Refresh func(context.Context) error
 	// Rank returns how many VMs are to act before this one on a group.
 	Rank func(ident.Group) int
 	// Region returns the region of a zone; Home is the one that is preferred
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -12,6 +12,7 @@
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
 	"chervilspan.example/pkg/store"
+	"chervilspan.example/pkg/wait"
 )
 
 const (
@@ -52,8 +53,8 @@
 
 // takeover replaces the primary. Without an error the new primary leads.
 func (l *Leads) takeover(ctx context.Context, st *state, old ident.Target, why reason) error {
-	if !l.cfg.Roster.Settled(time.Now()) {
-		return &Error{Op: "check", Kind: KindUnsettled, Group: st.id}
+	if err := l.refresh(ctx, st.id); err != nil {
+		return err
 	}
 	d, err := l.claim(ctx, st.id, old)
 	if err != nil {
@@ -79,6 +80,21 @@
 	return nil
 }
 
+// refresh makes sure that every database of a group is known.
+func (l *Leads) refresh(ctx context.Context, g ident.Group) error {
+	if l.cfg.Refresh != nil && l.cfg.Roster.Settled(time.Now()) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		if err := l.cfg.Refresh(ctx); err != nil {
+			return &Error{Op: "list", Kind: KindStore, Group: g, Err: err}
+		}
+	}
+	if !l.cfg.Roster.Settled(time.Now()) {
+		return &Error{Op: "check", Kind: KindUnsettled, Group: g}
+	}
+	return nil
+}
+
 // claim takes the right to decide about a group.
 func (l *Leads) claim(ctx context.Context, g ident.Group, old ident.Target) (*decision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -226,7 +242,7 @@
 			return &Error{Op: "promote", Kind: KindRefused, Group: g, Target: m.ID}
 		}
 		l.logCall(g, m.ID, err)
-		if !pause(ctx, retryPause) {
+		if !wait.For(ctx, retryPause) {
 			break
 		}
 	}
@@ -241,7 +257,7 @@
 		if err == nil && code == dbop.OK {
 			return
 		}
-		if !pause(ctx, leadPoll) {
+		if !wait.For(ctx, leadPoll) {
 			return
 		}
 	}
--- a/internal/node/lend.go
+++ b/internal/node/lend.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"slices"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/member"
 	"chervilspan.example/pkg/rendez"
@@ -15,60 +18,71 @@
 	spareConns = 1
 	// assumedVMs stands for the number of VMs until the list is known.
 	assumedVMs = 8
-	// lenderVMs is the number of VMs of a zone that lend connections to a
-	// database: one, and one that stands in for it.
-	lenderVMs = 2
-	// firstPart of a zone's connections is for the first lender, standInPart for
-	// the other one; the rest are for VMs that reach neither.
-	firstPart   = 0.7
-	standInPart = 0.2
+	// lenderVMs is the number of VMs that lend connections to a database, each to
+	// a part of the workspaces; standInVMs more stand in for them.
+	lenderVMs  = 2
+	standInVMs = 1
+	// lentPart of a database's connections are for the lenders, standInPart for
+	// the VMs that stand in; the rest are for VMs that reach none of them.
+	lentPart    = 0.9
+	standInPart = 0.06
 	// enoughConns is the number of connections for each workspace from which on
 	// every VM uses its own.
 	enoughConns = 0.5
 )
 
-// lending has the lenders of the zone for each database, for one list of VMs.
+// lending has the lenders for each database, for one list of VMs.
 type lending struct {
 	mu   sync.Mutex
 	list []member.Info
-	zone []ident.VM
 	by   map[ident.Target][]ident.VM
 }
 
-// of returns the lenders of a database, best first, and the number of VMs of
-// the zone.
-func (l *lending) of(id ident.Target, zone ident.Zone, live []member.Info) ([]ident.VM, int) {
+// of returns the lenders of a database and those that stand in for them. They
+// are in the zone of the database, so that a statement crosses zones once, as
+// without them; in any zone when there are none.
+func (l *lending) of(m *roster.Member, live []member.Info) []ident.VM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.list) != len(live) || len(live) > 0 && &l.list[0] != &live[0] {
-		l.list, l.zone, l.by = live, nil, map[ident.Target][]ident.VM{}
-		for _, m := range live {
-			if m.Zone == zone {
-				l.zone = append(l.zone, m.VM)
-			}
-		}
+		l.list, l.by = live, map[ident.Target][]ident.VM{}
 	}
-	vms, ok := l.by[id]
+	vms, ok := l.by[m.ID]
 	if !ok {
-		vms = rendez.Top("lender/"+string(id), l.zone, lenderVMs)
-		l.by[id] = vms
+		var near, all []ident.VM
+		for _, i := range live {
+			all = append(all, i.VM)
+			if i.Zone == m.Zone {
+				near = append(near, i.VM)
+			}
+		}
+		if len(near) <= lenderVMs {
+			near = all
+		}
+		vms = rendez.Top("lender/"+string(m.ID), near, lenderVMs+standInVMs)
+		l.by[m.ID] = vms
 	}
-	return vms, len(l.zone)
+	return vms
 }
 
-// lenders returns the addresses of the VMs to borrow connections to a database
-// from, in order; none when this VM uses its own.
-func (n *Node) lenders(m *roster.Member) []string {
+// lenders returns the addresses of the VMs to borrow a workspace's connections
+// to a database from, in order; none when this VM uses its own.
+func (n *Node) lenders(m *roster.Member, ws ident.Workspace) []string {
 	if !n.lends(m.Group) {
 		return nil
 	}
-	vms, _ := n.lending.of(m.ID, n.s.Zone, n.fleet.Live())
+	vms := n.lending.of(m, n.fleet.Live())
+	first := int(xxhash.Sum64String(string(ws)) % uint64(min(lenderVMs, len(vms))))
 	var out []string
-	for _, vm := range vms {
-		if vm == n.s.VM {
+	for i := range vms {
+		at := i
+		if i < lenderVMs && i < len(vms) {
+			at = (first + i) % min(lenderVMs, len(vms))
+		}
+		if vms[at] == n.s.VM {
 			break
 		}
-		if a := n.fleet.Address(vm); a != "" {
+		if a := n.fleet.Address(vms[at]); a != "" {
 			out = append(out, a)
 		}
 	}
@@ -79,7 +93,7 @@
 // each VM that VMs lend them to others.
 func (n *Node) lends(g ident.Group) bool {
 	c, vms := n.follow.Catalogue(), len(n.fleet.Live())
-	if c == nil || vms < lenderVMs {
+	if c == nil || vms <= lenderVMs+standInVMs {
 		return false
 	}
 	each := (float64(c.Groups[g].Connections) - spareConns) / float64(vms)
@@ -101,16 +115,14 @@
 	if !n.lends(m.Group) {
 		return max(1, all/vms)
 	}
-	lenders, zone := n.lending.of(m.ID, n.s.Zone, live)
-	part := float64(all) * float64(zone) / float64(vms)
-	switch {
-	case lenders[0] == n.s.VM:
-		part *= firstPart
-	case len(lenders) > 1 && lenders[1] == n.s.VM:
-		part *= standInPart
+	part := 1 - lentPart - standInPart
+	switch i := slices.Index(n.lending.of(m, live), n.s.VM); {
+	case i < 0:
+		part /= float64(vms)
+	case i < lenderVMs:
+		part = lentPart / lenderVMs
 	default:
-		part *= 1 - firstPart - standInPart
-		part /= float64(max(1, zone-lenderVMs))
+		part = standInPart / standInVMs
 	}
-	return max(1, int(part))
+	return max(1, int(part*float64(all)))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"chervilspan.example/internal/follow"
 	"chervilspan.example/internal/lead"
 	"chervilspan.example/internal/limit"
+	"chervilspan.example/internal/lists"
 	"chervilspan.example/internal/metr"
 	"chervilspan.example/internal/peer"
 	"chervilspan.example/internal/relay"
@@ -80,6 +81,7 @@
 	peers   *peer.Cache
 	lending lending
 	lender  *relay.Server
+	lists   *lists.Reader
 	disco   *disco.Poller
 
 	stopping atomic.Bool
@@ -100,8 +102,9 @@
 	n.peers = peer.NewCache(peer.CacheConfig{Private: true, Scope: n.metrics.Scope})
 	n.pools.Lender = relay.NewClient(relay.Config{Lenders: n.lenders, Peers: n.peers})
 	n.lender = &relay.Server{Pools: n.pools}
+	n.lists = lists.New(lists.Config{Store: a.Store, Peers: n.peers, Readers: n.readers, Clock: uptime.Now})
 	self := member.Info{VM: s.VM, Zone: s.Zone, Region: s.Region, Address: s.Peers}
-	n.fleet = fleet.New(fleet.Config{Self: self, Store: a.Store, Seeds: s.Seeds, FirstStart: s.FirstStart, Log: log, OnChange: func() { n.limiter.Nudge() }})
+	n.fleet = fleet.New(fleet.Config{Self: self, Store: a.Store, Seeds: s.Seeds, FirstStart: s.FirstStart, Log: log, OnChange: func() { n.limiter.Nudge() }, List: n.listVMs})
 	n.follow = follow.New(follow.Config{
 		Store: a.Store, Key: a.CatalogueKey, Decode: a.Catalogue, VM: s.VM, Fleet: n.fleet, Peers: n.peers, Log: log,
 	})
@@ -112,8 +115,9 @@
 			Window: time.Duration(s.RateExcess.WindowS * float64(time.Second)), Part: s.RateExcess.Part, Tokens: s.RateExcess.Tokens,
 		},
 	})
+	n.disco = &disco.Poller{Store: a.Store, List: n.lists.List, Prefix: a.TargetPrefix, Decode: a.Target, Roster: n.roster, Log: log}
 	n.leads = lead.New(lead.Config{
-		VM: s.VM, Roster: n.roster, Pools: n.pools, Store: a.Store, Promoter: a.Promoter, Peers: vmPeers{n},
+		VM: s.VM, Roster: n.roster, Pools: n.pools, Store: a.Store, Promoter: a.Promoter, Peers: vmPeers{n}, Refresh: n.disco.Refresh,
 		Rank:   func(g ident.Group) int { return n.fleet.Rank("failover/"+string(g), s.home()) },
 		Region: n.region, Home: s.home(), Clock: uptime.Now, Log: log,
 	})
@@ -124,7 +128,6 @@
 		Clock:   uptime.Now,
 		Meter:   newMeter(n.metrics.Scope), Log: log,
 	})
-	n.disco = &disco.Poller{Store: a.Store, Prefix: a.TargetPrefix, Decode: a.Target, Roster: n.roster, Log: log}
 	return n
 }
 
@@ -155,7 +158,7 @@
 	for _, f := range []func(context.Context){n.follow.Run, n.fleet.Run, n.limiter.Run, n.leads.Run, n.disco.Run, n.housekeep, n.awaitReady} {
 		wg.Go(func() { f(work) })
 	}
-	server := peer.NewServer(peer.ServerConfig{Private: true}, peer.Handlers{Catalogue: n.follow, Lender: n.limiter, Watcher: watcher{n}, Relay: n.lender})
+	server := peer.NewServer(peer.ServerConfig{Private: true}, peer.Handlers{Catalogue: n.follow, Lender: n.limiter, Watcher: watcher{n}, Relay: n.lender, Lists: n.lists})
 	go n.serve("VMs", func() error { return server.Serve(peers) })
 	go n.serve("readiness checks", func() error { return n.serveHTTP(ready, false) })
 	go n.serve("callers", func() error { return n.a.Serve(callers, n.engine, n.log) })
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -56,6 +56,11 @@
 	Relay(grpc.BidiStreamingServer[peerpb.RelayRequest, peerpb.RelayReply]) error
 }
 
+// Lists answers with lists of the platform's store.
+type Lists interface {
+	ReadList(context.Context, *peerpb.ReadListRequest) (*peerpb.ReadListReply, error)
+}
+
 // Handlers are the parts of the daemon behind the server. Methods of nil parts
 // answer with codes.Unimplemented.
 type Handlers struct {
@@ -66,6 +71,7 @@
 	Canceller  Canceller
 	Watcher    Watcher
 	Relay      Relay
+	Lists      Lists
 	Admin      adminpb.AdminServer
 }
 
--- a/internal/peer/service.go
+++ b/internal/peer/service.go
@@ -86,3 +86,11 @@
 	}
 	return s.h.Relay.Relay(stream)
 }
+
+// ReadList implements peerpb.PeerServer.
+func (s *service) ReadList(ctx context.Context, r *peerpb.ReadListRequest) (*peerpb.ReadListReply, error) {
+	if s.h.Lists == nil {
+		return s.UnimplementedPeerServer.ReadList(ctx, r)
+	}
+	return s.h.Lists.ReadList(ctx, r)
+}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -37,9 +37,9 @@
 
 // Config has the parts of a Client.
 type Config struct {
-	// Lenders returns the addresses of the VMs to borrow a connection to a
-	// database from, in order; none when this VM uses its own.
-	Lenders func(*roster.Member) []string
+	// Lenders returns the addresses of the VMs to borrow a workspace's connection
+	// to a database from, in order; none when this VM uses its own.
+	Lenders func(*roster.Member, ident.Workspace) []string
 	Peers   Peers
 }
 
@@ -70,7 +70,7 @@
 // Borrow implements dbpool.Lender. A lender that fails is passed over for some
 // time; without any, this VM uses its own connections.
 func (c *Client) Borrow(deadline time.Time, m *roster.Member, ws ident.Workspace, owner dbpool.Owner) (dbpool.Lent, bool, error) {
-	for _, address := range c.cfg.Lenders(m) {
+	for _, address := range c.cfg.Lenders(m, ws) {
 		if c.avoided(address, m.ID) {
 			continue
 		}
@@ -117,8 +117,8 @@
 }
 
 // Load implements dbpool.Lender.
-func (c *Client) Load(m *roster.Member) (dbpool.Load, bool) {
-	if len(c.cfg.Lenders(m)) == 0 {
+func (c *Client) Load(m *roster.Member, ws ident.Workspace) (dbpool.Load, bool) {
+	if len(c.cfg.Lenders(m, ws)) == 0 {
 		return dbpool.Load{}, false
 	}
 	c.mu.Lock()
--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -3,8 +3,8 @@
 // A connection serves one workspace, and a database accepts a bounded number of
 // connections. When the part of one VM is small against the number of
 // workspaces, most statements would need a new connection, whose start takes a
-// slot at the database. A few VMs of each zone then hold the zone's part of the
-// connections to a database, and the others run their statements there.
+// slot at the database. A few VMs near a database then hold its connections, and
+// the others run their statements there.
 //
 // The borrower decides what is run; the lender keeps the connection's state and
 // closes it when the borrower goes while a statement runs or a transaction is
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -59,7 +59,7 @@
 	t.Cleanup(cache.Close)
 	return &dbpool.Pools{
 		Dialer: c, Roster: c.Roster(), Limit: func(*roster.Member) int { return 1 },
-		Lender: relay.NewClient(relay.Config{Lenders: func(*roster.Member) []string { return addresses }, Peers: cache}),
+		Lender: relay.NewClient(relay.Config{Lenders: func(*roster.Member, ident.Workspace) []string { return addresses }, Peers: cache}),
 	}
 }
 
@@ -141,7 +141,7 @@
 	l := newLender(t, c, 4)
 	cache := peer.NewCache(peer.CacheConfig{Private: true})
 	p := &dbpool.Pools{Roster: c.Roster(), Lender: relay.NewClient(relay.Config{
-		Lenders: func(*roster.Member) []string { return []string{l.address} }, Peers: cache,
+		Lenders: func(*roster.Member, ident.Workspace) []string { return []string{l.address} }, Peers: cache,
 	})}
 	conn, err := p.Get(in(time.Second), member(c), "w", 0)
 	is.NoErr(err)
