Let reads wait for their turn at the VM that lends the connection

A lender orders the reads for a database with pkg/fairq, by workspace and kind of request, by the time that they take, and refuses one at once whose turn would not come within half of its time or objective. Reads of open transactions, writes and commits pass. The part of the statements that a database fails lately raises the estimate of a read's time there, so that a database with good status that fails many is passed over. VMs that are no readers of lists let the store hold their watch for 25 s. Calls to the store are counted and logged by operation.

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -94,8 +94,13 @@
 // not known.
 func (c *Conn) Do(deadline time.Time, sts ...dbop.Statement) ([]dbop.Answer, error) {
 	answers, err := c.link.Exchange(deadline, sts...)
+	failed := err != nil
 	for i := range answers {
 		c.note(&sts[i], &answers[i])
+		failed = failed || answers[i].Code == dbop.Failed || answers[i].Code == dbop.Timeout
+	}
+	if c.pool != nil {
+		c.pool.noteResult(failed)
 	}
 	if err != nil {
 		c.broken = true
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -36,6 +36,16 @@
 	full time.Time
 	// busy is the number of connections in use.
 	busy int
+	// faults is the part of the statements that failed lately.
+	faults faults
+}
+
+// noteResult counts statements that were answered, or failed for no fault of
+// the caller.
+func (p *pool) noteResult(failed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults.note(failed, time.Now())
 }
 
 // get returns a connection for a workspace. It waits until the deadline when
--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -113,6 +113,8 @@
 	Idle bool
 	// Full tells that no further connection may be opened.
 	Full bool
+	// Faults is the part of the statements that failed lately, from 0 to 1.
+	Faults float64
 }
 
 // Load returns the load of a database as a request of the workspace sees it.
@@ -122,11 +124,16 @@
 			return l
 		}
 	}
+	return s.OwnLoad(m, ws)
+}
+
+// OwnLoad is Load of this VM's own connections.
+func (s *Pools) OwnLoad(m *roster.Member, ws ident.Workspace) Load {
 	p := s.of(m)
 	limit := s.Limit(m)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := Load{Busy: p.busy, Waiting: len(p.wait), Full: p.open >= limit && len(p.idle) == 0}
+	l := Load{Busy: p.busy, Waiting: len(p.wait), Full: p.open >= limit && len(p.idle) == 0, Faults: p.faults.part(time.Now())}
 	for _, c := range p.idle {
 		l.Idle = l.Idle || c.Workspace == ws
 	}
--- a/internal/engine/cost.go
+++ b/internal/engine/cost.go
@@ -24,6 +24,8 @@
 	// behindCost applies for behindLife after a refusal for a missing entry.
 	behindCost = 300 * time.Millisecond
 	behindLife = 300 * time.Millisecond
+	// faultCost is the time that a statement loses which a database fails.
+	faultCost = 600 * time.Millisecond
 	// failedCost puts databases that could not be reached last.
 	failedCost = 5 * time.Second
 )
@@ -51,6 +53,7 @@
 	if !m.Behind.IsZero() && now.Sub(m.Behind) < behindLife {
 		d += behindCost
 	}
+	d += time.Duration(l.Faults * float64(faultCost))
 	if !m.Reachable(now) {
 		d += failedCost
 	}
--- a/internal/engine/cost_test.go
+++ b/internal/engine/cost_test.go
@@ -31,6 +31,7 @@
 	is.True(cost(in("z2"), idle, true) < cost(in("z3"), idle, false))
 	is.True(cost(in("z2"), idle, false) < cost(in("z1"), dbpool.Load{Busy: 2, Idle: true}, false))
 	is.True(cost(in("z3"), idle, false) < cost(in("z1"), dbpool.Load{Busy: 3, Waiting: 2, Full: true}, false))
+	is.True(cost(in("z2"), idle, false) < cost(in("z1"), dbpool.Load{Idle: true, Faults: 0.2}, false))
 	behind := in("z1")
 	behind.Behind = now
 	is.True(cost(in("z3"), idle, false) < cost(behind, idle, false))
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -49,6 +49,14 @@
 	return dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("not run: no database could serve in time (%s); retry after %d ms", c.last, retryHint.Milliseconds())}
 }
 
+// crowded is the answer to a statement whose turn would not come in time.
+func (c *call) crowded() dbop.Answer {
+	if c.ran {
+		return c.refusal()
+	}
+	return dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("not run: too many statements wait for the database; retry after %d ms", retryHint.Milliseconds())}
+}
+
 // primary returns a connection to the primary on which a transaction of the
 // engine's own is open, which proves the lead. ok is false when the time is up.
 func (s *Session) primary(c *call) (conn *dbpool.Conn, ok bool) {
@@ -150,7 +158,9 @@
 			break
 		}
 		c.offered = true
-		answers, err := conn.Do(c.deadline, c.st, dbop.Statement{Kind: dbop.Rollback})
+		st := c.st
+		st.Turn = c.turn
+		answers, err := conn.Do(c.deadline, st, dbop.Statement{Kind: dbop.Rollback})
 		if err != nil && len(answers) == 0 {
 			c.ran = true
 			s.dropSilent(conn)
@@ -159,9 +169,13 @@
 			continue
 		}
 		a := answers[0]
-		if err != nil {
+		switch {
+		case err != nil:
 			conn.Release(false)
-		} else {
+		case a.Code == dbop.Crowded:
+			conn.Rollback(c.deadline)
+			return c.crowded()
+		default:
 			conn.Release(true)
 		}
 		if !s.again(c, conn, a.Code) {
@@ -212,6 +226,9 @@
 		}
 		m, ok := s.choose(tried)
 		if !ok {
+			if c.last == dbop.Crowded {
+				return c.crowded()
+			}
 			clear(tried)
 			p.wait(c)
 			continue
@@ -260,7 +277,7 @@
 	}
 	c.offered = true
 	st := c.st
-	st.After = floor
+	st.After, st.Turn = floor, c.turn
 	answers, err := conn.Do(s.attemptBy(c), st)
 	if err != nil {
 		c.ran = true
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -67,6 +67,8 @@
 	offered bool
 	// ran tells that a database may have run it.
 	ran bool
+	// turn is how the statement waits at a database.
+	turn dbop.Turn
 	// last is the reason why the last attempt failed.
 	last dbop.Code
 }
@@ -195,12 +197,23 @@
 		timeout = defaultTimeout
 	}
 	c.deadline = c.start.Add(timeout)
+	c.turn = s.turn(timeout)
 	if s.tx != nil {
 		return s.inside(c)
 	}
 	return s.outside(c)
 }
 
+// turn returns how a statement with a timeout waits at a database: for a half of
+// its time, and not so long that the caller's operation misses its objective.
+func (s *Session) turn(timeout time.Duration) dbop.Turn {
+	t := dbop.Turn{Class: s.grant.Class, Weight: s.grant.Weight, Wait: timeout / 2}
+	if o := s.grant.Objective; o > 0 {
+		t.Wait = min(t.Wait, o/2)
+	}
+	return t
+}
+
 // outside serves a statement while no transaction is open.
 func (s *Session) outside(c *call) dbop.Answer {
 	switch c.st.Kind {
--- a/internal/engine/txn.go
+++ b/internal/engine/txn.go
@@ -119,7 +119,7 @@
 		if tx.conn == nil && !s.attach(c, tx) {
 			break
 		}
-		a, sent, ok := s.send(c, tx)
+		a, sent, ok := s.send(c, tx, writes)
 		if !ok {
 			return s.lost(c, tx)
 		}
@@ -144,7 +144,7 @@
 
 // send runs one statement on the transaction's connection. ok is false when its
 // answer did not come.
-func (s *Session) send(c *call, tx *txn) (a dbop.Answer, sent time.Time, ok bool) {
+func (s *Session) send(c *call, tx *txn, writes bool) (a dbop.Answer, sent time.Time, ok bool) {
 	sts := s.setup(tx.conn, &c.st)
 	if len(sts) > 0 {
 		answers, err := tx.conn.Do(s.probeBy(c), sts...)
@@ -157,7 +157,11 @@
 	}
 	c.offered = true
 	sent = s.e.cfg.Clock()
-	answers, err := tx.conn.Do(c.deadline, c.st)
+	st := c.st
+	if !tx.ran && !writes {
+		st.Turn = c.turn // others may wait for one that has run statements
+	}
+	answers, err := tx.conn.Do(c.deadline, st)
 	if err != nil {
 		return a, sent, false
 	}
@@ -178,7 +182,7 @@
 	if a.Code == dbop.ReadOnly && !tx.reads {
 		s.e.cfg.Leads.Depose(tx.conn.Group, id)
 	}
-	if tx.ran {
+	if tx.ran || a.Code == dbop.Crowded {
 		return false
 	}
 	s.retry(c, id, a.Code)
--- a/internal/evlog/platform.go
+++ b/internal/evlog/platform.go
@@ -13,4 +13,5 @@
 	TargetsUnlisted = register(Event{136, "targets_unlisted", zerolog.WarnLevel, "The list of databases could not be read; the former one stays.", "Nothing while the store is down."})
 	TargetsListed   = register(Event{137, "targets_listed", zerolog.InfoLevel, "The list of databases can be read again.", "Nothing."})
 	EntrySkipped    = register(Event{138, "entry_skipped", zerolog.WarnLevel, "An entry in the store can't be read and is passed over; the others hold.", "Look at what wrote the key."})
+	StoreCalls      = register(Event{139, "store_calls", zerolog.InfoLevel, "The number of calls to the platform's store since the start, by operation, and of those without a usable answer.", "Nothing; each call is paid for."})
 )
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/rendez"
@@ -16,8 +17,24 @@
 	// ownReads is the number of VMs up to which each reads for itself: the calls
 	// of so few cost less than lists that are older.
 	ownReads = 16
+	// relayedWatch is how long the store holds the watch of a VM that is not a
+	// reader: it hears of a version from other VMs when its connection to the
+	// store has gone silent.
+	relayedWatch = 25 * time.Second
 )
 
+// watchLong sets how long the store may hold this VM's watch.
+func (n *Node) watchLong() {
+	if n.a.WatchWait == nil {
+		return
+	}
+	if len(n.readers()) == 0 {
+		n.a.WatchWait(0)
+		return
+	}
+	n.a.WatchWait(relayedWatch)
+}
+
 // readers returns the addresses of the VMs to ask for lists of the store, in
 // order; none when this VM reads for itself.
 func (n *Node) readers() []string {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,9 +35,12 @@
 // Adapters are what is particular to the platform.
 type Adapters struct {
 	Store store.Store
-	// StoreCounts, unless nil, returns the calls to the store and those without
-	// a usable answer.
-	StoreCounts func() (calls, failures uint64)
+	// StoreCounts, unless nil, returns the calls to the store by operation, and
+	// the number of those without a usable answer.
+	StoreCounts func() (calls map[string]uint64, failures uint64)
+	// WatchWait, unless nil, sets how long the store may hold a watch; 0 stands
+	// for the adapter's own time.
+	WatchWait func(time.Duration)
 	Promoter    lead.Promoter
 	Dialer      dbpool.Dialer
 	// Serve takes callers from a listener until it is closed.
@@ -60,6 +64,8 @@
 	permitLife = 400 * time.Millisecond
 	// sweepPeriod is how often unused connections are looked for.
 	sweepPeriod = 2 * time.Second
+	// callsPeriod is how often the calls to the store are logged.
+	callsPeriod = 10 * time.Second
 	// memoryPart of the VM's memory is the garbage collector's soft bound.
 	memoryPart = 0.6
 )
@@ -85,6 +91,8 @@
 	disco   *disco.Poller
 
 	stopping atomic.Bool
+	// callsLogged belongs to housekeep.
+	callsLogged time.Time
 	// started is closed when the VM is ready for the first time.
 	started chan struct{}
 	// grace is the time of a planned stop; a reload may change it.
@@ -253,6 +261,7 @@
 		case <-changed:
 		case <-t.C:
 			n.gauge()
+			n.watchLong()
 			n.peers.Sweep()
 			n.pools.Sweep(n.keepPool)
 		}
@@ -265,8 +274,14 @@
 	n.metrics.Scope.Gauge("sessions").Update(float64(n.engine.Sessions()))
 	if n.a.StoreCounts != nil {
 		calls, failures := n.a.StoreCounts()
-		n.metrics.Scope.Gauge("store_calls").Update(float64(calls))
+		for op, count := range calls {
+			n.metrics.Scope.Tagged(map[string]string{"op": strings.ReplaceAll(op, " ", "_")}).Gauge("store_calls").Update(float64(count))
+		}
 		n.metrics.Scope.Gauge("store_failures").Update(float64(failures))
+		if now := time.Now(); now.Sub(n.callsLogged) >= callsPeriod {
+			n.callsLogged = now
+			evlog.At(n.log, evlog.StoreCalls).Interface("calls", calls).Uint64("failures", failures).Send()
+		}
 	}
 }
 
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -189,7 +189,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l := c.loads[id]
-	l.Load, l.at = dbpool.Load{Busy: int(o.Busy), Waiting: int(o.Waiting)}, time.Now()
+	l.Load, l.at = dbpool.Load{Busy: int(o.Busy), Waiting: int(o.Waiting), Faults: float64(o.Faults)}, time.Now()
 	c.loads[id] = l
 }
 
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"time"
+
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/dbop"
@@ -11,13 +13,14 @@
 func toOpen(m *roster.Member, ws ident.Workspace, owner dbpool.Owner) *peerpb.RelayOpen {
 	return &peerpb.RelayOpen{
 		Target: string(m.ID), Address: m.Address, Born: m.Born, Group: string(m.Group), Zone: string(m.Zone),
-		Workspace: string(ws), Owner: uint64(owner),
+		Workspace: string(ws), Owner: uint64(owner), Slots: uint32(m.Slots),
 	}
 }
 
 func fromOpen(o *peerpb.RelayOpen) *roster.Member {
 	return &roster.Member{Entry: roster.Entry{
 		ID: ident.Target(o.Target), Address: o.Address, Born: o.Born, Group: ident.Group(o.Group), Zone: ident.Zone(o.Zone),
+		Slots: int(o.Slots),
 	}}
 }
 
@@ -28,6 +31,7 @@
 		out[i] = &peerpb.RelayStatement{
 			Id: []byte(st.ID), Kind: uint32(st.Kind), Text: []byte(st.Text), Name: []byte(st.Name), Arg: []byte(st.Arg),
 			Writes: st.Writes, AfterTerm: uint64(st.After.Term), AfterIndex: st.After.Index,
+			Class: string(st.Turn.Class), Weight: st.Turn.Weight, WaitMs: uint32(st.Turn.Wait.Milliseconds()),
 		}
 	}
 	return out
@@ -43,6 +47,7 @@
 		out[i] = dbop.Statement{
 			ID: string(st.Id), Kind: dbop.Kind(st.Kind), Text: string(st.Text), Name: string(st.Name), Arg: string(st.Arg),
 			Writes: st.Writes, After: ident.Position{Term: ident.Term(st.AfterTerm), Index: st.AfterIndex},
+			Turn: dbop.Turn{Class: ident.Class(st.Class), Weight: st.Weight, Wait: time.Duration(st.WaitMs) * time.Millisecond},
 		}
 	}
 	return out, len(out) > 0
--- /dev/null
+++ b/internal/relay/gate_test.go
@@ -0,0 +1,108 @@
+package relay
+
+import (
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
+)
+
+// database is one of a single slot behind a gate.
+type database struct {
+	g    gate
+	slot chan struct{}
+}
+
+func newDatabase() *database { return &database{slot: make(chan struct{}, 1)} }
+
+// run lets a statement of a class wait and run; it returns whether it ran.
+func (l *database) run(class ident.Class, ws ident.Workspace, wait, work time.Duration) bool {
+	t := dbop.Turn{Class: class, Weight: 1, Wait: wait}
+	if !l.g.enter(1, t, ws) {
+		return false
+	}
+	start := time.Now()
+	l.slot <- struct{}{}
+	time.Sleep(work)
+	<-l.slot
+	l.g.leave(t, ws, time.Since(start))
+	return true
+}
+
+// TestShortBesideLong guards against short statements that wait behind long ones
+// while the demand is above what the slots can do.
+func TestShortBesideLong(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newDatabase()
+		var mu sync.Mutex
+		ran, asked := map[ident.Class]int{}, map[ident.Class]int{}
+		var wg sync.WaitGroup
+		for i := range 400 {
+			class, work := ident.Class("long"), 50*time.Millisecond
+			if i%2 == 0 {
+				class, work = "short", 5*time.Millisecond
+			}
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * 12500 * time.Microsecond)
+				ok := l.run(class, "w", 400*time.Millisecond, work)
+				mu.Lock()
+				defer mu.Unlock()
+				asked[class]++
+				if ok {
+					ran[class]++
+				}
+			})
+		}
+		wg.Wait()
+		is.True(ran["short"] >= asked["short"]*95/100)
+		is.True(ran["long"] >= asked["long"]*30/100)
+	})
+}
+
+// TestRefusedAtOnce guards against a statement that waits for a turn which can't
+// come in time, and against a loud workspace that takes the turns of others.
+func TestRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newDatabase()
+		is.True(l.run("c", "loud", time.Second, 100*time.Millisecond)) // the time is known now
+		is.True(l.run("c", "quiet", time.Second, 100*time.Millisecond))
+		var wg sync.WaitGroup
+		for range 12 {
+			wg.Go(func() { l.run("c", "loud", time.Second, 100*time.Millisecond) })
+		}
+		time.Sleep(time.Millisecond)
+		start := time.Now()
+		is.True(!l.run("c", "loud", 300*time.Millisecond, 100*time.Millisecond))
+		is.Equal(time.Since(start), time.Duration(0))
+		is.True(l.run("c", "quiet", time.Second, 100*time.Millisecond))
+		wg.Wait()
+	})
+}
+
+// TestInTransaction guards against a statement of an open transaction that waits
+// behind statements which may wait for its locks.
+func TestInTransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := newDatabase()
+		var wg sync.WaitGroup
+		for range 10 {
+			wg.Go(func() { l.run("c", "w", 10*time.Second, 100*time.Millisecond) })
+		}
+		time.Sleep(time.Millisecond)
+		is.True(l.g.waiting() > 0)
+		start := time.Now()
+		is.True(l.g.enter(1, dbop.Turn{Class: "c"}, "w"))
+		is.Equal(time.Since(start), time.Duration(0))
+		l.g.leave(dbop.Turn{Class: "c"}, "w", time.Millisecond)
+		wg.Wait()
+		is.Equal(l.g.active(), 0)
+	})
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/internal/proto/peerpb"
+	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
 )
@@ -18,6 +20,9 @@
 type Server struct {
 	Pools *dbpool.Pools
 
+	mu    sync.Mutex
+	gates map[ident.Target]*gate
+
 	stopping atomic.Bool
 	loans    sync.WaitGroup
 	lent     atomic.Int64
@@ -96,8 +101,8 @@
 // describe returns what the borrower has to know of a connection, or why there
 // is none.
 func (s *Server) describe(m *roster.Member, conn *dbpool.Conn, err error) *peerpb.RelayOpened {
-	load := s.Pools.Load(m, "")
-	out := &peerpb.RelayOpened{Busy: uint32(load.Busy), Waiting: uint32(load.Waiting)}
+	load, g := s.Pools.OwnLoad(m, ""), s.gate(m.ID)
+	out := &peerpb.RelayOpened{Busy: uint32(g.active()), Waiting: uint32(load.Waiting + g.waiting()), Faults: float32(load.Faults)}
 	if err != nil {
 		var e *dbpool.Error
 		out.Failure = uint32(dbpool.KindUnreachable)
@@ -145,9 +150,9 @@
 
 func (s *Server) exchange(m *roster.Member, conn *dbpool.Conn, r *peerpb.RelayRun) *peerpb.RelayReply {
 	ran := &peerpb.RelayRan{Broken: true}
+	deadline := time.Now().Add(time.Duration(r.LimitMs) * time.Millisecond)
 	if sts, ok := fromStatements(r.Statements); ok {
-		deadline := time.Now().Add(time.Duration(r.LimitMs) * time.Millisecond)
-		answers, err := conn.Do(deadline, sts...)
+		answers, err := s.turn(m, conn, deadline, sts)
 		ran.Answers, ran.Broken = toAnswers(answers), err != nil
 	}
 	if ran.Broken {
@@ -157,5 +162,39 @@
 	return &peerpb.RelayReply{Step: &peerpb.RelayReply_Ran{Ran: ran}}
 }
 
+// turn runs statements when the turn of the read among them has come.
+func (s *Server) turn(m *roster.Member, conn *dbpool.Conn, deadline time.Time, sts []dbop.Statement) ([]dbop.Answer, error) {
+	i := slices.IndexFunc(sts, func(st dbop.Statement) bool { return st.Turn.Wait > 0 })
+	if i < 0 {
+		return conn.Do(deadline, sts...)
+	}
+	t := sts[i].Turn
+	g := s.gate(m.ID)
+	if !g.enter(m.Slots, t, conn.Workspace) {
+		out := make([]dbop.Answer, len(sts))
+		for i := range out {
+			out[i] = dbop.Answer{Code: dbop.Crowded, State: conn.State(), Text: "too many statements wait for the database"}
+		}
+		return out, nil
+	}
+	start := time.Now()
+	defer func() { g.leave(t, conn.Workspace, time.Since(start)) }()
+	return conn.Do(deadline, sts...)
+}
+
+func (s *Server) gate(id ident.Target) *gate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.gates[id]
+	if g == nil {
+		if s.gates == nil {
+			s.gates = map[ident.Target]*gate{}
+		}
+		g = &gate{}
+		s.gates[id] = g
+	}
+	return g
+}
+
 // errProtocol ends a stream with a message that has no place there.
 var errProtocol = &Error{Op: "lend", Kind: KindProtocol}
--- a/pkg/access/access.go
+++ b/pkg/access/access.go
@@ -120,6 +120,7 @@
 		MaxAge:    r.MaxAge(),
 		Reads:     r.Reads,
 		Deadline:  deadline,
+		Objective: time.Duration(limits.ObjectiveMS) * time.Millisecond,
 		Weight:    limits.FairWeight(),
 		Class:     class,
 		Database:  r.Database,
--- a/pkg/access/types.go
+++ b/pkg/access/types.go
@@ -26,6 +26,9 @@
 	Reads catal.Reads
 	// Deadline is the time a statement may wait and run.
 	Deadline time.Duration
+	// Objective is the latency that callers expect of an operation; 0 says
+	// nothing.
+	Objective time.Duration
 	// Weight is the workspace's in fair queues.
 	Weight uint32
 	// Class of the workspace, or of the route when the workspace has none.
--- a/pkg/dbop/dbop.go
+++ b/pkg/dbop/dbop.go
@@ -1,6 +1,10 @@
 package dbop
 
-import "chervilspan.example/pkg/ident"
+import (
+	"time"
+
+	"chervilspan.example/pkg/ident"
+)
 
 // Kind says what a statement does.
 type Kind uint8
@@ -51,6 +55,20 @@
 	After ident.Position
 	// Term of a Fence or Demote.
 	Term ident.Term
+	// Turn says how the statement waits where others wait for the database too.
+	Turn Turn
+}
+
+// Turn says how a statement waits for its turn at a database. The zero Turn does
+// not wait.
+type Turn struct {
+	// Class names the kind of the request, whose statements take similar times.
+	Class ident.Class
+	// Weight is the part of the database's time that the class should get,
+	// against other classes.
+	Weight uint32
+	// Wait is how long the statement may wait; 0 lets it pass.
+	Wait time.Duration
 }
 
 // Code is the result of a statement.
@@ -61,6 +79,8 @@
 	OK Code = iota
 	// The statement did not run at a database.
 	Busy
+	// Crowded means that the statement's turn would not have come in time.
+	Crowded
 	Lagging
 	ReadOnly
 	WrongTarget
@@ -81,7 +101,7 @@
 )
 
 var codeNames = [...]string{
-	OK: "ok", Busy: "busy", Lagging: "lagging", ReadOnly: "read_only", WrongTarget: "wrong_target",
+	OK: "ok", Busy: "busy", Crowded: "crowded", Lagging: "lagging", ReadOnly: "read_only", WrongTarget: "wrong_target",
 	TooMany: "too_many", NoStatement: "no_statement", Aborted: "aborted", Failed: "failed", Timeout: "timeout",
 	Unknown: "unknown", BadKey: "bad_key", NoRoute: "no_route", TooLarge: "too_large", Malformed: "malformed",
 }
