Keep idle connections of a database that still answers others

One read without an answer closed all idle connections of a lender to the database, up to 117, which then had to begin again and took the slots of statements; more of these got no answer in their time. In the first 1.5 s some 1,900 operations were refused for their rate, since holders of slices had not claimed them yet.

Idle connections are closed only when no connection of before has answered since (TestSlowIsNotSilent). A lender begins at most as many connections at once as the database has slots, and a returned connection goes to a request of its workspace first. For 3 s after the start an operation waits up to 500 ms for its rate.

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -76,9 +76,15 @@
 	Names map[string]bool
 	// state after the last answer.
 	state dbop.State
-	// answered is when the last answer was complete.
+	// answered is when the last answer was complete, and sent when the last
+	// statements were sent.
 	answered time.Time
-	broken   bool
+	sent     time.Time
+	// opened and heard are when the connection began and last had an answer;
+	// they are guarded by the pool's lock.
+	opened time.Time
+	heard  time.Time
+	broken bool
 	// owner used the connection last.
 	owner Owner
 }
@@ -86,6 +92,9 @@
 // State returns the state after the last answer.
 func (c *Conn) State() dbop.State { return c.state }
 
+// Sent returns when the last statements were sent.
+func (c *Conn) Sent() time.Time { return c.sent }
+
 // Quiet returns the time since the last answer.
 func (c *Conn) Quiet() time.Duration { return time.Since(c.answered) }
 
@@ -93,6 +102,7 @@
 // *Error of kind KindBroken means that the answers after the returned ones are
 // not known.
 func (c *Conn) Do(deadline time.Time, sts ...dbop.Statement) ([]dbop.Answer, error) {
+	c.sent = time.Now()
 	answers, err := c.link.Exchange(deadline, sts...)
 	failed := err != nil
 	for i := range answers {
@@ -100,7 +110,7 @@
 		failed = failed || answers[i].Code == dbop.Failed || answers[i].Code == dbop.Timeout
 	}
 	if c.pool != nil {
-		c.pool.noteResult(failed)
+		c.pool.noteResult(c, err == nil, failed)
 	}
 	if err != nil {
 		c.broken = true
@@ -112,6 +122,7 @@
 
 // Control sends a statement about the database itself.
 func (c *Conn) Control(deadline time.Time, st dbop.Statement) (Status, dbop.Answer, error) {
+	c.sent = time.Now()
 	s, a, err := c.link.Control(deadline, st)
 	if err != nil {
 		c.broken = true
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -1,6 +1,7 @@
 package dbpool
 
 import (
+	"cmp"
 	"errors"
 	"slices"
 	"sync"
@@ -27,32 +28,54 @@
 	parent *Pools
 	member roster.Member
 
-	mu     sync.Mutex
-	open   int // connections in use, idle or being opened
-	idle   []*Conn
-	wait   []chan struct{}
+	mu   sync.Mutex
+	open int // connections in use, idle or being opened
+	idle []*Conn
+	// dialing is the number of connections being opened.
+	dialing int
+	// wait has the requests that wait, in the order of their first try.
+	wait   []*waiter
+	places uint64
 	closed bool
 	// full is when the database last refused for too many connections.
 	full time.Time
-	// busy is the number of connections in use.
-	busy int
+	// busy is the number of connections in use; conns has these and the idle
+	// ones.
+	busy  int
+	conns map[*Conn]bool
 	// faults is the part of the statements that failed lately.
 	faults faults
 }
 
-// noteResult counts statements that were answered, or failed for no fault of
-// the caller.
-func (p *pool) noteResult(failed bool) {
+// noteResult counts statements that failed for no fault of the caller, and notes
+// that a connection answered.
+func (p *pool) noteResult(c *Conn, heard, failed bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.faults.note(failed, time.Now())
+	now := time.Now()
+	p.faults.note(failed, now)
+	if heard {
+		c.heard = now
+	}
+}
+
+// waiter is a request that waits for a connection.
+type waiter struct {
+	ws    ident.Workspace
+	owner Owner
+	turn  chan struct{}
+	// queued tells that it is in the pool's list, and place its order there.
+	queued bool
+	place  uint64
 }
 
 // get returns a connection for a workspace. It waits until the deadline when
 // the pool is at its bound.
 func (p *pool) get(deadline time.Time, ws ident.Workspace, owner Owner) (*Conn, error) {
+	w := &waiter{ws: ws, owner: owner, turn: make(chan struct{}, 1)}
+	defer p.leave(w)
 	for {
-		c, dial, wait, err := p.take(ws, owner)
+		c, dial, err := p.take(w)
 		switch {
 		case err != nil:
 			return nil, err
@@ -64,7 +87,7 @@
 				return c, err
 			}
 		default:
-			if !p.sleep(wait, deadline) {
+			if !w.sleep(deadline) {
 				return nil, &Error{Op: "get", Kind: KindWait, Target: p.member.ID}
 			}
 		}
@@ -78,34 +101,52 @@
 	return errors.As(err, &e) && e.Code == dbop.TooMany && time.Until(deadline) > fullPause
 }
 
-// take returns an idle connection, the right to dial, or a channel to wait on.
-func (p *pool) take(ws ident.Workspace, owner Owner) (c *Conn, dial bool, wait chan struct{}, err error) {
+// take returns an idle connection or the right to dial, or puts the request into
+// the list of those that wait.
+func (p *pool) take(w *waiter) (c *Conn, dial bool, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
-		return nil, false, nil, &Error{Op: "get", Kind: KindClosed, Target: p.member.ID}
+		return nil, false, &Error{Op: "get", Kind: KindClosed, Target: p.member.ID}
 	}
-	if i := p.pick(ws, owner); i >= 0 {
+	if i := p.pick(w.ws, w.owner); i >= 0 {
 		c := p.idle[i]
 		p.idle = slices.Delete(p.idle, i, i+1)
-		c.owner = owner
+		c.owner = w.owner
 		p.busy++
-		return c, false, nil, nil
+		return c, false, nil
 	}
 	refused := time.Since(p.full) < fullPause
-	if p.open < p.parent.Limit(&p.member) && !refused {
+	bound := p.parent.dialBound(&p.member)
+	switch {
+	case bound > 0 && p.dialing >= bound:
+	case p.open < p.parent.Limit(&p.member) && !refused:
 		p.open++
-		return nil, true, nil, nil
-	}
-	if len(p.idle) > 0 {
+		p.dialing++
+		return nil, true, nil
+	case len(p.idle) > 0:
 		// The connection that was idle for longest makes room.
 		p.shut(p.idle[0])
 		p.idle = p.idle[1:]
-		return nil, true, nil, nil
+		p.dialing++
+		return nil, true, nil
 	}
-	wait = make(chan struct{}, 1)
-	p.wait = append(p.wait, wait)
-	return nil, false, wait, nil
+	p.enqueue(w)
+	return nil, false, nil
+}
+
+// enqueue puts a request into the list, at its former place when it had one.
+func (p *pool) enqueue(w *waiter) {
+	if w.queued {
+		return
+	}
+	if w.place == 0 {
+		p.places++
+		w.place = p.places
+	}
+	w.queued = true
+	i, _ := slices.BinarySearchFunc(p.wait, w.place, func(o *waiter, place uint64) int { return cmp.Compare(o.place, place) })
+	p.wait = slices.Insert(p.wait, i, w)
 }
 
 // pick returns the index of the idle connection to use: the session's last one,
@@ -129,42 +170,54 @@
 
 // shut closes a connection in the background; the caller reuses its place.
 func (p *pool) shut(c *Conn) {
+	delete(p.conns, c)
 	// An error means that it was closed by the other side.
 	_ = c.link.Close()
 }
 
-func (p *pool) sleep(wait chan struct{}, deadline time.Time) bool {
-	// A pool that paused because of a full database has nothing that wakes it.
+// sleep waits for the request's turn. A pool that paused because of a full
+// database has nothing that wakes it.
+func (w *waiter) sleep(deadline time.Time) bool {
 	d := min(time.Until(deadline), fullPause)
 	if d <= 0 {
-		p.leave(wait)
 		return false
 	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
-	case <-wait:
+	case <-w.turn:
 	case <-t.C:
-		p.leave(wait)
 	}
 	return time.Now().Before(deadline)
 }
 
-// leave removes a waiting request; a wake-up that it has got goes to the next.
-func (p *pool) leave(wait chan struct{}) {
+// leave removes a request; a turn that it has got and not used goes to the next.
+func (p *pool) leave(w *waiter) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if i := slices.Index(p.wait, wait); i >= 0 {
-		p.wait = slices.Delete(p.wait, i, i+1)
-		return
+	if w.queued {
+		p.wait = slices.DeleteFunc(p.wait, func(o *waiter) bool { return o == w })
+		w.queued = false
+	}
+	select {
+	case <-w.turn:
+		p.wake("")
+	default:
 	}
-	p.wake()
 }
 
-func (p *pool) wake() {
-	if len(p.wait) > 0 {
-		p.wait[0] <- struct{}{}
-		p.wait = p.wait[1:]
+// wake gives a turn to the first request for a connection of a workspace, else
+// to the first of all, which may open one.
+func (p *pool) wake(ws ident.Workspace) {
+	i := slices.IndexFunc(p.wait, func(w *waiter) bool { return w.ws == ws || w.ws == "" })
+	if i < 0 {
+		i = 0
+	}
+	if i < len(p.wait) {
+		w := p.wait[i]
+		p.wait = slices.Delete(p.wait, i, i+1)
+		w.queued = false
+		w.turn <- struct{}{}
 	}
 }
 
@@ -177,12 +230,13 @@
 	p.parent.noteDial(&p.member, a.Code, err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.dialing--
 	if err != nil || a.Code != dbop.OK {
 		p.open--
 		if a.Code == dbop.TooMany {
 			p.full = now
 		}
-		p.wake()
+		p.wake("")
 		switch {
 		case errors.Is(err, ErrSlow):
 			return nil, &Error{Op: "dial", Kind: KindSlow, Target: p.member.ID, Err: err}
@@ -192,10 +246,16 @@
 		return nil, &Error{Op: "dial", Kind: KindRefused, Target: p.member.ID, Code: a.Code}
 	}
 	p.busy++
-	return &Conn{
+	c := &Conn{
 		pool: p, link: link, Target: p.member.ID, Group: p.member.Group, Workspace: ws,
-		state: a.State, answered: now, owner: owner,
-	}, nil
+		state: a.State, answered: now, opened: now, owner: owner,
+	}
+	if p.conns == nil {
+		p.conns = map[*Conn]bool{}
+	}
+	p.conns[c] = true
+	p.wake("") // another one may open a connection
+	return c, nil
 }
 
 func (p *pool) put(c *Conn, keep bool) {
@@ -208,7 +268,7 @@
 		p.open--
 		p.shut(c)
 	}
-	p.wake()
+	p.wake(c.Workspace)
 }
 
 // sweep closes connections that were idle for long.
@@ -225,7 +285,22 @@
 	})
 }
 
-// drop closes the idle connections, which may have gone silent.
+// dropSilent closes the idle connections after a statement that was sent at a
+// time got no answer, unless a connection of before has answered since: then
+// only that one was silent, or its statement takes long.
+func (p *pool) dropSilent(since time.Time) {
+	p.mu.Lock()
+	for c := range p.conns {
+		if c.opened.Before(since) && c.heard.After(since) {
+			p.mu.Unlock()
+			return
+		}
+	}
+	p.mu.Unlock()
+	p.drop()
+}
+
+// drop closes the idle connections.
 func (p *pool) drop() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -234,7 +309,7 @@
 		p.shut(c)
 	}
 	p.idle = nil
-	p.wake()
+	p.wake("")
 }
 
 func (p *pool) close() {
@@ -245,6 +320,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(p.wait) > 0 {
-		p.wake()
+		p.wake("")
 	}
 }
--- a/internal/dbpool/pool_test.go
+++ b/internal/dbpool/pool_test.go
@@ -170,3 +170,49 @@
 		is.Equal(c.Open("a"), 0)
 	})
 }
+
+// TestSlowIsNotSilent guards against a statement that takes long at a busy
+// database and costs all idle connections there, which then have to begin anew;
+// and against connections that stay after all of them have gone silent.
+func TestSlowIsNotSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := linktest.New("g", "a")
+		p, m := pools(c, 8)
+		get := func() *dbpool.Conn {
+			conn, err := p.Get(in(time.Second), m, "w", 0)
+			is.NoErr(err)
+			return conn
+		}
+		slow, busy, idle := get(), get(), get()
+		idle.Release(true)
+		read := dbop.Statement{Kind: dbop.Read, Text: "READ x"}
+		time.Sleep(time.Second)
+		c.Set("a", func(d *linktest.DB) { d.Mute[dbop.Read] = 1 })
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, err := slow.Do(in(400*time.Millisecond), read)
+			is.True(err != nil)
+			slow.Release(false)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		_, err := busy.Do(in(time.Second), read)
+		is.NoErr(err)
+		<-done
+		p.Drop(m, slow.Sent())
+		is.Equal(c.Open("a"), 2) // the busy and the idle one
+		time.Sleep(time.Second)
+		c.Hang("a")
+		_, err = busy.Do(in(400*time.Millisecond), read)
+		is.True(err != nil)
+		busy.Release(false)
+		fresh, err := p.Own(in(time.Second), m, "other", 0)
+		is.NoErr(err)
+		_, err = fresh.Do(in(time.Second), read)
+		is.NoErr(err)
+		p.Drop(m, busy.Sent())
+		is.Equal(c.Open("a"), 1) // the fresh one
+		fresh.Release(true)
+	})
+}
--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -20,6 +20,9 @@
 	// database.
 	Limit func(*roster.Member) int
 
+	// Dialing, unless nil, returns the greatest number of connections to a
+	// database that may begin at once; 0 stands for any.
+	Dialing func(*roster.Member) int
 	// Lender, unless nil, is asked for connections of other VMs first.
 	Lender Lender
 
@@ -93,6 +96,13 @@
 	return p
 }
 
+func (s *Pools) dialBound(m *roster.Member) int {
+	if s.Dialing == nil {
+		return 0
+	}
+	return s.Dialing(m)
+}
+
 func (s *Pools) noteDial(m *roster.Member, code dbop.Code, err error) {
 	s.Dials.Add(1)
 	switch {
@@ -140,8 +150,9 @@
 	return l
 }
 
-// Drop closes the idle connections to a database.
-func (s *Pools) Drop(m *roster.Member) { s.of(m).drop() }
+// Drop closes the idle connections to a database, which did not answer
+// statements that were sent at a time, unless it answered others since.
+func (s *Pools) Drop(m *roster.Member, sent time.Time) { s.of(m).dropSilent(sent) }
 
 // Sweep closes connections that were idle for long, and the pools of databases
 // that keep reports false for.
--- /dev/null
+++ b/internal/disco/disco_test.go
@@ -0,0 +1,100 @@
+package disco_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"chervilspan.example/internal/disco"
+	"chervilspan.example/internal/linktest"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/roster"
+	"chervilspan.example/pkg/store"
+)
+
+// decode reads an entry whose value is the name of its group; "" can't be read.
+func decode(key string, value []byte) (roster.Entry, error) {
+	if len(value) == 0 {
+		return roster.Entry{}, errors.New("no value")
+	}
+	return roster.Entry{ID: ident.Target(key[len("targets/"):]), Group: ident.Group(value)}, nil
+}
+
+func put(t *testing.T, s *linktest.Store, key, value string) {
+	t.Helper()
+	if _, err := s.Put(t.Context(), store.Write{Key: key, Value: []byte(value)}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestForeignEntry guards against an entry that can't be read and hides the
+// others.
+func TestForeignEntry(t *testing.T) {
+	is := is.New(t)
+	s := &linktest.Store{}
+	put(t, s, "targets/a", "g")
+	put(t, s, "targets/b", "")
+	var table roster.Table
+	p := &disco.Poller{Store: s, Prefix: "targets/", Decode: decode, Roster: &table, Log: zerolog.Nop()}
+	is.NoErr(p.Refresh(t.Context()))
+	is.Equal(len(table.Members("g")), 1)
+}
+
+// TestRelayedList guards against a list of another VM that counts as read now
+// although it is older, and against an outage that goes unnoticed because
+// another VM should read the list.
+func TestRelayedList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &linktest.Store{}
+		put(t, s, "targets/a", "g")
+		var table roster.Table
+		var down atomic.Bool
+		const age = 2 * time.Second
+		p := &disco.Poller{
+			Store: s, Prefix: "targets/", Decode: decode, Roster: &table, Log: zerolog.Nop(),
+			List: func(ctx context.Context, prefix string, _ bool) ([]store.Entry, time.Time, error) {
+				entries, err := s.List(ctx, prefix)
+				if down.Load() {
+					err = errors.New("turned away")
+				}
+				return entries, time.Now().Add(-age), err
+			},
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		go p.Run(ctx)
+		time.Sleep(10 * time.Second)
+		is.True(table.Settled(time.Now()))
+		down.Store(true)
+		time.Sleep(time.Second)
+		is.True(!table.Settled(time.Now()))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestRefresh guards against a decision on a list that lacks a database which
+// the store has by now.
+func TestRefresh(t *testing.T) {
+	is := is.New(t)
+	s := &linktest.Store{}
+	put(t, s, "targets/a", "g")
+	var table roster.Table
+	p := &disco.Poller{
+		Store: s, Prefix: "targets/", Decode: decode, Roster: &table, Log: zerolog.Nop(),
+		List: func(context.Context, string, bool) ([]store.Entry, time.Time, error) { return nil, time.Now(), nil },
+	}
+	is.NoErr(p.Refresh(t.Context()))
+	put(t, s, "targets/b", "g")
+	is.NoErr(p.Refresh(t.Context()))
+	is.Equal(len(table.All("g")), 2)
+	s.SetDown(true)
+	is.True(p.Refresh(t.Context()) != nil)
+	is.True(!table.Settled(time.Now()))
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -25,6 +25,8 @@
 type Engine struct {
 	cfg   Config
 	phase atomic.Int32
+	// begun is when the Engine was made.
+	begun time.Time
 
 	mu       sync.Mutex
 	sessions map[*Session]bool
@@ -40,7 +42,7 @@
 	if cfg.Meter == nil {
 		cfg.Meter = noMeter{}
 	}
-	return &Engine{cfg: cfg, sessions: map[*Session]bool{}}
+	return &Engine{cfg: cfg, begun: time.Now(), sessions: map[*Session]bool{}}
 }
 
 // startWait bounds the wait of a login for the VM's start. Callers give up after
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -89,7 +89,7 @@
 	answers, err := conn.Do(s.probeBy(c), sts...)
 	if err != nil {
 		conn.Release(false)
-		s.silent(m, begin.Kind == dbop.Begin)
+		s.silent(m, conn, begin.Kind == dbop.Begin)
 		return nil, dbop.Unknown
 	}
 	if code, ok := allOK(answers); !ok {
@@ -112,8 +112,8 @@
 
 // silent notes that a database did not answer on an open connection. Its other
 // idle connections may have gone silent too.
-func (s *Session) silent(m *roster.Member, leads bool) {
-	s.e.cfg.Pools.Drop(m)
+func (s *Session) silent(m *roster.Member, conn *dbpool.Conn, leads bool) {
+	s.e.cfg.Pools.Drop(m, conn.Sent())
 	if leads {
 		s.e.cfg.Leads.Doubt(m.Group, m.ID)
 	}
@@ -190,7 +190,7 @@
 func (s *Session) dropSilent(conn *dbpool.Conn) {
 	conn.Release(false)
 	if m, ok := s.e.cfg.Roster.Member(conn.Group, conn.Target); ok {
-		s.silent(&m, false)
+		s.silent(&m, conn, false)
 	}
 }
 
@@ -374,7 +374,7 @@
 	answers, err := conn.Do(s.probeBy(c), sts...)
 	if err != nil {
 		conn.Release(false)
-		s.silent(m, true)
+		s.silent(m, conn, true)
 		return dbop.Unknown
 	}
 	if code, ok := allOK(answers); !ok {
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -21,6 +21,10 @@
 	defaultTimeout = 5 * time.Second
 	// admitWait bounds the wait for the workspace's rate.
 	admitWait = 150 * time.Millisecond
+	// warmWait takes its place for warmTime after the VM's start, in which other
+	// VMs may still claim the parts of the rates that this one borrows from.
+	warmWait = 500 * time.Millisecond
+	warmTime = 3 * time.Second
 	// maxNames bounds the variables, and the prepared statements, of a session.
 	maxNames = 256
 )
@@ -304,13 +308,25 @@
 	if s.grant.Workspace == "" {
 		return nil
 	}
+	var p pauses
+	for {
+		err := s.admitOnce(c)
+		if err == nil {
+			return nil
+		}
+		if time.Since(s.e.begun) > warmTime || time.Since(c.start) > warmWait || !c.again() {
+			break
+		}
+		p.wait(c)
+	}
+	c.last = dbop.Busy
+	return &dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("the rate of the workspace is used up; retry after %d ms", rateRetry.Milliseconds())}
+}
+
+func (s *Session) admitOnce(c *call) error {
 	ctx, cancel := context.WithTimeout(context.Background(), min(admitWait, c.left()))
 	defer cancel()
-	if err := s.e.cfg.Limiter.Admit(ctx, s.grant.Workspace); err != nil {
-		c.last = dbop.Busy
-		return &dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("the rate of the workspace is used up; retry after %d ms", rateRetry.Milliseconds())}
-	}
-	return nil
+	return s.e.cfg.Limiter.Admit(ctx, s.grant.Workspace)
 }
 
 // rateRetry is the wait that a refusal for the rate names: the time in which a
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -167,7 +167,7 @@
 	answers, err := conn.Do(time.Now().Add(probeTimeout), dbop.Statement{Kind: dbop.Begin}, dbop.Statement{Kind: dbop.Rollback})
 	if err != nil {
 		conn.Release(false)
-		l.cfg.Pools.Drop(m)
+		l.cfg.Pools.Drop(m, conn.Sent())
 		return dbop.Unknown, err
 	}
 	conn.Release(true)
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -213,7 +213,7 @@
 		conn.Release(err == nil)
 		switch {
 		case err != nil:
-			l.cfg.Pools.Drop(m)
+			l.cfg.Pools.Drop(m, conn.Sent())
 		case a.Code == dbop.OK:
 			return s, true
 		}
--- a/internal/node/lend.go
+++ b/internal/node/lend.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 
@@ -26,6 +27,8 @@
 	// the VMs that stand in; the rest are for VMs that reach none of them.
 	lentPart    = 0.9
 	standInPart = 0.06
+	// defaultSlots stands for the slots of a database that does not tell.
+	defaultSlots = 4
 	// enoughConns is the number of connections for each workspace from which on
 	// every VM uses its own.
 	enoughConns = 0.5
@@ -71,33 +74,53 @@
 	if !n.lends(m.Group) {
 		return nil
 	}
-	vms := n.lending.of(m, n.fleet.Live())
-	first := int(xxhash.Sum64String(string(ws)) % uint64(min(lenderVMs, len(vms))))
 	var out []string
-	for i := range vms {
-		at := i
-		if i < lenderVMs && i < len(vms) {
-			at = (first + i) % min(lenderVMs, len(vms))
-		}
-		if vms[at] == n.s.VM {
+	for _, vm := range orderFor(ws, n.lending.of(m, n.fleet.Live())) {
+		if vm == n.s.VM {
 			break
 		}
-		if a := n.fleet.Address(vms[at]); a != "" {
+		if a := n.fleet.Address(vm); a != "" {
 			out = append(out, a)
 		}
 	}
 	return out
 }
 
+// orderFor returns the lenders in the order in which a workspace asks them: each
+// workspace begins with one of the first lenderVMs.
+func orderFor(ws ident.Workspace, lenders []ident.VM) []ident.VM {
+	n := min(lenderVMs, len(lenders))
+	if n == 0 {
+		return nil
+	}
+	first := int(xxhash.Sum64String(string(ws)) % uint64(n))
+	out := append(slices.Clone(lenders[first:n]), lenders[:first]...)
+	return append(out, lenders[n:]...)
+}
+
 // lends reports whether connections to the databases of a group are so few for
 // each VM that VMs lend them to others.
 func (n *Node) lends(g ident.Group) bool {
-	c, vms := n.follow.Catalogue(), len(n.fleet.Live())
-	if c == nil || vms <= lenderVMs+standInVMs {
+	c := n.follow.Catalogue()
+	return c != nil && scarce(int(c.Groups[g].Connections), len(n.fleet.Live()), len(c.Workspaces))
+}
+
+// scarce reports whether the part that each VM has of a database's connections
+// is small against the number of workspaces.
+func scarce(connections, vms, workspaces int) bool {
+	if vms <= lenderVMs+standInVMs {
 		return false
 	}
-	each := (float64(c.Groups[g].Connections) - spareConns) / float64(vms)
-	return each < enoughConns*float64(len(c.Workspaces))
+	return float64(connections-spareConns)/float64(vms) < enoughConns*float64(workspaces)
+}
+
+// dialLimit bounds the connections that a lender begins at once: after a restart
+// of all VMs, each start takes a slot that statements wait for too.
+func (n *Node) dialLimit(m *roster.Member) int {
+	if !n.lends(m.Group) {
+		return 0
+	}
+	return cmp.Or(m.Slots, defaultSlots)
 }
 
 // connLimit is this VM's part of the connections to a database.
@@ -115,14 +138,18 @@
 	if !n.lends(m.Group) {
 		return max(1, all/vms)
 	}
-	part := 1 - lentPart - standInPart
-	switch i := slices.Index(n.lending.of(m, live), n.s.VM); {
+	return max(1, int(partOf(n.lending.of(m, live), n.s.VM, vms)*float64(all)))
+}
+
+// partOf returns the part of a database's connections that a VM of a fleet may
+// have where VMs lend them.
+func partOf(lenders []ident.VM, vm ident.VM, fleet int) float64 {
+	switch i := slices.Index(lenders, vm); {
 	case i < 0:
-		part /= float64(vms)
+		return (1 - lentPart - standInPart) / float64(fleet)
 	case i < lenderVMs:
-		part = lentPart / lenderVMs
+		return lentPart / lenderVMs
 	default:
-		part = standInPart / standInVMs
+		return standInPart / standInVMs
 	}
-	return max(1, int(part*float64(all)))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,8 +41,8 @@
 	// WatchWait, unless nil, sets how long the store may hold a watch; 0 stands
 	// for the adapter's own time.
 	WatchWait func(time.Duration)
-	Promoter    lead.Promoter
-	Dialer      dbpool.Dialer
+	Promoter  lead.Promoter
+	Dialer    dbpool.Dialer
 	// Serve takes callers from a listener until it is closed.
 	Serve func(net.Listener, *engine.Engine, zerolog.Logger) error
 	// CatalogueKey is the key of the catalogue in the store, and TargetPrefix
@@ -106,7 +106,7 @@
 	}
 	n := &Node{s: s, a: a, log: log, roster: &roster.Table{}, metrics: metr.New(), started: make(chan struct{})}
 	n.grace.Store(int64(s.Grace()))
-	n.pools = &dbpool.Pools{Dialer: a.Dialer, Roster: n.roster, Limit: n.connLimit}
+	n.pools = &dbpool.Pools{Dialer: a.Dialer, Roster: n.roster, Limit: n.connLimit, Dialing: n.dialLimit}
 	n.peers = peer.NewCache(peer.CacheConfig{Private: true, Scope: n.metrics.Scope})
 	n.pools.Lender = relay.NewClient(relay.Config{Lenders: n.lenders, Peers: n.peers})
 	n.lender = &relay.Server{Pools: n.pools}
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -9,14 +9,19 @@
 	"chervilspan.example/pkg/ident"
 )
 
-// defaultSlots stands for the slots of a database that does not tell.
-const defaultSlots = 4
+const (
+	// defaultSlots stands for the slots of a database that does not tell.
+	defaultSlots = 4
+	// placeTime is how long a read keeps its place at most: the answer of one
+	// that takes longer may be lost, and its slot is free again.
+	placeTime = 120 * time.Millisecond
+)
 
 // gate orders the reads that wait for a database: fairly over workspaces and
 // kinds of requests by the time that they take there, so that short ones don't
-// wait behind long ones. A lender has one read for each slot at the database.
-// Reads of open transactions pass, since others may wait for these; so do writes
-// and commits, which may wait for a replica without a slot.
+// wait behind long ones. Reads of open transactions pass, since others may wait
+// for these; so do writes and commits, which may wait for a replica without a
+// slot. A lender has one read for each slot at the database.
 type gate struct {
 	mu      sync.Mutex
 	queue   fairq.Queue
@@ -71,11 +76,11 @@
 	return ws + "/" + ident.Workspace(t.Class)
 }
 
-// leave ends a statement that took some time at the database.
+// leave ends the place of a statement that took some time at the database.
 func (g *gate) leave(t dbop.Turn, ws ident.Workspace, took time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.queue.Observe(flow(t, ws), took)
+	g.queue.Observe(flow(t, ws), min(took, placeTime))
 	g.running--
 	now := time.Now()
 	for g.running < g.slots {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -156,8 +156,7 @@
 		ran.Answers, ran.Broken = toAnswers(answers), err != nil
 	}
 	if ran.Broken {
-		// The other idle connections may have gone silent too.
-		s.Pools.Drop(m)
+		s.Pools.Drop(m, conn.Sent())
 	}
 	return &peerpb.RelayReply{Step: &peerpb.RelayReply_Ran{Ran: ran}}
 }
@@ -177,8 +176,11 @@
 		}
 		return out, nil
 	}
-	start := time.Now()
-	defer func() { g.leave(t, conn.Workspace, time.Since(start)) }()
+	start, ws := time.Now(), conn.Workspace
+	leave := sync.OnceFunc(func() { g.leave(t, ws, time.Since(start)) })
+	late := time.AfterFunc(placeTime, leave)
+	defer late.Stop()
+	defer leave()
 	return conn.Do(deadline, sts...)
 }
 
