--- a/internal/evlog/platform.go
+++ b/internal/evlog/platform.go
@@ -13,5 +13,7 @@
 	TargetsUnlisted = register(Event{136, "targets_unlisted", zerolog.WarnLevel, "The list of databases could not be read; the former one stays.", "Nothing while the store is down."})
 	TargetsListed   = register(Event{137, "targets_listed", zerolog.InfoLevel, "The list of databases can be read again.", "Nothing."})
 	EntrySkipped    = register(Event{138, "entry_skipped", zerolog.WarnLevel, "An entry in the store can't be read and is passed over; the others hold.", "Look at what wrote the key."})
+	LenderAvoided   = register(Event{140, "lender_avoided", zerolog.WarnLevel, "Another VM could not lend a connection to a database and is passed over for some time; `reason` says whether it failed, stops or can't reach the database.", "Nothing; look at that VM when it repeats."})
+	ReaderAvoided   = register(Event{141, "reader_avoided", zerolog.WarnLevel, "Another VM could not answer with a list of the store and is passed over for some time.", "Nothing; look at that VM, or at the store's answers to it, when it repeats."})
 	StoreCalls      = register(Event{139, "store_calls", zerolog.InfoLevel, "The number of calls to the platform's store since the start, by operation, and of those without a usable answer.", "Nothing; each call is paid for."})
 )
--- a/internal/lists/lists.go
+++ b/internal/lists/lists.go
@@ -5,9 +5,11 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"chervilspan.example/internal/evlog"
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/store"
 )
@@ -34,6 +36,7 @@
 	// Readers returns the addresses of the VMs to ask, in order; none when this
 	// VM reads for itself.
 	Readers func() []string
+	Log     zerolog.Logger
 	// Clock tells the time by which ages count; nil stands for the runtime's
 	// clock. Machines that can be suspended need one that counts the suspension.
 	Clock func() time.Time
@@ -83,7 +86,7 @@
 		if err == nil {
 			return entries, sent.Add(-age), nil
 		}
-		r.note(address)
+		r.note(address, prefix, err)
 	}
 	sent := time.Now()
 	entries, err := r.read(ctx, prefix, fresh)
@@ -96,7 +99,8 @@
 	return time.Now().Before(r.avoid[address])
 }
 
-func (r *Reader) note(address string) {
+func (r *Reader) note(address, prefix string, err error) {
+	evlog.At(r.cfg.Log, evlog.ReaderAvoided).Str("reader", address).Str("prefix", prefix).Dur("for", avoidTime).Err(err).Send()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -5,7 +5,10 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/internal/evlog"
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
@@ -41,6 +44,7 @@
 	// to a database from, in order; none when this VM uses its own.
 	Lenders func(*roster.Member, ident.Workspace) []string
 	Peers   Peers
+	Log     zerolog.Logger
 }
 
 // Client borrows connections; it implements dbpool.Lender. Its methods may be
@@ -78,7 +82,7 @@
 		if err == nil {
 			return lent, true, nil
 		}
-		c.note(address, m.ID, err.Kind)
+		c.note(address, m.ID, err)
 		if err.Kind != dbpool.KindLender && err.Kind != dbpool.KindClosed {
 			return lent, true, err
 		}
@@ -88,17 +92,22 @@
 
 // note passes a lender over after a failure: for all databases when the lender
 // itself failed, else for the one that it could not reach.
-func (c *Client) note(address string, id ident.Target, kind dbpool.Kind) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch now := time.Now(); kind {
+func (c *Client) note(address string, id ident.Target, err *dbpool.Error) {
+	key, d, reason := address, avoidTime, "failed"
+	switch err.Kind {
 	case dbpool.KindLender:
-		c.avoid[address] = now.Add(avoidTime)
 	case dbpool.KindClosed:
-		c.avoid[address] = now.Add(leaveTime)
+		d, reason = leaveTime, "stops"
 	case dbpool.KindUnreachable:
-		c.avoid[address+"/"+string(id)] = now.Add(avoidTime)
+		key, reason = address+"/"+string(id), "cannot reach the database"
+	default:
+		return
 	}
+	c.mu.Lock()
+	c.avoid[key] = time.Now().Add(d)
+	c.mu.Unlock()
+	evlog.At(c.cfg.Log, evlog.LenderAvoided).Str("lender", address).Str("target", string(id)).Str("reason", reason).
+		Dur("for", d).Err(err.Err).Send()
 }
 
 func (c *Client) avoided(address string, id ident.Target) bool {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -48,6 +48,9 @@
 	}
 }
 
+// Lent returns the number of connections that are lent now.
+func (s *Server) Lent() int { return int(s.lent.Load()) }
+
 // Stop refuses further loans.
 func (s *Server) Stop() { s.stopping.Store(true) }
 
@@ -65,7 +68,7 @@
 	case <-done:
 	case <-t.C:
 	}
-	return int(s.lent.Load())
+	return s.Lent()
 }
 
 // lend serves one loan.
