--- a/internal/lists/lists_test.go
+++ b/internal/lists/lists_test.go
@@ -1,8 +1,6 @@
 package lists_test
 
 import (
-	"context"
-	"net"
 	"sync"
 	"testing"
 	"time"
@@ -49,21 +47,9 @@
 // serve starts a reader with a store of its own and returns its address.
 func serve(t *testing.T, s store.Store, c *clock) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	r := lists.New(lists.Config{Store: s, Readers: func() []string { return nil }, Clock: c.now})
-	srv := peer.NewServer(peer.ServerConfig{Private: true}, peer.Handlers{Lists: r})
-	served := make(chan error, 1)
-	go func() { served <- srv.Serve(l) }()
-	t.Cleanup(func() {
-		ctx, cancel := context.WithCancel(context.Background())
-		cancel()
-		srv.Stop(ctx)
-		<-served
-	})
-	return l.Addr().String()
+	address, _ := linktest.ServePeer(t, peer.Handlers{Lists: r})
+	return address
 }
 
 func asker(t *testing.T, s store.Store, readers ...string) *lists.Reader {
--- a/internal/node/lend.go
+++ b/internal/node/lend.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 
@@ -27,8 +26,6 @@
 	// the VMs that stand in; the rest are for VMs that reach none of them.
 	lentPart    = 0.9
 	standInPart = 0.06
-	// defaultSlots stands for the slots of a database that does not tell.
-	defaultSlots = 4
 	// enoughConns is the number of connections for each workspace from which on
 	// every VM uses its own.
 	enoughConns = 0.5
@@ -120,7 +117,7 @@
 	if !n.lends(m.Group) {
 		return 0
 	}
-	return cmp.Or(m.Slots, defaultSlots)
+	return m.SlotCount()
 }
 
 // connLimit is this VM's part of the connections to a database.
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -9,13 +9,9 @@
 	"chervilspan.example/pkg/ident"
 )
 
-const (
-	// defaultSlots stands for the slots of a database that does not tell.
-	defaultSlots = 4
-	// placeTime is how long a read keeps its place at most: the answer of one
-	// that takes longer may be lost, and its slot is free again.
-	placeTime = 120 * time.Millisecond
-)
+// placeTime is how long a read keeps its place at most: the answer of one that
+// takes longer may be lost, and its slot is free again.
+const placeTime = 120 * time.Millisecond
 
 // gate orders the reads that wait for a database: fairly over workspaces and
 // kinds of requests by the time that they take there, so that short ones don't
@@ -35,9 +31,6 @@
 // not come in time, at once if that is known.
 func (g *gate) enter(slots int, t dbop.Turn, ws ident.Workspace) bool {
 	g.mu.Lock()
-	if slots <= 0 {
-		slots = defaultSlots
-	}
 	g.slots = slots
 	if t.Wait <= 0 || g.running < slots && g.queue.Len() == 0 {
 		g.running++
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -1,10 +1,7 @@
 package relay_test
 
 import (
-	"context"
 	"errors"
-	"net"
-	"sync"
 	"testing"
 	"time"
 
@@ -29,22 +26,9 @@
 
 func newLender(t *testing.T, c *linktest.Cluster, limit int) *lenderVM {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	pools := &dbpool.Pools{Dialer: c, Roster: c.Roster(), Limit: func(*roster.Member) int { return limit }}
-	vm := &lenderVM{address: l.Addr().String(), server: &relay.Server{Pools: pools}, pools: pools}
-	srv := peer.NewServer(peer.ServerConfig{Private: true}, peer.Handlers{Relay: vm.server})
-	served := make(chan error, 1)
-	go func() { served <- srv.Serve(l) }()
-	vm.stop = sync.OnceFunc(func() {
-		ctx, cancel := context.WithCancel(context.Background())
-		cancel()
-		srv.Stop(ctx)
-		<-served
-	})
-	t.Cleanup(vm.stop)
+	vm := &lenderVM{server: &relay.Server{Pools: pools}, pools: pools}
+	vm.address, vm.stop = linktest.ServePeer(t, peer.Handlers{Relay: vm.server})
 	return vm
 }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -172,7 +172,7 @@
 	}
 	t := sts[i].Turn
 	g := s.gate(m.ID)
-	if !g.enter(m.Slots, t, conn.Workspace) {
+	if !g.enter(m.SlotCount(), t, conn.Workspace) {
 		out := make([]dbop.Answer, len(sts))
 		for i := range out {
 			out[i] = dbop.Answer{Code: dbop.Crowded, State: conn.State(), Text: "too many statements wait for the database"}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -42,6 +42,17 @@
 	Sequence int64
 }
 
+// defaultSlots stands for the slots of a database that does not tell.
+const defaultSlots = 4
+
+// SlotCount returns the number of statements that the database runs at once.
+func (e Entry) SlotCount() int {
+	if e.Slots <= 0 {
+		return defaultSlots
+	}
+	return e.Slots
+}
+
 // newer reports whether e replaces o, an entry of the same id.
 func (e Entry) newer(o Entry) bool {
 	return cmp.Or(cmp.Compare(e.Born, o.Born), cmp.Compare(e.Sequence, o.Sequence)) > 0
