Claim slices without pauses where one write takes them all

A store that writes all slices at once gets the two writes of a VM together, 250 of the fleet a second (TestAllReturnAtOnce still bounds them), and the VM is ready when its claim is done. TestReadySoon fails with the former code.

--- a/internal/limit/memory_test.go
+++ b/internal/limit/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -159,3 +160,43 @@
 	}
 	return a.memory.RenewLease(ctx, id)
 }
+
+// batcher is an access that does several writes in one.
+type batcher struct{ *access }
+
+// PutAll implements store.Batcher.
+func (b batcher) PutAll(_ context.Context, ws []store.Write) (bool, store.Revision, error) {
+	m := b.memory
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin("put", true); err != nil {
+		return false, 0, err
+	}
+	for _, w := range ws {
+		if m.entries[w.Key].Revision != w.Expected {
+			return false, 0, m.end("put")
+		}
+	}
+	for _, w := range ws {
+		if !m.put(w).Done {
+			return false, 0, m.end("put")
+		}
+	}
+	return true, m.revision, m.end("put")
+}
+
+// List returns the entries under a prefix in no order.
+func (m *memory) List(_ context.Context, prefix string) ([]store.Entry, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := m.begin("list", false); err != nil {
+		return nil, err
+	}
+	var out []store.Entry
+	for k, e := range m.entries {
+		if strings.HasPrefix(k, prefix) {
+			out = append(out, e)
+		}
+	}
+	return out, m.end("list")
+}
--- a/internal/limit/rate_test.go
+++ b/internal/limit/rate_test.go
@@ -14,6 +14,7 @@
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/quota"
 )
 
 // load sends requests of one workspace and records what becomes of them.
@@ -242,6 +243,23 @@
 	})
 }
 
+// TestReadySoon guards against VMs that are ready late after a start of the whole
+// fleet because they pause between the calls that claim their slices.
+func TestReadySoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		cat := rates(map[ident.Workspace][2]int{"w": {40, 40}})
+		cat.Sharing = catal.Sharing{Shards: 1, Slices: 36}
+		w := newWorld(60, cat, func(w *world) { w.batches = true })
+		defer w.stop()
+		time.Sleep(700*time.Millisecond + quota.DefaultLifetime) // new slices rest for a lifetime
+		for _, v := range w.vms {
+			is.True(v.Ready())
+		}
+		is.Equal(w.store.keys(), 36)
+	})
+}
+
 // TestDrain guards against slices that stay blocked until the lease ends after
 // a planned stop.
 func TestDrain(t *testing.T) {
--- a/internal/limit/shares.go
+++ b/internal/limit/shares.go
@@ -19,7 +19,7 @@
 	renewPeriod = time.Minute
 	// fleetWrites is the number of writes a second of all VMs together, while
 	// they all claim at once. The store sustains several hundred.
-	fleetWrites = 150
+	fleetWrites = 250
 	// drainPace is the time between writes of a VM that stops.
 	drainPace = 20 * time.Millisecond
 	// retryTaken is when the key of another VM's slice is read again.
@@ -134,8 +134,13 @@
 	if ended {
 		return refreshPeriod, false
 	}
+	b, batches := l.cfg.Store.(store.Batcher)
 	if lease == 0 {
-		return l.done(l.grant(ctx)), true
+		d := l.done(l.grant(ctx))
+		if batches && !l.storeDown() {
+			d = 0 // one more write claims all slices
+		}
+		return d, true
 	}
 	if !now.Before(renew) {
 		return l.done(l.renewLease(ctx, lease)), true
@@ -145,8 +150,10 @@
 	case len(release) > 0:
 		return l.done(l.release(ctx, release[0])), true
 	case len(claim) > 0:
-		if b, ok := l.cfg.Store.(store.Batcher); ok {
-			return l.done(l.claimAll(ctx, b, claim, lease)), true
+		if batches {
+			d := l.done(l.claimAll(ctx, b, claim, lease))
+			l.plan(l.now()) // the VM is ready when nothing is left to claim
+			return d, true
 		}
 		return l.done(l.claim(ctx, claim[0], lease)), true
 	}
@@ -174,6 +181,12 @@
 	return claim, release
 }
 
+func (l *Limiter) storeDown() bool {
+	l.shares.mu.Lock()
+	defer l.shares.mu.Unlock()
+	return l.shares.down
+}
+
 // done notes whether the store answered, and returns the time to the next call.
 func (l *Limiter) done(err error) time.Duration {
 	s := &l.shares
