Take a turn that came with the timer before a request waits again

Cause: found by reading. A request whose timer fired just before its turn came put itself into the pool's list again with the former turn still in its channel; the next turn then blocked with the pool's lock held, and the pool of that database hung for good. TestLateTurn fails with the former code. Also a returned connection went to requests of its own workspace however long others waited (TestOthersWaitToo); one that has waited for 150 ms is first.

--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -21,6 +21,9 @@
 	// fullPause is how long a pool opens nothing after the database said that
 	// it has too many connections.
 	fullPause = 100 * time.Millisecond
+	// longWait is how long requests of other workspaces may be served before one
+	// that waits, since its connection has to begin first.
+	longWait = 150 * time.Millisecond
 )
 
 // pool has the connections to one database process.
@@ -64,6 +67,7 @@
 	ws    ident.Workspace
 	owner Owner
 	turn  chan struct{}
+	since time.Time
 	// queued tells that it is in the pool's list, and place its order there.
 	queued bool
 	place  uint64
@@ -72,7 +76,7 @@
 // get returns a connection for a workspace. It waits until the deadline when
 // the pool is at its bound.
 func (p *pool) get(deadline time.Time, ws ident.Workspace, owner Owner) (*Conn, error) {
-	w := &waiter{ws: ws, owner: owner, turn: make(chan struct{}, 1)}
+	w := &waiter{ws: ws, owner: owner, turn: make(chan struct{}, 1), since: time.Now()}
 	defer p.leave(w)
 	for {
 		c, dial, err := p.take(w)
@@ -140,6 +144,10 @@
 	if w.queued {
 		return
 	}
+	select {
+	case <-w.turn: // it came with the timer, and the request has tried since
+	default:
+	}
 	if w.place == 0 {
 		p.places++
 		w.place = p.places
@@ -207,18 +215,20 @@
 }
 
 // wake gives a turn to the first request for a connection of a workspace, else
-// to the first of all, which may open one.
+// to the first of all, which may open one. The first of all has it when it has
+// waited for long.
 func (p *pool) wake(ws ident.Workspace) {
+	if len(p.wait) == 0 {
+		return
+	}
 	i := slices.IndexFunc(p.wait, func(w *waiter) bool { return w.ws == ws || w.ws == "" })
-	if i < 0 {
+	if i < 0 || time.Since(p.wait[0].since) > longWait {
 		i = 0
 	}
-	if i < len(p.wait) {
-		w := p.wait[i]
-		p.wait = slices.Delete(p.wait, i, i+1)
-		w.queued = false
-		w.turn <- struct{}{}
-	}
+	w := p.wait[i]
+	p.wait = slices.Delete(p.wait, i, i+1)
+	w.queued = false
+	w.turn <- struct{}{}
 }
 
 func (p *pool) dial(deadline time.Time, ws ident.Workspace, owner Owner) (*Conn, error) {
