End streams to lenders that were unused for long

An unused stream kept the connection to its VM open for good, also to VMs that are gone, and such connections can't be evicted from the cache of 96: in a fleet with more lenders than that, other calls between VMs would fail.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,6 +87,7 @@
 	peers   *peer.Cache
 	lending lending
 	lender  *relay.Server
+	loans   *relay.Client
 	lists   *lists.Reader
 	disco   *disco.Poller
 
@@ -108,7 +109,8 @@
 	n.grace.Store(int64(s.Grace()))
 	n.pools = &dbpool.Pools{Dialer: a.Dialer, Roster: n.roster, Limit: n.connLimit, Dialing: n.dialLimit}
 	n.peers = peer.NewCache(peer.CacheConfig{Private: true, Scope: n.metrics.Scope})
-	n.pools.Lender = relay.NewClient(relay.Config{Lenders: n.lenders, Peers: n.peers, Log: log})
+	n.loans = relay.NewClient(relay.Config{Lenders: n.lenders, Peers: n.peers, Log: log})
+	n.pools.Lender = n.loans
 	n.lender = &relay.Server{Pools: n.pools}
 	n.lists = lists.New(lists.Config{Store: a.Store, Peers: n.peers, Readers: n.readers, Clock: uptime.Now, Log: log})
 	self := member.Info{VM: s.VM, Zone: s.Zone, Region: s.Region, Address: s.Peers}
@@ -262,6 +264,7 @@
 		case <-t.C:
 			n.gauge()
 			n.watchLong()
+			n.loans.Sweep()
 			n.peers.Sweep()
 			n.pools.Sweep(n.keepPool)
 		}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -237,6 +239,29 @@
 	return &loan{c: c, address: address, st: st, cancel: cancel}, nil
 }
 
+// Sweep ends the streams that were unused for long, and forgets what has passed.
+// Callers run it now and then.
+func (c *Client) Sweep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	for address, idle := range c.idle {
+		idle = slices.DeleteFunc(idle, func(l *loan) bool {
+			if now.Sub(l.used) < idleLife {
+				return false
+			}
+			l.end()
+			return true
+		})
+		c.idle[address] = idle
+		if len(idle) == 0 {
+			delete(c.idle, address)
+		}
+	}
+	maps.DeleteFunc(c.avoid, func(_ string, until time.Time) bool { return now.After(until) })
+	maps.DeleteFunc(c.loads, func(_ ident.Target, l load) bool { return l.mine == 0 && now.Sub(l.at) > idleLife })
+}
+
 // keep puts a stream aside for the next loan.
 func (c *Client) keep(l *loan) {
 	l.used = time.Now()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -171,3 +171,33 @@
 	_, err = p.Own(in(time.Second), member(c), "", 0)
 	is.NoErr(err)
 }
+
+// TestSweep guards against streams to VMs that are not used any more, which keep
+// a connection to each of them open.
+func TestSweep(t *testing.T) {
+	is := is.New(t)
+	c := linktest.New("g", "a")
+	l := newLender(t, c, 4)
+	cache := peer.NewCache(peer.CacheConfig{Private: true, Idle: time.Millisecond})
+	t.Cleanup(cache.Close)
+	loans := relay.NewClient(relay.Config{
+		Lenders: func(*roster.Member, ident.Workspace) []string { return []string{l.address} }, Peers: cache,
+	})
+	p := &dbpool.Pools{Roster: c.Roster(), Lender: loans}
+	conn, err := p.Get(in(time.Second), member(c), "w", 0)
+	is.NoErr(err)
+	conn.Release(true)
+	loans.Sweep()
+	time.Sleep(10 * time.Millisecond)
+	cache.Sweep()
+	is.Equal(cache.Len(), 1) // used a moment ago
+	loans.Expire()
+	loans.Sweep()
+	for range 100 {
+		if cache.Sweep(); cache.Len() == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the stream keeps its connection open")
+}
