--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -369,3 +369,51 @@
 		s.end()
 	})
 }
+
+// TestWarmRate guards against operations that are refused for their rate right
+// after a start, while the VMs that hold parts of it are still claiming them, and
+// against a later one that waits as long.
+func TestWarmRate(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		is := is.New(t)
+		s := f.open(t, "session")
+		f.set(func(f *fixture) { f.full = true })
+		time.AfterFunc(300*time.Millisecond, func() { f.set(func(f *fixture) { f.full = false }) })
+		is.Equal(s.run(dbop.Write).Code, dbop.OK)
+		time.Sleep(5 * time.Second)
+		f.set(func(f *fixture) { f.full = true })
+		start := time.Now()
+		is.Equal(s.run(dbop.Write).Code, dbop.Busy)
+		is.Equal(time.Since(start), time.Duration(0))
+		s.end()
+	})
+}
+
+// TestCrowded guards against a request that is tried again and again, or held to
+// its deadline, after every database has said that its turn would come too late;
+// and against one that is refused while another database has a turn.
+func TestCrowded(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		is := is.New(t)
+		crowd := func(ids ...ident.Target) {
+			for _, id := range ids {
+				f.c.Set(id, func(d *linktest.DB) { d.Codes[dbop.Read] = []dbop.Code{dbop.Crowded} })
+			}
+		}
+		s := f.open(t, "bounded")
+		crowd("a", "b")
+		is.Equal(s.run(dbop.Read).Code, dbop.OK)
+		crowd("a", "b", "c")
+		start := time.Now()
+		is.Equal(s.run(dbop.Read).Code, dbop.Busy)
+		is.True(time.Since(start) < 100*time.Millisecond)
+		s.end()
+		p := f.open(t, "primary")
+		crowd("a")
+		is.Equal(p.run(dbop.Read).Code, dbop.Busy)
+		open := f.c.Open("a")
+		is.Equal(p.run(dbop.Read).Code, dbop.OK)
+		is.Equal(f.c.Open("a"), open) // the connection was kept
+		p.end()
+	})
+}
