Derive what the pools and lists kept twice, and share what stood twice

Found by reading the whole change; behaviour is meant to stay.

- pool: the numbers of open and busy connections follow from the set of connections, the idle ones and those being opened; the order of waiting requests from when they began to wait.
A request that finds an idle connection makes no channel and takes the lock once less.
- The choice between a list and a stale one stood in disco, lists and fleet: store.ListAny.
- disco and fleet wait with wait.For.
- fleet: listed follows from the list; nothing ever wrote a leaving entry.
- node: the address of a lender was looked up in the whole list of VMs for each estimate and loan; the table of lenders has it.

Checked with the race detector on the packages and platform/e2e.

--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -1,7 +1,6 @@
 package dbpool
 
 import (
-	"cmp"
 	"errors"
 	"slices"
 	"sync"
@@ -31,25 +30,28 @@
 	parent *Pools
 	member roster.Member
 
-	mu   sync.Mutex
-	open int // connections in use, idle or being opened
-	idle []*Conn
+	mu sync.Mutex
+	// conns has the connections in use and the idle ones; idle has these, the one
+	// that was idle for longest first.
+	conns map[*Conn]bool
+	idle  []*Conn
 	// dialing is the number of connections being opened.
 	dialing int
-	// wait has the requests that wait, in the order of their first try.
+	// wait has the requests that wait, in the order in which they began to.
 	wait   []*waiter
-	places uint64
 	closed bool
 	// full is when the database last refused for too many connections.
 	full time.Time
-	// busy is the number of connections in use; conns has these and the idle
-	// ones.
-	busy  int
-	conns map[*Conn]bool
 	// faults is the part of the statements that failed lately.
 	faults faults
 }
 
+// open returns the number of connections that are open or being opened, busy
+// that of those in use. The caller holds p.mu.
+func (p *pool) open() int { return len(p.conns) + p.dialing }
+
+func (p *pool) busy() int { return len(p.conns) - len(p.idle) }
+
 // noteResult counts statements that failed for no fault of the caller, and notes
 // that a connection answered.
 func (p *pool) noteResult(c *Conn, heard, failed bool) {
@@ -66,17 +68,15 @@
 type waiter struct {
 	ws    ident.Workspace
 	owner Owner
+	// turn is made, and since set, when the request first waits.
 	turn  chan struct{}
 	since time.Time
-	// queued tells that it is in the pool's list, and place its order there.
-	queued bool
-	place  uint64
 }
 
 // get returns a connection for a workspace. It waits until the deadline when
 // the pool is at its bound.
 func (p *pool) get(deadline time.Time, ws ident.Workspace, owner Owner) (*Conn, error) {
-	w := &waiter{ws: ws, owner: owner, turn: make(chan struct{}, 1), since: time.Now()}
+	w := &waiter{ws: ws, owner: owner}
 	defer p.leave(w)
 	for {
 		c, dial, err := p.take(w)
@@ -117,15 +117,13 @@
 		c := p.idle[i]
 		p.idle = slices.Delete(p.idle, i, i+1)
 		c.owner = w.owner
-		p.busy++
 		return c, false, nil
 	}
 	refused := time.Since(p.full) < fullPause
 	bound := p.parent.dialBound(&p.member)
 	switch {
 	case bound > 0 && p.dialing >= bound:
-	case p.open < p.parent.Limit(&p.member) && !refused:
-		p.open++
+	case p.open() < p.parent.Limit(&p.member) && !refused:
 		p.dialing++
 		return nil, true, nil
 	case len(p.idle) > 0:
@@ -141,19 +139,20 @@
 
 // enqueue puts a request into the list, at its former place when it had one.
 func (p *pool) enqueue(w *waiter) {
-	if w.queued {
+	if slices.Contains(p.wait, w) {
 		return
 	}
+	if w.turn == nil {
+		w.turn, w.since = make(chan struct{}, 1), time.Now()
+	}
 	select {
 	case <-w.turn: // it came with the timer, and the request has tried since
 	default:
 	}
-	if w.place == 0 {
-		p.places++
-		w.place = p.places
+	i := slices.IndexFunc(p.wait, func(o *waiter) bool { return o.since.After(w.since) })
+	if i < 0 {
+		i = len(p.wait)
 	}
-	w.queued = true
-	i, _ := slices.BinarySearchFunc(p.wait, w.place, func(o *waiter, place uint64) int { return cmp.Compare(o.place, place) })
 	p.wait = slices.Insert(p.wait, i, w)
 }
 
@@ -176,7 +175,7 @@
 	return best
 }
 
-// shut closes a connection in the background; the caller reuses its place.
+// shut closes a connection. The caller has taken it out of the idle ones.
 func (p *pool) shut(c *Conn) {
 	delete(p.conns, c)
 	// An error means that it was closed by the other side.
@@ -201,12 +200,12 @@
 
 // leave removes a request; a turn that it has got and not used goes to the next.
 func (p *pool) leave(w *waiter) {
+	if w.turn == nil {
+		return // it never waited
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if w.queued {
-		p.wait = slices.DeleteFunc(p.wait, func(o *waiter) bool { return o == w })
-		w.queued = false
-	}
+	p.wait = slices.DeleteFunc(p.wait, func(o *waiter) bool { return o == w })
 	select {
 	case <-w.turn:
 		p.wake("")
@@ -227,7 +226,6 @@
 	}
 	w := p.wait[i]
 	p.wait = slices.Delete(p.wait, i, i+1)
-	w.queued = false
 	w.turn <- struct{}{}
 }
 
@@ -242,7 +240,6 @@
 	defer p.mu.Unlock()
 	p.dialing--
 	if err != nil || a.Code != dbop.OK {
-		p.open--
 		if a.Code == dbop.TooMany {
 			p.full = now
 		}
@@ -255,7 +252,6 @@
 		}
 		return nil, &Error{Op: "dial", Kind: KindRefused, Target: p.member.ID, Code: a.Code}
 	}
-	p.busy++
 	c := &Conn{
 		pool: p, link: link, Target: p.member.ID, Group: p.member.Group, Workspace: ws,
 		state: a.State, answered: now, opened: now, owner: owner,
@@ -271,11 +267,9 @@
 func (p *pool) put(c *Conn, keep bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.busy--
-	if keep && !p.closed && p.open <= p.parent.Limit(&p.member) {
+	if keep && !p.closed && p.open() <= p.parent.Limit(&p.member) {
 		p.idle = append(p.idle, c)
 	} else {
-		p.open--
 		p.shut(c)
 	}
 	p.wake(c.Workspace)
@@ -289,7 +283,6 @@
 		if c.Quiet() < idleLife {
 			return false
 		}
-		p.open--
 		p.shut(c)
 		return true
 	})
@@ -315,7 +308,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.idle {
-		p.open--
 		p.shut(c)
 	}
 	p.idle = nil
--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -143,7 +143,7 @@
 	limit := s.Limit(m)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := Load{Busy: p.busy, Waiting: len(p.wait), Full: p.open >= limit && len(p.idle) == 0, Faults: p.faults.part(time.Now())}
+	l := Load{Busy: p.busy(), Waiting: len(p.wait), Full: p.open() >= limit && len(p.idle) == 0, Faults: p.faults.part(time.Now())}
 	for _, c := range p.idle {
 		l.Idle = l.Idle || c.Workspace == ws
 	}
--- a/internal/disco/disco.go
+++ b/internal/disco/disco.go
@@ -18,6 +18,7 @@
 	"chervilspan.example/internal/evlog"
 	"chervilspan.example/pkg/roster"
 	"chervilspan.example/pkg/store"
+	"chervilspan.example/pkg/wait"
 )
 
 const (
@@ -53,12 +54,7 @@
 func (p *Poller) Run(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
 		p.read(ctx, n%fullEvery != 0)
-		t := time.NewTimer(period*9/10 + rand.N(period/5))
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		wait.For(ctx, period*9/10+rand.N(period/5))
 	}
 }
 
@@ -85,11 +81,7 @@
 		return p.List(ctx, p.Prefix, fresh)
 	}
 	at := time.Now()
-	if s, ok := p.Store.(store.StaleLister); ok && !fresh {
-		entries, err := s.ListStale(ctx, p.Prefix)
-		return entries, at, err
-	}
-	entries, err := p.Store.List(ctx, p.Prefix)
+	entries, err := store.ListAny(ctx, p.Store, p.Prefix, fresh)
 	return entries, at, err
 }
 
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,6 +27,7 @@
 	"chervilspan.example/pkg/member"
 	"chervilspan.example/pkg/rendez"
 	"chervilspan.example/pkg/store"
+	"chervilspan.example/pkg/wait"
 )
 
 const (
@@ -67,20 +68,19 @@
 	Zone    ident.Zone   `json:"zone"`
 	Region  ident.Region `json:"region"`
 	Address string       `json:"address"`
-	Leaving bool         `json:"leaving,omitempty"`
 }
 
 // Fleet has the list of VMs. Its methods may be called from several goroutines.
 type Fleet struct {
 	cfg Config
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// live is nil until a list was read that counts as complete; it has this VM
+	// then.
 	live []member.Info
 	// early is a list that may lack VMs.
 	early []member.Info
 	lease store.LeaseID
-	// listed tells that the list was read and counts as complete.
-	listed bool
 	// left tells that the entry was ended and must not come back.
 	left  bool
 	start time.Time
@@ -104,7 +104,7 @@
 func (f *Fleet) Listed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.listed
+	return f.live != nil
 }
 
 // Addresses returns the peer addresses of the other VMs, and the seeds while no
@@ -168,12 +168,7 @@
 		if time.Since(f.start) < startTime {
 			d = startPeriod
 		}
-		t := time.NewTimer(d)
-		select {
-		case <-ctx.Done():
-		case <-t.C:
-		}
-		t.Stop()
+		wait.For(ctx, d)
 	}
 }
 
@@ -204,7 +199,7 @@
 	if err != nil {
 		return err
 	}
-	if err := f.write(ctx, lease, false); err != nil {
+	if err := f.write(ctx, lease); err != nil {
 		return err
 	}
 	f.mu.Lock()
@@ -217,9 +212,9 @@
 }
 
 // write puts the entry in place of that of a former process of this VM.
-func (f *Fleet) write(ctx context.Context, lease store.LeaseID, leaving bool) error {
+func (f *Fleet) write(ctx context.Context, lease store.LeaseID) error {
 	s := f.cfg.Self
-	value, err := json.Marshal(record{s.VM, s.Zone, s.Region, s.Address, leaving})
+	value, err := json.Marshal(record{s.VM, s.Zone, s.Region, s.Address})
 	if err != nil {
 		return err
 	}
@@ -234,14 +229,7 @@
 }
 
 func (f *Fleet) list(ctx context.Context) error {
-	read := f.cfg.Store.List
-	if s, ok := f.cfg.Store.(store.StaleLister); ok {
-		read = s.ListStale
-	}
-	if f.cfg.List != nil && time.Since(f.start) > startTime {
-		read = f.cfg.List
-	}
-	entries, err := read(ctx, prefix)
+	entries, err := f.read(ctx)
 	if err != nil {
 		return err
 	}
@@ -256,7 +244,7 @@
 			evlog.At(f.cfg.Log, evlog.EntrySkipped).Str("key", e.Key).Err(err).Send()
 			continue
 		}
-		if r.VM != f.cfg.Self.VM && !r.Leaving {
+		if r.VM != f.cfg.Self.VM {
 			live = append(live, member.Info{VM: r.VM, Zone: r.Zone, Region: r.Region, Address: r.Address})
 		}
 	}
@@ -267,6 +255,13 @@
 	return nil
 }
 
+func (f *Fleet) read(ctx context.Context) ([]store.Entry, error) {
+	if f.cfg.List != nil && time.Since(f.start) > startTime {
+		return f.cfg.List(ctx, prefix)
+	}
+	return store.ListAny(ctx, f.cfg.Store, prefix, false)
+}
+
 // take puts a list in force unless it may lack VMs, and reports whether it
 // differs from the former one.
 func (f *Fleet) take(live []member.Info) bool {
@@ -276,8 +271,8 @@
 		f.early = live
 		return false
 	}
-	changed := !f.listed || !slices.Equal(f.live, live)
-	f.live, f.early, f.listed = live, nil, true
+	changed := f.live == nil || !slices.Equal(f.live, live)
+	f.live, f.early = live, nil
 	return changed
 }
 
--- a/internal/lists/lists.go
+++ b/internal/lists/lists.go
@@ -10,6 +10,7 @@
 	"google.golang.org/grpc/status"
 
 	"chervilspan.example/internal/evlog"
+	"chervilspan.example/internal/peer"
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/store"
 )
@@ -46,9 +47,10 @@
 type Reader struct {
 	cfg Config
 
+	avoid peer.Avoid
+
 	mu    sync.Mutex
 	cache map[query]*cached
-	avoid map[string]time.Time
 }
 
 // query names a list.
@@ -70,7 +72,7 @@
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
 	}
-	return &Reader{cfg: cfg, cache: map[query]*cached{}, avoid: map[string]time.Time{}}
+	return &Reader{cfg: cfg, cache: map[query]*cached{}}
 }
 
 // List returns the entries under a prefix, and the time by the runtime's clock
@@ -78,7 +80,7 @@
 // with a copy that is some seconds older. The error is that of the store.
 func (r *Reader) List(ctx context.Context, prefix string, fresh bool) ([]store.Entry, time.Time, error) {
 	for _, address := range r.cfg.Readers() {
-		if r.avoided(address) {
+		if r.avoid.Has(address) {
 			continue
 		}
 		sent := time.Now()
@@ -89,37 +91,23 @@
 		r.note(address, prefix, err)
 	}
 	sent := time.Now()
-	entries, err := r.read(ctx, prefix, fresh)
+	entries, err := store.ListAny(ctx, r.cfg.Store, prefix, fresh)
 	return entries, sent, err
 }
 
-func (r *Reader) avoided(address string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return time.Now().Before(r.avoid[address])
-}
-
 func (r *Reader) note(address, prefix string, err error) {
 	evlog.At(r.cfg.Log, evlog.ReaderAvoided).Str("reader", address).Str("prefix", prefix).Dur("for", avoidTime).Err(err).Send()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := time.Now()
-	for a, until := range r.avoid {
-		if now.After(until) {
-			delete(r.avoid, a)
-		}
-	}
-	r.avoid[address] = now.Add(avoidTime)
+	r.avoid.Add(address, avoidTime)
 }
 
 func (r *Reader) ask(ctx context.Context, address, prefix string, fresh bool) ([]store.Entry, time.Duration, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	peer, err := r.cfg.Peers.Client(address)
+	client, err := r.cfg.Peers.Client(address)
 	if err != nil {
 		return nil, 0, err
 	}
-	reply, err := peer.ReadList(ctx, &peerpb.ReadListRequest{Prefix: prefix, Fresh: fresh})
+	reply, err := client.ReadList(ctx, &peerpb.ReadListRequest{Prefix: prefix, Fresh: fresh})
 	if err != nil {
 		return nil, 0, err
 	}
@@ -130,14 +118,6 @@
 	return out, time.Duration(reply.AgeMs) * time.Millisecond, nil
 }
 
-// read asks the store.
-func (r *Reader) read(ctx context.Context, prefix string, fresh bool) ([]store.Entry, error) {
-	if s, ok := r.cfg.Store.(store.StaleLister); ok && !fresh {
-		return s.ListStale(ctx, prefix)
-	}
-	return r.cfg.Store.List(ctx, prefix)
-}
-
 // ReadList implements peer.Lists.
 func (r *Reader) ReadList(ctx context.Context, req *peerpb.ReadListRequest) (*peerpb.ReadListReply, error) {
 	c := r.of(query{req.Prefix, req.Fresh})
@@ -149,7 +129,7 @@
 	}
 	now := r.cfg.Clock()
 	if c.at.IsZero() || now.Sub(c.at) > limit {
-		entries, err := r.read(ctx, req.Prefix, req.Fresh)
+		entries, err := store.ListAny(ctx, r.cfg.Store, req.Prefix, req.Fresh)
 		if err != nil {
 			return nil, status.Error(codes.Unavailable, err.Error())
 		}
--- a/internal/node/lend.go
+++ b/internal/node/lend.go
@@ -36,6 +36,8 @@
 	mu   sync.Mutex
 	list []member.Info
 	by   map[ident.Target][]ident.VM
+	// address has the peer service of each VM of the list.
+	address map[ident.VM]string
 }
 
 // of returns the lenders of a database and those that stand in for them. They
@@ -45,7 +47,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.list) != len(live) || len(live) > 0 && &l.list[0] != &live[0] {
-		l.list, l.by = live, map[ident.Target][]ident.VM{}
+		l.list, l.by, l.address = live, map[ident.Target][]ident.VM{}, make(map[ident.VM]string, len(live))
+		for _, i := range live {
+			l.address[i.VM] = i.Address
+		}
 	}
 	vms, ok := l.by[m.ID]
 	if !ok {
@@ -65,6 +70,13 @@
 	return vms
 }
 
+// addressOf returns the address of a VM of the last list.
+func (l *lending) addressOf(vm ident.VM) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.address[vm]
+}
+
 // lenders returns the addresses of the VMs to borrow a workspace's connections
 // to a database from, in order; none when this VM uses its own.
 func (n *Node) lenders(m *roster.Member, ws ident.Workspace) []string {
@@ -76,7 +88,7 @@
 		if vm == n.s.VM {
 			break
 		}
-		if a := n.fleet.Address(vm); a != "" {
+		if a := n.lending.addressOf(vm); a != "" {
 			out = append(out, a)
 		}
 	}
--- /dev/null
+++ b/internal/peer/avoid.go
@@ -0,0 +1,34 @@
+package peer
+
+import (
+	"maps"
+	"sync"
+	"time"
+)
+
+// Avoid remembers what is passed over for some time after a failure, such as the
+// address of a VM. The zero Avoid is empty and ready for use; its methods may be
+// called from several goroutines.
+type Avoid struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+// Add passes a name over for a time.
+func (a *Avoid) Add(name string, d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := time.Now()
+	maps.DeleteFunc(a.until, func(_ string, until time.Time) bool { return !now.Before(until) })
+	if a.until == nil {
+		a.until = map[string]time.Time{}
+	}
+	a.until[name] = now.Add(d)
+}
+
+// Has reports whether a name is passed over now.
+func (a *Avoid) Has(name string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Now().Before(a.until[name])
+}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -11,6 +11,7 @@
 
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/internal/evlog"
+	"chervilspan.example/internal/peer"
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
@@ -54,9 +55,10 @@
 type Client struct {
 	cfg Config
 
+	avoid peer.Avoid
+
 	mu    sync.Mutex
 	idle  map[string][]*loan
-	avoid map[string]time.Time
 	loads map[ident.Target]load
 }
 
@@ -70,14 +72,14 @@
 
 // NewClient returns a Client.
 func NewClient(cfg Config) *Client {
-	return &Client{cfg: cfg, idle: map[string][]*loan{}, avoid: map[string]time.Time{}, loads: map[ident.Target]load{}}
+	return &Client{cfg: cfg, idle: map[string][]*loan{}, loads: map[ident.Target]load{}}
 }
 
 // Borrow implements dbpool.Lender. A lender that fails is passed over for some
 // time; without any, this VM uses its own connections.
 func (c *Client) Borrow(deadline time.Time, m *roster.Member, ws ident.Workspace, owner dbpool.Owner) (dbpool.Lent, bool, error) {
 	for _, address := range c.cfg.Lenders(m, ws) {
-		if c.avoided(address, m.ID) {
+		if c.avoid.Has(address) || c.avoid.Has(atTarget(address, m.ID)) {
 			continue
 		}
 		lent, err := c.borrow(deadline, address, m, ws, owner)
@@ -101,31 +103,17 @@
 	case dbpool.KindClosed:
 		d, reason = leaveTime, "stops"
 	case dbpool.KindUnreachable:
-		key, reason = address+"/"+string(id), "cannot reach the database"
+		key, reason = atTarget(address, id), "cannot reach the database"
 	default:
 		return
 	}
-	c.mu.Lock()
-	c.avoid[key] = time.Now().Add(d)
-	c.mu.Unlock()
+	c.avoid.Add(key, d)
 	evlog.At(c.cfg.Log, evlog.LenderAvoided).Str("lender", address).Str("target", string(id)).Str("reason", reason).
 		Dur("for", d).Err(err.Err).Send()
 }
 
-func (c *Client) avoided(address string, id ident.Target) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := time.Now()
-	for _, key := range [...]string{address, address + "/" + string(id)} {
-		if until, ok := c.avoid[key]; ok {
-			if now.Before(until) {
-				return true
-			}
-			delete(c.avoid, key)
-		}
-	}
-	return false
-}
+// atTarget names a lender that is passed over for one database.
+func atTarget(address string, id ident.Target) string { return address + "/" + string(id) }
 
 // Load implements dbpool.Lender.
 func (c *Client) Load(m *roster.Member, ws ident.Workspace) (dbpool.Load, bool) {
@@ -225,13 +213,13 @@
 		l.end()
 	}
 	c.mu.Unlock()
-	peer, err := c.cfg.Peers.Client(address)
+	client, err := c.cfg.Peers.Client(address)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t := time.AfterFunc(takenTimeout, cancel)
-	st, err := peer.Relay(ctx)
+	st, err := client.Relay(ctx)
 	if err != nil || !t.Stop() {
 		cancel()
 		return nil, &Error{Op: "open a stream", Kind: KindGone, Err: err}
@@ -239,7 +227,7 @@
 	return &loan{c: c, address: address, st: st, cancel: cancel}, nil
 }
 
-// Sweep ends the streams that were unused for long, and forgets what has passed.
+// Sweep ends the streams that were unused for long, and forgets old loads.
 // Callers run it now and then.
 func (c *Client) Sweep() {
 	c.mu.Lock()
@@ -258,7 +246,6 @@
 			delete(c.idle, address)
 		}
 	}
-	maps.DeleteFunc(c.avoid, func(_ string, until time.Time) bool { return now.After(until) })
 	maps.DeleteFunc(c.loads, func(_ ident.Target, l load) bool { return l.mine == 0 && now.Sub(l.at) > idleLife })
 }
 
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -81,6 +81,15 @@
 	ListStale(ctx context.Context, prefix string) ([]Entry, error)
 }
 
+// ListAny returns the entries under a prefix, out of a copy that may be some
+// seconds old when the store has such a call, unless fresh is set.
+func ListAny(ctx context.Context, s Store, prefix string, fresh bool) ([]Entry, error) {
+	if l, ok := s.(StaleLister); ok && !fresh {
+		return l.ListStale(ctx, prefix)
+	}
+	return s.List(ctx, prefix)
+}
+
 // Batcher is implemented by stores that do several writes or none of them.
 type Batcher interface {
 	// PutAll takes at most MaxBatch writes. done is false when a revision was
