Record two faults of unlisted primaries as known red tests

Cause: a primary whose entry has lapsed counts as gone, also when it works and is only cut off from the store. It is replaced by the listed replica with the highest log, which may be a leaving one (DRAIN) or lack the commits whose other replica has gone with its log (LOST).

--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -377,3 +377,35 @@
 		is.True(time.Since(start) < 200*time.Millisecond)
 	})
 }
+
+// TestUnlistedWorks guards against a primary that is missing from the list,
+// because it is cut off from the store, and is replaced by a leaving replica
+// while it works: requests then go to that replica beyond its time.
+func TestUnlistedWorks(t *testing.T) {
+	run(t, 2, func(is *is.I, f *fixture) {
+		f.c.Set("a", func(d *linktest.DB) { d.Index, d.Unlisted = 9, true })
+		f.c.Set("b", func(d *linktest.DB) { d.Index = 9 })
+		f.c.Set("c", func(d *linktest.DB) { d.Index = 8 })
+		f.leave("b")
+		time.Sleep(3 * time.Second)
+		is.True(!slices.Contains(f.promotions(), "promote b"))
+		f.c.Set("c", func(d *linktest.DB) { d.Index = 9 })
+		time.Sleep(3 * time.Second)
+		is.Equal(f.promotions(), []string{"promote c"})
+	})
+}
+
+// TestUnlistedAhead guards against acknowledged commits that are lost although
+// the primary works and has them: the replica that acknowledged them has gone
+// with its log, and the primary is missing from the list.
+func TestUnlistedAhead(t *testing.T) {
+	run(t, 2, func(is *is.I, f *fixture) {
+		f.c.Set("a", func(d *linktest.DB) { d.Index = 9 })
+		f.c.Set("c", func(d *linktest.DB) { d.Index = 9 })
+		f.kill("c")
+		time.Sleep(10 * time.Second) // it counts as gone by now
+		f.c.Set("a", func(d *linktest.DB) { d.Unlisted = true })
+		time.Sleep(5 * time.Second)
+		is.True(!slices.Contains(f.promotions(), "promote b"))
+	})
+}
--- a/internal/linktest/linktest.go
+++ b/internal/linktest/linktest.go
@@ -46,6 +46,9 @@
 	// Silent databases answer nothing on open connections; Dark ones take no new
 	// connections either, and Gone ones are not listed any more.
 	Silent, Dark, Gone bool
+	// Unlisted databases answer but are not listed, as when they are cut off from
+	// the store.
+	Unlisted bool
 	// Codes are given as answers to the next statements of a kind, in order.
 	Codes map[dbop.Kind][]dbop.Code
 	// Mute swallows the answers to the next statements of a kind.
@@ -97,7 +100,7 @@
 	c.mu.Lock()
 	var out []roster.Entry
 	for id, d := range c.dbs {
-		if !d.Gone {
+		if !d.Gone && !d.Unlisted {
 			out = append(out, roster.Entry{ID: id, Group: c.Group, Address: string(id), Zone: "z", Slots: 4, Primary: d.Lead, Born: 1, Sequence: time.Now().UnixNano()})
 		}
 	}
