Replace a working primary only by a replica in service that has its log

Cause: a primary that was missing from the list, or leaving, was replaced like a lost one: all replicas were fenced and the highest log won.

Change: a primary that answers is asked for its position; the successor stays in service, has that log, and is fenced after the other replicas, so that it has received all that they acknowledged. Without such a replica nothing changes. A replica that is gone counts as a possible holder of acknowledged commits while the primary works. A primary that this VM can't reach is not replaced while another VM is in contact with it. An Unfence is sent only while the claim lasts for claimMargin, and a claim with an unanswered Unfence is left to expire, since the statement may lift the fences of the next claim. A failover whose database has not become the primary in time is an error.

Ruled out: demoting the primary first in every planned change; its reads would wait for the promotion. A second check of the fences before the call leaves the time of the call open.

--- /dev/null
+++ b/internal/lead/claim.go
@@ -0,0 +1,81 @@
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/store"
+)
+
+const (
+	// claimTTL is the lifetime of a claim. A VM that crashes while it holds one
+	// delays its successor by as much.
+	claimTTL = 6 * time.Second
+	// claimMargin is the least remaining lifetime of a claim when a promotion call
+	// or the end of a fence is sent. It covers the call and the time until the
+	// database is the primary. A successor that acts before then would not see the
+	// new primary, and could roll back commits that it acknowledges.
+	claimMargin = 3 * time.Second
+	// callTimeout bounds a call to the store or the platform.
+	callTimeout = time.Second
+)
+
+// claim is the stored value of a claim.
+type claim struct {
+	VM   ident.VM     `json:"vm"`
+	From ident.Target `json:"from"`
+}
+
+// heldClaim is a claim that this VM holds.
+type heldClaim struct {
+	lease store.LeaseID
+	token store.Revision
+	// expiresAt is the end of the claim, by Config.Clock.
+	expiresAt time.Time
+	// promotionSent is true once a promotion call may have been sent.
+	promotionSent bool
+}
+
+// allowsCall reports whether a promotion call, or the end of a fence, may still be
+// sent at now.
+func (c *heldClaim) allowsCall(now time.Time) bool { return now.Before(c.expiresAt.Add(-claimMargin)) }
+
+// acquireClaim creates this VM's claim to a group.
+func (mon *Monitor) acquireClaim(ctx context.Context, g ident.Group, old ident.Target) (*heldClaim, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := mon.cfg.Clock()
+	lease, err := mon.cfg.Store.GrantLease(ctx, claimTTL)
+	if err != nil {
+		return nil, &Error{Op: "claim", Kind: KindStore, Group: g, Err: err}
+	}
+	c := &heldClaim{lease: lease, expiresAt: sent.Add(claimTTL)}
+	value, err := json.Marshal(claim{mon.cfg.VM, old})
+	if err != nil {
+		return nil, &Error{Op: "claim", Kind: KindStore, Group: g, Err: err}
+	}
+	res, err := store.Swap(ctx, mon.cfg.Store, store.Write{Key: "failover/" + string(g), Value: value, Lease: lease})
+	if err != nil {
+		mon.releaseClaim(c)
+		return nil, &Error{Op: "claim", Kind: KindStore, Group: g, Err: err}
+	}
+	if !res.Done {
+		mon.releaseClaim(c)
+		return nil, &Error{Op: "claim", Kind: KindClaimed, Group: g}
+	}
+	c.token = res.Current.Revision
+	return c, nil
+}
+
+// releaseClaim ends a claim. If the call fails, the claim ends with its lease.
+func (mon *Monitor) releaseClaim(c *heldClaim) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		defer cancel()
+		if err := mon.cfg.Store.RevokeLease(ctx, c.lease); err != nil {
+			mon.logClaimUnreleased(err)
+		}
+	}()
+}
--- a/internal/lead/errors.go
+++ b/internal/lead/errors.go
@@ -22,6 +22,13 @@
 	KindOtherPrimary
 	// KindListIncomplete means that the list of databases may lack some.
 	KindListIncomplete
+	// KindPrimaryWorks means that another VM is in contact with the primary.
+	KindPrimaryWorks
+	// KindNoSuccessor means that no replica in service has the primary's log.
+	KindNoSuccessor
+	// KindNotPromoted means that the promoted database has not become the primary
+	// in time.
+	KindNotPromoted
 )
 
 // Error is the error type of this package.
@@ -38,6 +45,8 @@
 	KindClaimed: "another VM decides", KindStore: "the store did not answer", KindNoAnswer: "a replica did not answer",
 	KindRefused: "the platform refused", KindClaimExpired: "the claim may have ended",
 	KindOtherPrimary: "it leads already", KindListIncomplete: "the list of databases may be incomplete",
+	KindPrimaryWorks: "another VM is in contact with the primary", KindNoSuccessor: "no replica in service has the log of the primary",
+	KindNotPromoted: "the promoted database has not become the primary in time",
 }
 
 // Error returns the step, the group and the cause.
--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -2,58 +2,30 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"sync"
 	"time"
 
-	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
-	"chervilspan.example/pkg/store"
 	"chervilspan.example/pkg/wait"
 )
 
-const (
-	// claimTTL is the lifetime of a claim. A VM that crashes while it holds one
-	// delays its successor by as much.
-	claimTTL = 6 * time.Second
-	// claimMargin is the least remaining lifetime of a claim when a promotion call
-	// is sent. It covers the call and the time until the database is the primary.
-	// A successor that acts before then would not see the new primary, and could
-	// roll back commits that it acknowledges.
-	claimMargin = 3 * time.Second
-	// callTimeout bounds a call to the store or the platform.
-	callTimeout = time.Second
-	// controlTimeout bounds the wait for one database's answer.
-	controlTimeout = 400 * time.Millisecond
-	// promotionTimeout bounds the wait until the promoted database is the primary.
-	promotionTimeout = 3 * time.Second
-	pollInterval     = 50 * time.Millisecond
-)
-
-// claim is the stored value of a claim.
-type claim struct {
-	VM   ident.VM     `json:"vm"`
-	From ident.Target `json:"from"`
-}
-
-// heldClaim is a claim that this VM holds.
-type heldClaim struct {
-	lease store.LeaseID
-	token store.Revision
-	// expiresAt is the end of the claim, by Config.Clock.
-	expiresAt time.Time
-	// promotionSent is true once a promotion call may have been sent.
-	promotionSent bool
+// promotionTimeout bounds the wait until the promoted database is the primary.
+const promotionTimeout = 3 * time.Second
+
+// failover is one attempt to replace the primary of a group.
+type failover struct {
+	mon   *Monitor
+	st    *groupState
+	old   ident.Target
+	why   reason
+	claim *heldClaim
+	// fenced has the databases that may be fenced.
+	fenced []roster.Member
 }
 
-// allowsCall reports whether a promotion call may still be sent at now.
-func (c *heldClaim) allowsCall(now time.Time) bool { return now.Before(c.expiresAt.Add(-claimMargin)) }
-
-// failOver replaces the primary. If it returns nil, the platform has accepted the
-// promotion.
+// failOver replaces the primary. If it returns nil, the promoted database has
+// become the primary.
 func (mon *Monitor) failOver(ctx context.Context, st *groupState, old ident.Target, why reason) error {
 	if err := mon.refreshList(ctx, st.id); err != nil {
 		return err
@@ -62,26 +34,49 @@
 	if err != nil {
 		return err
 	}
-	defer mon.releaseClaim(c)
-	best, fenced, err := mon.fenceReplicas(st, old, why, c)
+	f := &failover{mon: mon, st: st, old: old, why: why, claim: c}
+	defer f.end()
+	best, err := f.chooseSuccessor(ctx)
 	if err != nil {
-		if !c.promotionSent {
-			mon.unfenceReplicas(fenced)
-		}
 		return err
 	}
 	if err := mon.requestPromotion(ctx, st.id, best, c); err != nil {
-		if !c.promotionSent {
-			mon.unfenceReplicas(fenced)
-		}
 		return err
 	}
 	mon.cfg.Roster.DeposePrimary(st.id, old, time.Now())
-	mon.awaitPromoted(ctx, st, best)
+	if !mon.awaitPromoted(ctx, st, best) {
+		return &Error{Op: "await", Kind: KindNotPromoted, Group: st.id, Target: best.ID}
+	}
 	mon.logElected(st.id, best.ID, old, c.token)
 	return nil
 }
 
+// end lifts the fences if no promotion call was sent, and releases the claim. A
+// claim with an unanswered Unfence is left to expire: the statement may still be
+// carried out, and must not lift a fence of the next claim.
+func (f *failover) end() {
+	if !f.claim.promotionSent && !f.unfence() {
+		return
+	}
+	f.mon.releaseClaim(f.claim)
+}
+
+// unfence lets replicas accept entries again. It reports whether no Unfence is left
+// unanswered. When the claim may expire too soon, the replicas stay fenced: another
+// VM may rely on fences of its own, and a primary whose commits get no
+// acknowledgement is replaced in any case.
+func (f *failover) unfence() bool {
+	if len(f.fenced) == 0 || !f.claim.allowsCall(f.mon.cfg.Clock()) {
+		return true
+	}
+	for _, r := range f.mon.controlAll(dbop.Statement{Kind: dbop.Unfence}, f.fenced) {
+		if r.outstanding {
+			return false
+		}
+	}
+	return true
+}
+
 // refreshList makes sure that every database of a group is known.
 func (mon *Monitor) refreshList(ctx context.Context, g ident.Group) error {
 	if mon.cfg.RefreshList != nil && mon.cfg.Roster.ListComplete(time.Now()) {
@@ -97,141 +92,67 @@
 	return nil
 }
 
-// acquireClaim creates this VM's claim to a group.
-func (mon *Monitor) acquireClaim(ctx context.Context, g ident.Group, old ident.Target) (*heldClaim, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	sent := mon.cfg.Clock()
-	lease, err := mon.cfg.Store.GrantLease(ctx, claimTTL)
+// chooseSuccessor returns the database to promote, after it has made sure that no
+// commit which that database lacks can be acknowledged any more.
+func (f *failover) chooseSuccessor(ctx context.Context) (best roster.Member, err error) {
+	replies, err := f.collectStatuses()
 	if err != nil {
-		return nil, &Error{Op: "claim", Kind: KindStore, Group: g, Err: err}
+		return best, err
 	}
-	c := &heldClaim{lease: lease, expiresAt: sent.Add(claimTTL)}
-	value, err := json.Marshal(claim{mon.cfg.VM, old})
-	if err != nil {
-		return nil, &Error{Op: "claim", Kind: KindStore, Group: g, Err: err}
+	primary, works := answeringPrimary(replies, f.old)
+	if works && (f.why == reasonLeaving || f.why == reasonMissing) {
+		return f.prepareTransfer(ctx, &primary, replies)
 	}
-	res, err := store.Swap(ctx, mon.cfg.Store, store.Write{Key: "failover/" + string(g), Value: value, Lease: lease})
-	if err != nil {
-		mon.releaseClaim(c)
-		return nil, &Error{Op: "claim", Kind: KindStore, Group: g, Err: err}
+	if !works && f.why != reasonSilent && f.mon.confirmedByPeer(ctx, f.st.id, f.old) {
+		return best, f.error("status", KindPrimaryWorks, f.old)
 	}
-	if !res.Done {
-		mon.releaseClaim(c)
-		return nil, &Error{Op: "claim", Kind: KindClaimed, Group: g}
+	if id, ok := enoughAnswered(replies); !ok {
+		return best, f.error("status", KindNoAnswer, id)
 	}
-	c.token = res.Current.Revision
-	return c, nil
+	return f.fenceAll(answeredReplicas(replies), nextTerm(replies))
 }
 
-// releaseClaim ends a claim. If the call fails, the claim ends with its lease.
-func (mon *Monitor) releaseClaim(c *heldClaim) {
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		defer cancel()
-		if err := mon.cfg.Store.RevokeLease(ctx, c.lease); err != nil {
-			mon.logClaimUnreleased(err)
-		}
-	}()
-}
-
-// collectStatuses asks every database of the group for its status. If a replica
-// does not answer and the primary is to be replaced although it works, the primary
-// is demoted: from then on it acknowledges no commit, and its log holds every
-// acknowledged commit.
-func (mon *Monitor) collectStatuses(st *groupState, old ident.Target, why reason) ([]reply, error) {
-	replies := mon.controlAll(dbop.Statement{Kind: dbop.Status}, mon.cfg.Roster.AllMembers(st.id))
-	if id, ok := otherPrimary(replies, old); ok {
-		return nil, &Error{Op: "status", Kind: KindOtherPrimary, Group: st.id, Target: id}
-	}
-	id, ok := enoughAnswered(replies)
-	if ok {
-		return replies, nil
-	}
-	if m, works := answeringPrimary(replies, old); works && (why == reasonLeaving || why == reasonMissing) {
-		if s, demoted := mon.control(dbop.Statement{Kind: dbop.Demote, Term: nextTerm(replies)}, &m); demoted && !s.Primary {
-			replies = mon.controlAll(dbop.Statement{Kind: dbop.Status}, mon.cfg.Roster.AllMembers(st.id))
-			id, ok = enoughAnswered(replies)
-			// Without the demoted database's log, those of the others may lack
-			// acknowledged commits.
-			ok = ok && hasAnswered(replies, old)
-		}
-	}
-	if !ok {
-		return nil, &Error{Op: "status", Kind: KindNoAnswer, Group: st.id, Target: id}
+// collectStatuses asks every database of the group for its status.
+func (f *failover) collectStatuses() ([]reply, error) {
+	replies := f.mon.controlAll(dbop.Statement{Kind: dbop.Status}, f.mon.cfg.Roster.AllMembers(f.st.id))
+	if id, ok := otherPrimary(replies, f.old); ok {
+		return nil, f.error("status", KindOtherPrimary, id)
 	}
 	return replies, nil
 }
 
-// fenceReplicas stops every replica from accepting log entries of the current
-// term, and returns the one to promote and those that were fenced. With an error,
-// some of the latter may not be fenced.
-func (mon *Monitor) fenceReplicas(st *groupState, old ident.Target, why reason, c *heldClaim) (best roster.Member, fenced []roster.Member, err error) {
-	replies, err := mon.collectStatuses(st, old, why)
+// fenceAll stops every replica from accepting log entries of the current term, and
+// returns the one with the highest position.
+func (f *failover) fenceAll(replicas []roster.Member, term ident.Term) (best roster.Member, err error) {
+	replies, err := f.fence(replicas, term)
 	if err != nil {
-		return best, nil, err
+		return best, err
 	}
-	replicas := answeredReplicas(replies)
-	replies = mon.controlAll(dbop.Statement{Kind: dbop.Fence, Term: nextTerm(replies)}, replicas)
-	for _, r := range replies {
-		if !r.answered {
-			return best, replicas, &Error{Op: "fence", Kind: KindNoAnswer, Group: st.id, Target: r.member.ID}
-		}
-	}
-	best, ok := mostAdvanced(replies, mon.cfg.RegionOf, mon.cfg.HomeRegion)
+	best, ok := mostAdvanced(replies, f.mon.cfg.RegionOf, f.mon.cfg.HomeRegion)
 	if !ok {
-		return best, replicas, &Error{Op: "fence", Kind: KindNoAnswer, Group: st.id}
-	}
-	if !c.allowsCall(mon.cfg.Clock()) {
-		return best, replicas, &Error{Op: "fence", Kind: KindClaimExpired, Group: st.id}
-	}
-	return best, replicas, nil
-}
-
-// controlAll sends a statement to each member at the same time.
-func (mon *Monitor) controlAll(st dbop.Statement, ms []roster.Member) []reply {
-	out := make([]reply, len(ms))
-	var wg sync.WaitGroup
-	for i := range ms {
-		wg.Go(func() {
-			out[i] = reply{member: ms[i]}
-			out[i].status, out[i].answered = mon.control(st, &ms[i])
-		})
+		return best, f.error("fence", KindNoAnswer, "")
 	}
-	wg.Wait()
-	return out
+	return best, nil
 }
 
-// control sends a statement to one database. The statement takes a slot there, so
-// it is repeated while the database is busy.
-func (mon *Monitor) control(st dbop.Statement, m *roster.Member) (dbpool.Status, bool) {
-	end := time.Now().Add(2 * controlTimeout)
-	for time.Now().Before(end) {
-		conn, err := mon.cfg.Pools.GetLocal(time.Now().Add(controlTimeout), m, "", 0)
-		if err != nil {
-			if !isBusy(err) {
-				return dbpool.Status{}, false
-			}
-			continue
-		}
-		s, a, err := conn.Control(time.Now().Add(controlTimeout), st)
-		conn.Release(err == nil)
-		switch {
-		case err != nil:
-			mon.cfg.Pools.CloseIdleIfSilent(m, conn.SentAt())
-		case a.Code == dbop.OK:
-			return s, true
+// fence fences replicas and returns their answers. All have to answer, and a
+// promotion must still be allowed afterwards.
+func (f *failover) fence(replicas []roster.Member, term ident.Term) ([]reply, error) {
+	f.fenced = append(f.fenced, replicas...)
+	replies := f.mon.controlAll(dbop.Statement{Kind: dbop.Fence, Term: term}, replicas)
+	for _, r := range replies {
+		if !r.answered {
+			return nil, f.error("fence", KindNoAnswer, r.member.ID)
 		}
-		time.Sleep(pollInterval)
 	}
-	return dbpool.Status{}, false
+	if !f.claim.allowsCall(f.mon.cfg.Clock()) {
+		return nil, f.error("fence", KindClaimExpired, "")
+	}
+	return replies, nil
 }
 
-// isBusy reports whether a connection could not be had only because the pool or
-// the database had none free.
-func isBusy(err error) bool {
-	var e *dbpool.Error
-	return errors.As(err, &e) && (e.Kind == dbpool.KindWaitTimeout || e.Code == dbop.TooMany || e.Code == dbop.Busy)
+func (f *failover) error(op string, k Kind, id ident.Target) error {
+	return &Error{Op: op, Kind: k, Group: f.st.id, Target: id}
 }
 
 // requestPromotion calls the platform until it answers or the claim may end too
@@ -257,24 +178,17 @@
 }
 
 // awaitPromoted waits until the promoted database is the primary, at most for
-// promotionTimeout.
-func (mon *Monitor) awaitPromoted(ctx context.Context, st *groupState, m roster.Member) {
+// promotionTimeout, and reports whether it is.
+func (mon *Monitor) awaitPromoted(ctx context.Context, st *groupState, m roster.Member) bool {
 	end := time.Now().Add(promotionTimeout)
 	for time.Now().Before(end) {
 		code, err := mon.tryBegin(st, &m)
 		if err == nil && code == dbop.OK {
-			return
+			return true
 		}
 		if !wait.For(ctx, pollInterval) {
-			return
+			return false
 		}
 	}
-}
-
-// unfenceReplicas lets replicas accept entries again after a failover that ended
-// before any promotion call was sent.
-func (mon *Monitor) unfenceReplicas(ms []roster.Member) {
-	if len(ms) > 0 {
-		mon.controlAll(dbop.Statement{Kind: dbop.Unfence}, ms)
-	}
+	return false
 }
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -1,6 +1,7 @@
 package lead_test
 
 import (
+	"bytes"
 	"context"
 	"slices"
 	"strings"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/internal/lead"
@@ -26,6 +28,7 @@
 	store    *linktest.Store
 	promoter *linktest.Promoter
 	monitors []*lead.Monitor
+	log      bytes.Buffer
 	// suspended is how far Config.Clock is ahead of the bubble's clock.
 	suspended atomic.Int64
 }
@@ -63,6 +66,7 @@
 			mon := lead.New(lead.Config{
 				VM: ident.VM(rune('x' + i)), Roster: fx.cluster.Roster(), Pools: pools, Store: fx.store, Promoter: fx.promoter,
 				Peers: peers{fx, i}, Rank: func(ident.Group) int { return i }, Clock: fx.now,
+				Log: zerolog.New(zerolog.SyncWriter(&fx.log)),
 			})
 			mon.Watch([]ident.Group{"g"})
 			fx.monitors = append(fx.monitors, mon)
@@ -165,14 +169,20 @@
 	})
 }
 
+// otherMonitor returns the monitor of a further VM, which answers the others.
+func (f *fixture) otherMonitor() *lead.Monitor {
+	mon := lead.New(lead.Config{Roster: f.cluster.Roster(), Pools: &dbpool.Pools{
+		Dialer: f.cluster, Roster: f.cluster.Roster(), ConnLimit: func(*roster.Member) int { return 4 },
+	}})
+	f.monitors = append(f.monitors, mon)
+	return mon
+}
+
 // TestOneCutOff guards against the replacement of a primary that only one VM can't
 // reach.
 func TestOneCutOff(t *testing.T) {
 	run(t, 1, func(is *is.I, f *fixture) {
-		other := lead.New(lead.Config{Roster: f.cluster.Roster(), Pools: &dbpool.Pools{
-			Dialer: f.cluster, Roster: f.cluster.Roster(), ConnLimit: func(*roster.Member) int { return 4 },
-		}})
-		f.monitors = append(f.monitors, other)
+		other := f.otherMonitor()
 		f.cluster.Update("a", func(d *linktest.DB) { d.Unreachable = true })
 		for range 100 {
 			other.Confirm("g", "a", ident.Position{Term: 1, Index: 1}, time.Now())
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -58,9 +58,9 @@
 	maxRank   = 5
 	// retryDelay is the delay after a failed or refuted failover attempt.
 	retryDelay = 250 * time.Millisecond
-	// claimedRetryDelay is the delay after an attempt that found another VM's
-	// claim. It is longer, because each attempt costs calls to the store.
-	claimedRetryDelay = 800 * time.Millisecond
+	// longRetryDelay is the delay after an attempt that found another VM's claim,
+	// or no successor. It is longer, because each attempt costs calls to the store.
+	longRetryDelay = 800 * time.Millisecond
 )
 
 // reason tells why a group needs another primary; it is empty if it does not.
@@ -285,8 +285,8 @@
 	if err := mon.failOver(ctx, st, old, why); err != nil {
 		mon.logAbandoned(st.id, err)
 		var e *Error
-		if errors.As(err, &e) && e.Kind == KindClaimed {
-			return claimedRetryDelay
+		if errors.As(err, &e) && (e.Kind == KindClaimed || e.Kind == KindNoSuccessor) {
+			return longRetryDelay
 		}
 		return retryDelay
 	}
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -12,7 +12,10 @@
 type reply struct {
 	member   roster.Member
 	answered bool
-	status   dbpool.Status
+	// outstanding is set when a try got no answer, so that the statement may still
+	// be carried out.
+	outstanding bool
+	status      dbpool.Status
 }
 
 // missingReplicaTimeout is how long a replica must have been missing from the list
@@ -22,28 +25,30 @@
 
 // mayHoldCommit reports whether a database that did not answer may hold an
 // acknowledged commit that no other has. One that has left as planned held no such
-// commit.
-func mayHoldCommit(m *roster.Member) bool {
+// commit. primaryWorks reports whether the primary answered: it may then have
+// commits acknowledged by a replica that it alone reaches, however long that replica
+// has been missing from the list.
+func mayHoldCommit(m *roster.Member, primaryWorks bool) bool {
 	if m.MissingSince.IsZero() {
 		return true
 	}
-	return !m.Leaving && time.Since(m.MissingSince) < missingReplicaTimeout
+	return !m.Leaving && (primaryWorks || time.Since(m.MissingSince) < missingReplicaTimeout)
 }
 
 // enoughAnswered reports whether enough databases answered for a promotion, and
 // returns one that is missing otherwise. If the primary answered, all others must
 // have answered too. If not, one missing answer is allowed: the primary's.
 func enoughAnswered(replies []reply) (ident.Target, bool) {
-	maxMissing := 1
+	maxMissing, primaryWorks := 1, false
 	for _, r := range replies {
 		if r.answered && r.status.Primary {
-			maxMissing = 0
+			maxMissing, primaryWorks = 0, true
 		}
 	}
 	var missing ident.Target
 	missingCount := 0
 	for _, r := range replies {
-		if !r.answered && mayHoldCommit(&r.member) {
+		if !r.answered && mayHoldCommit(&r.member, primaryWorks) {
 			missing = r.member.ID
 			missingCount++
 		}
@@ -63,13 +68,13 @@
 
 // answeringPrimary returns the database to be replaced if it answered that it is
 // the primary.
-func answeringPrimary(replies []reply, old ident.Target) (roster.Member, bool) {
+func answeringPrimary(replies []reply, old ident.Target) (reply, bool) {
 	for _, r := range replies {
 		if r.answered && r.status.Primary && r.member.ID == old {
-			return r.member, true
+			return r, true
 		}
 	}
-	return roster.Member{}, false
+	return reply{}, false
 }
 
 // hasAnswered reports whether a database answered.
@@ -93,6 +98,31 @@
 	return out
 }
 
+// stayingReplicas returns the replicas that answered, are listed and are not
+// leaving. If there are none, it returns all replicas that answered.
+func stayingReplicas(replies []reply) []roster.Member {
+	all := answeredReplicas(replies)
+	var out []roster.Member
+	for _, m := range all {
+		if !m.Leaving && m.MissingSince.IsZero() {
+			out = append(out, m)
+		}
+	}
+	if len(out) == 0 {
+		return all
+	}
+	return out
+}
+
+// highestReceived returns the highest position that the databases received.
+func highestReceived(replies []reply) ident.Position {
+	var out ident.Position
+	for _, r := range replies {
+		out = out.Max(r.status.Received)
+	}
+	return out
+}
+
 // nextTerm returns a term above all that the replies contain.
 func nextTerm(replies []reply) ident.Term {
 	var t ident.Term
--- a/internal/lead/replies_test.go
+++ b/internal/lead/replies_test.go
@@ -42,6 +42,7 @@
 		"the replica crashed just now":   {[]reply{missingReply("a"), answeredReply("b", 1, false), lately}, false},
 		"the replica left as planned":    {[]reply{missingReply("a"), answeredReply("b", 1, false), left}, true},
 		"the replica is gone":            {[]reply{missingReply("a"), answeredReply("b", 1, false), gone}, true},
+		"gone, but the primary works":    {[]reply{answeredReply("a", 1, true), answeredReply("b", 1, false), gone}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, ok := enoughAnswered(c.replies)
@@ -98,7 +99,7 @@
 	is.Equal(got[0].ID, ident.Target("b"))
 	m, ok := answeringPrimary(replies, "a")
 	is.True(ok)
-	is.Equal(m.ID, ident.Target("a"))
+	is.Equal(m.member.ID, ident.Target("a"))
 	_, ok = answeringPrimary(replies, "b")
 	is.True(!ok)
 	is.True(hasAnswered(replies, "a") && !hasAnswered(replies, "c") && !hasAnswered(replies, "d"))
--- /dev/null
+++ b/internal/lead/transfer.go
@@ -0,0 +1,85 @@
+package lead
+
+import (
+	"context"
+	"time"
+
+	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/roster"
+	"chervilspan.example/pkg/wait"
+)
+
+// catchUpTimeout bounds the wait until a successor has received the entries that
+// another database already has. It covers a few round trips between regions.
+const catchUpTimeout = 500 * time.Millisecond
+
+// prepareTransfer chooses the successor of a primary that still works, but is
+// leaving or missing from the list. The successor stays in service and has the log
+// that the primary had when it was asked; without such a replica nothing changes.
+// The successor is fenced last, so that it goes on receiving what the other
+// replicas acknowledged before their fence.
+func (f *failover) prepareTransfer(ctx context.Context, primary *reply, replies []reply) (best roster.Member, err error) {
+	best, ok := f.awaitPosition(ctx, stayingReplicas(replies), primary.status.Received)
+	if !ok {
+		return best, f.error("catch up", KindNoSuccessor, best.ID)
+	}
+	if _, ok := enoughAnswered(replies); !ok {
+		return f.prepareDemoted(primary, replies)
+	}
+	var others []roster.Member
+	for _, m := range answeredReplicas(replies) {
+		if m.ID != best.ID {
+			others = append(others, m)
+		}
+	}
+	term := nextTerm(replies)
+	fenced, err := f.fence(others, term)
+	if err != nil {
+		return best, err
+	}
+	if _, ok := f.awaitPosition(ctx, []roster.Member{best}, highestReceived(fenced)); !ok {
+		return best, f.error("catch up", KindNoSuccessor, best.ID)
+	}
+	_, err = f.fence([]roster.Member{best}, term)
+	return best, err
+}
+
+// prepareDemoted chooses the successor of a working primary while a replica does not
+// answer. The primary is demoted first: from then on it acknowledges no commit, and
+// its log has every acknowledged commit. It may itself be the successor.
+func (f *failover) prepareDemoted(primary *reply, replies []reply) (best roster.Member, err error) {
+	r := f.mon.control(dbop.Statement{Kind: dbop.Demote, Term: nextTerm(replies)}, &primary.member)
+	if !r.answered || r.status.Primary {
+		return best, f.error("demote", KindNoAnswer, f.old)
+	}
+	if replies, err = f.collectStatuses(); err != nil {
+		return best, err
+	}
+	id, ok := enoughAnswered(replies)
+	if !ok || !hasAnswered(replies, f.old) {
+		return best, f.error("status", KindNoAnswer, id)
+	}
+	return f.fenceAll(answeredReplicas(replies), nextTerm(replies))
+}
+
+// awaitPosition waits until a database has received the log up to a position, and
+// returns the preferred one of those that have. ok is false if there is none within
+// catchUpTimeout.
+func (f *failover) awaitPosition(ctx context.Context, ms []roster.Member, pos ident.Position) (best roster.Member, ok bool) {
+	end := time.Now().Add(catchUpTimeout)
+	for {
+		var current []reply
+		for _, r := range f.mon.controlAll(dbop.Statement{Kind: dbop.Status}, ms) {
+			if r.answered && !r.status.Received.Less(pos) {
+				current = append(current, r)
+			}
+		}
+		if best, ok = mostAdvanced(current, f.mon.cfg.RegionOf, f.mon.cfg.HomeRegion); ok {
+			return best, true
+		}
+		if !time.Now().Before(end) || !wait.For(ctx, pollInterval) {
+			return best, false
+		}
+	}
+}
--- /dev/null
+++ b/internal/lead/transfer_test.go
@@ -0,0 +1,99 @@
+package lead_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilspan.example/internal/linktest"
+	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
+)
+
+// TestSuccessorFencedLast guards against a successor that lacks what a leaving replica
+// acknowledged between the two fences: the successor has to go on receiving the log
+// until the others accept no more of it.
+func TestSuccessorFencedLast(t *testing.T) {
+	run(t, 2, func(is *is.I, f *fixture) {
+		f.cluster.Update("a", func(d *linktest.DB) { d.Unlisted = true })
+		f.markLeaving("b")
+		time.Sleep(2 * time.Second)
+		is.Equal(f.promotions(), []string{"promote c"})
+		log := f.cluster.ControlLog()
+		is.True(slices.Index(log, "fence b") < slices.Index(log, "fence c"))
+	})
+}
+
+// TestUnlistedForOneVM guards against the replacement of a primary that is missing
+// from the list and unreachable for the VM that wants to replace it, while another VM
+// is in contact with it.
+func TestUnlistedForOneVM(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		other := f.otherMonitor()
+		f.cluster.Update("a", func(d *linktest.DB) { d.Unlisted, d.Unreachable = true, true })
+		for range 50 {
+			other.Confirm("g", "a", ident.Position{Term: 1, Index: 1}, time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(len(f.promotions()), 0)
+	})
+}
+
+// await waits until a control statement or promotion that begins with prefix was
+// carried out.
+func (f *fixture) await(is *is.I, prefix string) {
+	is.Helper()
+	end := time.Now().Add(15 * time.Second)
+	for !slices.ContainsFunc(f.cluster.ControlLog(), func(s string) bool { return strings.HasPrefix(s, prefix) }) {
+		is.True(time.Now().Before(end)) // carried out in time
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// TestNoUnfenceAfterClaim guards against an Unfence by a VM whose claim may have
+// expired: it would lift the fences on which the next claim relies.
+func TestNoUnfenceAfterClaim(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		f.cluster.Update("c", func(d *linktest.DB) { d.DroppedAnswers[dbop.Fence] = 100 })
+		f.remove("a")
+		f.await(is, "fence b")
+		f.suspend(4 * time.Second)
+		time.Sleep(1200 * time.Millisecond) // the fence of c is given up
+		is.True(!slices.Contains(f.cluster.ControlLog(), "unfence b"))
+		f.cluster.Update("c", func(d *linktest.DB) { d.DroppedAnswers[dbop.Fence] = 0 })
+		time.Sleep(3 * time.Second)
+		is.Equal(len(f.promotions()), 1)
+	})
+}
+
+// TestUnansweredUnfence guards against a claim that is released while an Unfence may
+// still be carried out, which would lift a fence of the next claim.
+func TestUnansweredUnfence(t *testing.T) {
+	run(t, 2, func(is *is.I, f *fixture) {
+		f.cluster.Update("c", func(d *linktest.DB) { d.DroppedAnswers[dbop.Fence] = 100 })
+		f.cluster.Update("b", func(d *linktest.DB) { d.DroppedAnswers[dbop.Unfence] = 1 })
+		f.remove("a")
+		f.await(is, "unfence b")
+		unfenced := time.Now()
+		f.cluster.Update("c", func(d *linktest.DB) { d.DroppedAnswers[dbop.Fence] = 0 })
+		f.await(is, "promote")
+		is.True(time.Since(unfenced) > 3*time.Second) // claimMargin
+	})
+}
+
+// TestNotPromoted guards against a failover that counts as done although the promoted
+// database has not become the primary.
+func TestNotPromoted(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		f.promoter.Ignore = true
+		f.remove("a")
+		time.Sleep(10 * time.Second)
+		tokens := f.promoter.Tokens()
+		is.True(len(tokens) > 1) // tried again
+		is.True(tokens[1] > tokens[0])
+		is.True(!strings.Contains(f.log.String(), "primary_elected"))
+	})
+}
--- a/internal/linktest/linktest.go
+++ b/internal/linktest/linktest.go
@@ -30,6 +30,8 @@
 	dbs   map[ident.Target]*DB
 	term  ident.Term
 	table *roster.Table
+	// formerGoesOn makes a replaced primary go on until it is demoted.
+	formerGoesOn bool
 	// controlLog has the control statements and promotions in the order in which
 	// they were carried out, as "kind target".
 	controlLog []string
@@ -42,6 +44,9 @@
 	// Index is that of the last log entry received and applied.
 	Index uint64
 	Term  ident.Term
+	// AppliedTerm, unless 0, is the term of the last applied entry where that is older
+	// than Term.
+	AppliedTerm ident.Term
 	// FenceTerm is the term below which the database refuses entries.
 	FenceTerm ident.Term
 	// Silent databases do not answer on connections. Unreachable ones accept no
@@ -152,12 +157,23 @@
 	return maps.Clone(c.dbs[id].ConnsByWorkspace)
 }
 
+// SetFormerGoesOn sets whether a replaced primary goes on for its own callers until
+// it is demoted. It gets no commit acknowledged.
+func (c *Cluster) SetFormerGoesOn(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.formerGoesOn = on
+}
+
 // Promote makes a database the primary.
 func (c *Cluster) Promote(id ident.Target) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.term++
 	for _, d := range c.dbs {
+		if c.formerGoesOn && d.Primary && d.ID != id {
+			continue
+		}
 		d.Primary = d.ID == id
 		d.Term, d.FenceTerm = c.term, 0
 	}
@@ -197,6 +213,15 @@
 
 func (d *DB) position() ident.Position { return ident.Position{Term: d.Term, Index: d.Index} }
 
+// appliedPosition returns the position of the last applied entry.
+func (d *DB) appliedPosition() ident.Position {
+	p := d.position()
+	if d.AppliedTerm != 0 {
+		p.Term = d.AppliedTerm
+	}
+	return p
+}
+
 type link struct {
 	c         *Cluster
 	d         *DB
@@ -251,7 +276,7 @@
 	if a.Code != dbop.OK && l.state == dbop.Open {
 		l.state = dbop.InError
 	}
-	a.State, a.Position = l.state, d.position()
+	a.State, a.Position = l.state, d.appliedPosition()
 	if d.DroppedAnswers[st.Kind] > 0 {
 		d.DroppedAnswers[st.Kind]--
 		return a, false
@@ -328,6 +353,9 @@
 // it.
 func (l *link) commit() {
 	l.d.Index++
+	if l.d.Term < l.c.term {
+		return // the replicas follow a newer primary
+	}
 	for _, r := range l.c.dbs {
 		if !r.Primary && !r.Removed && !r.Unreachable && r.FenceTerm <= l.c.term && !r.Silent {
 			r.Index = l.d.Index
@@ -352,12 +380,18 @@
 		d.FenceTerm = st.Term
 		l.c.controlLog = append(l.c.controlLog, "fence "+string(d.ID))
 	case dbop.Demote:
-		d.Primary = d.Primary && st.Term <= d.Term
+		if d.Primary && st.Term > d.Term {
+			d.Primary, d.Term = false, l.c.term
+		}
 		l.c.controlLog = append(l.c.controlLog, "demote "+string(d.ID))
 	case dbop.Unfence:
 		d.FenceTerm = 0
 		l.c.controlLog = append(l.c.controlLog, "unfence "+string(d.ID))
 	}
+	if d.DroppedAnswers[st.Kind] > 0 {
+		d.DroppedAnswers[st.Kind]--
+		return dbpool.Status{}, dbop.Answer{}, ErrNoAnswer
+	}
 	return dbpool.Status{Primary: d.Primary, Term: d.Term, Received: d.position(), FenceTerm: d.FenceTerm}, dbop.Answer{Position: d.position()}, nil
 }
 
--- a/internal/linktest/store.go
+++ b/internal/linktest/store.go
@@ -211,6 +211,8 @@
 	LostCalls int
 	// Refuse makes every call be refused.
 	Refuse bool
+	// Ignore makes calls be accepted but not carried out.
+	Ignore bool
 
 	mu     sync.Mutex
 	tokens []store.Revision
@@ -228,6 +230,8 @@
 		return 0, errDown
 	case old || p.Refuse:
 		return lead.Refused, nil
+	case p.Ignore:
+		return lead.Promoted, nil
 	}
 	p.Cluster.Promote(id)
 	return lead.Promoted, nil
