Confirm a primary by its group before a read at it counts

Cause: where the platform does not fence (FencingRequired false), a replaced primary goes on for its own callers, and accepts the start of a transaction, which the engine takes as the proof that it is the primary.

A VM that finds two primaries demotes that of the lower term; so does the VM that had the new one promoted. The setting fenced_promotions keeps the cheaper way where the platform fences.

Ruled out: read leases that a promoter waits out, since a VM in a cut zone can not know whether the store is down for others too; demotion before the promotion, which does not reach a primary that only others reach.

--- a/internal/engine/config.go
+++ b/internal/engine/config.go
@@ -64,6 +64,13 @@
 	// before since, by Config.Clock. It asks the primary if necessary, until the
 	// deadline.
 	CoveringPosition(deadline time.Time, g ident.Group, since time.Time) (ident.Position, bool)
+	// RequestConfirmation prepares for AwaitConfirmation without waiting.
+	RequestConfirmation(g ident.Group, id ident.Target, since time.Time)
+	// AwaitConfirmation reports whether a database had not been replaced as the
+	// primary at since, by Config.Clock, or later, so that what it answers after since
+	// includes every commit acknowledged before. It asks other databases if necessary,
+	// until the deadline.
+	AwaitConfirmation(deadline time.Time, g ident.Group, id ident.Target, since time.Time) bool
 	// Confirm reports that a database was the primary when it answered, with the
 	// given position, a request sent at the given time by Config.Clock.
 	Confirm(g ident.Group, id ident.Target, pos ident.Position, sent time.Time)
--- a/internal/engine/fixture_test.go
+++ b/internal/engine/fixture_test.go
@@ -155,10 +155,24 @@
 
 // run calls f in a synctest bubble, 2 s after the engine's start.
 func run(t *testing.T, f func(*testing.T, *fixture)) {
+	t.Helper()
+	runWith(t, false, f)
+}
+
+// runUnfenced is like run, on a platform where a replaced primary goes on until it is
+// demoted.
+func runUnfenced(t *testing.T, f func(*testing.T, *fixture)) {
+	t.Helper()
+	runWith(t, true, f)
+}
+
+func runWith(t *testing.T, unfenced bool, f func(*testing.T, *fixture)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		fx := &fixture{c: linktest.New("g", "a", "b", "c"), index: access.NewKeyIndex(catalogue(1, "key"))}
 		pools := &dbpool.Pools{Dialer: fx.c, Roster: fx.c.Roster(), ConnLimit: func(*roster.Member) int { return 4 }}
-		monitor := lead.New(lead.Config{Roster: fx.c.Roster(), Pools: pools, Store: downStore(), Promoter: &linktest.Promoter{Cluster: fx.c}})
+		monitor := lead.New(lead.Config{Roster: fx.c.Roster(), Pools: pools, Store: downStore(), Promoter: &linktest.Promoter{Cluster: fx.c}, Unfenced: unfenced})
+		fx.c.SetFormerGoesOn(unfenced)
 		ctx, cancel := context.WithCancel(t.Context())
 		monitor.Watch([]ident.Group{"g"})
 		var wg sync.WaitGroup
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -167,6 +167,7 @@
 			break
 		}
 		c.offered = true
+		s.e.cfg.Primaries.RequestConfirmation(conn.Group, conn.Target, c.receivedAt)
 		st := c.st
 		st.Scheduling = c.scheduling
 		answers, err := conn.Do(c.deadline, st, dbop.Statement{Kind: dbop.Rollback})
@@ -187,6 +188,12 @@
 		default:
 			conn.Release(true)
 		}
+		if a.Code == dbop.OK && !s.e.cfg.Primaries.AwaitConfirmation(c.deadline, conn.Group, conn.Target, c.receivedAt) {
+			// A newer primary may have acknowledged commits that the read missed.
+			s.recordFailure(c, conn.Target, dbop.ReadOnly)
+			b.wait(c)
+			continue
+		}
 		if !s.shouldRetry(c, conn, a.Code) {
 			return a
 		}
@@ -405,7 +412,7 @@
 
 // recordCommit records the position of an acknowledged commit.
 func (s *Session) recordCommit(g ident.Group, id ident.Target, pos ident.Position, sent time.Time) {
-	s.lastCommit = s.lastCommit.Max(pos)
+	s.lastCommit, s.lastCommitAt = s.lastCommit.Max(pos), s.e.cfg.Clock()
 	s.e.cfg.Primaries.ReportWrite(g, id)
 	s.e.cfg.Primaries.Confirm(g, id, pos, sent)
 }
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -56,9 +56,11 @@
 
 	vars     map[string]string
 	prepared map[string]preparedStatement
-	// lastCommit is the position of the session's last commit.
-	lastCommit ident.Position
-	tx         *txn
+	// lastCommit is the position of the session's last commit, and lastCommitAt when
+	// that was acknowledged, by Config.Clock.
+	lastCommit   ident.Position
+	lastCommitAt time.Time
+	tx           *txn
 	// ending is set when the session must end after the current answer.
 	ending bool
 }
--- a/internal/engine/txn.go
+++ b/internal/engine/txn.go
@@ -23,6 +23,11 @@
 	conn *dbpool.Conn
 	// hasRun is set when a statement has run.
 	hasRun bool
+	// atPrimary is set when the transaction was started at the primary.
+	atPrimary bool
+	// confirmed is set when the database is known to have been the primary, as the
+	// transaction's reads require.
+	confirmed bool
 	// hasWritten is set when a write has run.
 	hasWritten bool
 	failed     bool
@@ -126,6 +131,15 @@
 		if !ok {
 			return s.failConnLost(c, tx)
 		}
+		if a.Code == dbop.OK && !writes && !s.confirmTxn(c, tx) {
+			if tx.hasRun {
+				tx.fail()
+				return dbop.Answer{Code: dbop.Aborted, Text: "the database may no longer be the primary; the transaction is rolled back"}
+			}
+			s.restartTxn(c, tx, dbop.ReadOnly)
+			b.wait(c)
+			continue
+		}
 		if a.Code == dbop.OK {
 			tx.hasRun = true
 			tx.hasWritten = tx.hasWritten || writes
@@ -192,11 +206,41 @@
 	if tx.hasRun || a.Code == dbop.Crowded {
 		return false
 	}
-	s.recordFailure(c, id, a.Code)
+	s.restartTxn(c, tx, a.Code)
+	return true
+}
+
+// restartTxn rolls back a transaction of which no statement has run at its database
+// and gives its connection back. The next attempt starts it again.
+func (s *Session) restartTxn(c *call, tx *txn, why dbop.Code) {
 	conn := tx.conn
 	tx.conn = nil
+	s.recordFailure(c, conn.Target, why)
 	conn.Rollback(time.Now().Add(rollbackTimeout))
-	return true
+}
+
+// confirmTxn reports whether reads of the transaction at the primary see what the
+// route requires: the commits acknowledged before the transaction began, less the
+// accepted age. Reads of read-only transactions elsewhere carry a floor instead.
+func (s *Session) confirmTxn(c *call, tx *txn) bool {
+	if tx.confirmed || !tx.atPrimary {
+		return true
+	}
+	tx.confirmed = s.e.cfg.Primaries.AwaitConfirmation(c.deadline, tx.conn.Group, tx.conn.Target, s.requiredSince(tx))
+	return tx.confirmed
+}
+
+// requiredSince returns the time before which all acknowledged commits have to be
+// seen by the transaction's reads. The session's own commits are always among them.
+func (s *Session) requiredSince(tx *txn) time.Time {
+	if s.strict() {
+		return tx.beganAt
+	}
+	since := tx.beganAt.Add(-s.auth.MaxAge)
+	if s.lastCommitAt.After(since) {
+		return s.lastCommitAt
+	}
+	return since
 }
 
 // failConnLost fails the transaction after a statement before the commit got no
@@ -215,18 +259,14 @@
 // succeeded before the deadline.
 func (s *Session) startAtDatabase(c *call, tx *txn) bool {
 	if !tx.readOnly || s.strict() {
-		conn, ok := s.beginAtPrimary(c)
-		tx.conn = conn
-		return ok
+		return s.startAtPrimary(c, tx)
 	}
 	var b backoff
 	tried := map[ident.Target]bool{}
 	for c.canAttempt() {
 		floor, ok := s.floor(&call{receivedAt: tx.beganAt, deadline: c.deadline})
 		if !ok {
-			conn, ok := s.beginAtPrimary(c)
-			tx.conn = conn
-			return ok
+			return s.startAtPrimary(c, tx)
 		}
 		m, ok := s.chooseReadTarget(tried)
 		if !ok {
@@ -237,7 +277,7 @@
 		tried[m.ID] = true
 		conn, why := s.beginAt(c, m, dbop.Statement{Kind: dbop.BeginRead, Floor: floor})
 		if conn != nil {
-			tx.conn = conn
+			tx.conn, tx.atPrimary = conn, false
 			return true
 		}
 		s.recordFailure(c, m.ID, why)
@@ -245,6 +285,16 @@
 	return false
 }
 
+// startAtPrimary starts the transaction at the primary.
+func (s *Session) startAtPrimary(c *call, tx *txn) bool {
+	conn, ok := s.beginAtPrimary(c)
+	tx.conn, tx.atPrimary = conn, ok
+	if ok {
+		s.e.cfg.Primaries.RequestConfirmation(conn.Group, conn.Target, s.requiredSince(tx))
+	}
+	return ok
+}
+
 // commit commits the transaction.
 func (s *Session) commit(c *call, tx *txn) dbop.Answer {
 	if tx.conn == nil && !s.startAtDatabase(c, tx) {
--- a/internal/evlog/failover.go
+++ b/internal/evlog/failover.go
@@ -18,4 +18,5 @@
 	PrimaryDeposed      = register(Event{411, "primary_deposed", zerolog.InfoLevel, "A database that was known as the primary refused a read-write transaction.", "Nothing; the databases of the group are asked which one is the primary."})
 	PromotionUnanswered = register(Event{412, "promotion_unanswered", zerolog.WarnLevel, "The platform did not answer a promotion; the request is repeated while the claim lasts.", "Check the platform if this recurs."})
 	ClaimUnreleased     = register(Event{413, "claim_unreleased", zerolog.InfoLevel, "The claim of a failover could not be released; it expires with its lease.", "Nothing."})
+	FormerDemoted       = register(Event{414, "former_demoted", zerolog.WarnLevel, "This VM has demoted a database that still took itself for the primary although another one leads in a higher term; `answered` says whether it confirmed that.", "Nothing; reads that it answered after its replacement are not passed on."})
 )
--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -48,6 +48,7 @@
 		return &Error{Op: "await", Kind: KindNotPromoted, Group: st.id, Target: best.ID}
 	}
 	mon.logElected(st.id, best.ID, old, c.token)
+	mon.demoteFormer(st, old, best)
 	return nil
 }
 
@@ -115,6 +116,9 @@
 // collectStatuses asks every database of the group for its status.
 func (f *failover) collectStatuses() ([]reply, error) {
 	replies := f.mon.controlAll(dbop.Statement{Kind: dbop.Status}, f.mon.cfg.Roster.AllMembers(f.st.id))
+	if f.mon.cfg.Unfenced {
+		f.mon.demoteOlder(replies)
+	}
 	if id, ok := otherPrimary(replies, f.old); ok {
 		return nil, f.error("status", KindOtherPrimary, id)
 	}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -54,6 +54,13 @@
 	// for primaries.
 	RegionOf   func(ident.Zone) ident.Region
 	HomeRegion ident.Region
+	// Unfenced is set where the platform does not end a primary's work when it
+	// promotes another database. A replaced primary then goes on until it is demoted
+	// or hears of the new one, and its own answers do not show that it is the primary.
+	Unfenced bool
+	// SyncReplicas returns the number of replicas that must have received a commit of
+	// a group before it is acknowledged; nil means one.
+	SyncReplicas func(ident.Group) int
 	// Clock is used for the expiry of claims and the age of positions; nil means
 	// time.Now. Machines that can be suspended need a clock that advances during
 	// the suspension.
@@ -95,6 +102,11 @@
 	// of callers that wait for it.
 	changed chan struct{}
 	waiters int
+	// round is the running round of questions to all databases, and proof the last
+	// time as of which a primary is known not to have been replaced. Both are used
+	// only with Config.Unfenced.
+	round *round
+	proof proof
 	// probeRequested is true if a statement has gone unanswered since the primary
 	// was last probed.
 	probeRequested bool
@@ -108,6 +120,9 @@
 	if cfg.Rank == nil {
 		cfg.Rank = func(ident.Group) int { return 0 }
 	}
+	if cfg.SyncReplicas == nil {
+		cfg.SyncReplicas = func(ident.Group) int { return 1 }
+	}
 	if cfg.RegionOf == nil {
 		cfg.RegionOf = func(ident.Zone) ident.Region { return "" }
 	}
@@ -212,6 +227,9 @@
 		if pos, ok := st.positions.Covering(since); ok {
 			return pos, true
 		}
+		if id, ok := mon.cfg.Roster.Primary(g); ok && mon.cfg.Unfenced {
+			mon.RequestConfirmation(g, id, since)
+		}
 		if !st.probeAndWait(deadline, changed, nil) {
 			return ident.Position{}, false
 		}
@@ -222,12 +240,22 @@
 // database is the primary.
 func (mon *Monitor) Confirm(g ident.Group, id ident.Target, pos ident.Position, sent time.Time) {
 	st := mon.groupState(g)
+	if mon.cfg.Unfenced {
+		mon.presume(st, id, pos)
+		return
+	}
 	if !pos.IsZero() {
 		st.positions.Confirm(pos, sent)
 	}
 	if mon.cfg.Roster.ConfirmPrimary(g, id) {
 		mon.logLearned(g, id, pos)
 	}
+	st.recordPrimary(id)
+}
+
+// recordPrimary records that a database acted as the primary and wakes the callers
+// that wait for one.
+func (st *groupState) recordPrimary(id ident.Target) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	if st.primary != id {
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -29,6 +29,8 @@
 	promoter *linktest.Promoter
 	monitors []*lead.Monitor
 	log      bytes.Buffer
+	// unfenced is the monitors' Config.Unfenced.
+	unfenced bool
 	// suspended is how far Config.Clock is ahead of the bubble's clock.
 	suspended atomic.Int64
 }
@@ -56,8 +58,22 @@
 // run starts n VMs in a synctest bubble and calls f when the list of databases
 // counts as complete.
 func run(t *testing.T, n int, f func(*is.I, *fixture)) {
+	t.Helper()
+	runWith(t, n, &fixture{}, f)
+}
+
+// runUnfenced is like run, on a platform where a replaced primary goes on until it is
+// demoted.
+func runUnfenced(t *testing.T, n int, f func(*is.I, *fixture)) {
+	t.Helper()
+	runWith(t, n, &fixture{unfenced: true}, f)
+}
+
+func runWith(t *testing.T, n int, fx *fixture, f func(*is.I, *fixture)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		fx := &fixture{cluster: linktest.New("g", "a", "b", "c"), store: &linktest.Store{}}
+		fx.cluster, fx.store = linktest.New("g", "a", "b", "c"), &linktest.Store{}
+		fx.cluster.SetFormerGoesOn(fx.unfenced)
 		fx.promoter = &linktest.Promoter{Cluster: fx.cluster}
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
@@ -65,7 +81,7 @@
 			pools := &dbpool.Pools{Dialer: fx.cluster, Roster: fx.cluster.Roster(), ConnLimit: func(*roster.Member) int { return 4 }}
 			mon := lead.New(lead.Config{
 				VM: ident.VM(rune('x' + i)), Roster: fx.cluster.Roster(), Pools: pools, Store: fx.store, Promoter: fx.promoter,
-				Peers: peers{fx, i}, Rank: func(ident.Group) int { return i }, Clock: fx.now,
+				Peers: peers{fx, i}, Rank: func(ident.Group) int { return i }, Clock: fx.now, Unfenced: fx.unfenced,
 				Log: zerolog.New(zerolog.SyncWriter(&fx.log)),
 			})
 			mon.Watch([]ident.Group{"g"})
--- a/internal/lead/log.go
+++ b/internal/lead/log.go
@@ -42,6 +42,11 @@
 	evlog.At(mon.cfg.Log, evlog.PromotionUnanswered).Str("group", string(g)).Str("target", string(id)).Err(err).Send()
 }
 
+func (mon *Monitor) logDemoted(r *reply, term ident.Term, answered bool) {
+	evlog.At(mon.cfg.Log, evlog.FormerDemoted).Str("group", string(r.member.Group)).Str("target", string(r.member.ID)).
+		Uint64("its_term", uint64(r.status.Term)).Uint64("term", uint64(term)).Bool("answered", answered).Send()
+}
+
 func (mon *Monitor) logClaimUnreleased(err error) {
 	evlog.At(mon.cfg.Log, evlog.ClaimUnreleased).Err(err).Send()
 }
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -126,6 +126,9 @@
 		st.mu.Unlock()
 		if m, known := mon.cfg.Roster.Member(st.id, id); known && needsProbe {
 			mon.probe(st, &m)
+			if mon.cfg.Unfenced {
+				mon.RequestConfirmation(st.id, id, mon.cfg.Clock())
+			}
 		}
 		if _, ok = mon.cfg.Roster.Primary(st.id); ok {
 			if st.unreachable() {
@@ -165,26 +168,34 @@
 	}
 }
 
-// tryBegin begins and rolls back a read-write transaction, which takes no slot. A
-// database that accepts it is confirmed as the primary.
+// tryBegin asks a database to begin a read-write transaction. A database that
+// accepts it is confirmed as the primary.
 func (mon *Monitor) tryBegin(st *groupState, m *roster.Member) (dbop.Code, error) {
+	a, sent, err := mon.askBegin(m)
+	if err == nil && a.Code == dbop.OK {
+		mon.Confirm(st.id, m.ID, a.Position, sent)
+	}
+	return a.Code, err
+}
+
+// askBegin begins and rolls back a read-write transaction, which takes no slot. It
+// returns the answer to the start and when that was sent, by Config.Clock.
+func (mon *Monitor) askBegin(m *roster.Member) (a dbop.Answer, sent time.Time, err error) {
+	unknown := dbop.Answer{Code: dbop.Unknown}
 	deadline := time.Now().Add(probeTimeout)
 	conn, err := mon.cfg.Pools.Get(deadline, m, "", 0)
 	if err != nil {
-		return dbop.Unknown, err
+		return unknown, sent, err
 	}
-	sent := mon.cfg.Clock()
+	sent = mon.cfg.Clock()
 	answers, err := conn.Do(time.Now().Add(probeTimeout), dbop.Statement{Kind: dbop.Begin}, dbop.Statement{Kind: dbop.Rollback})
 	if err != nil {
 		conn.Release(false)
 		mon.cfg.Pools.CloseIdleIfSilent(m, conn.SentAt())
-		return dbop.Unknown, err
+		return unknown, sent, err
 	}
 	conn.Release(true)
-	if answers[0].Code == dbop.OK {
-		mon.Confirm(st.id, m.ID, answers[0].Position, sent)
-	}
-	return answers[0].Code, nil
+	return answers[0], sent, nil
 }
 
 // recordFailure records an error that indicates the loss of the primary. A pool
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -66,6 +66,27 @@
 	return "", false
 }
 
+// highestTerm returns the highest term that a database has seen.
+func highestTerm(replies []reply) ident.Term {
+	var t ident.Term
+	for _, r := range replies {
+		t = max(t, r.status.Term, r.status.Received.Term)
+	}
+	return t
+}
+
+// primaryOf returns the database that is the primary in the highest term. ok is false
+// if there is none.
+func primaryOf(replies []reply) (primary reply, ok bool) {
+	highest := highestTerm(replies)
+	for _, r := range replies {
+		if r.answered && r.status.Primary && r.status.Term == highest {
+			return r, true
+		}
+	}
+	return primary, false
+}
+
 // answeringPrimary returns the database to be replaced if it answered that it is
 // the primary.
 func answeringPrimary(replies []reply, old ident.Target) (reply, bool) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -132,6 +132,7 @@
 		VM: s.VM, Roster: n.roster, Pools: n.pools, Store: a.Store, Promoter: a.Promoter, Peers: vmPeers{n}, RefreshList: n.disco.Refresh,
 		Rank:     func(g ident.Group) int { return n.fleet.Rank("failover/"+string(g), s.homeRegion()) },
 		RegionOf: n.regionOf, HomeRegion: s.homeRegion(), Clock: uptime.Now, Log: log,
+		Unfenced: !s.FencedPromotions, SyncReplicas: n.syncReplicas,
 	})
 	n.engine = engine.New(engine.Config{
 		Access: n.follower, Limiter: n.limiter, Primaries: n.monitor, Pools: n.pools, Roster: n.roster,
@@ -146,6 +147,15 @@
 // Reload applies the settings that may change while the VM runs.
 func (n *Node) Reload(s *Settings) { n.gracePeriod.Store(int64(s.Grace())) }
 
+// syncReplicas returns the number of replicas that must have received a commit of a
+// group before it is acknowledged.
+func (n *Node) syncReplicas(g ident.Group) int {
+	if c := n.follower.Catalogue(); c != nil && c.Groups[g].Ack == catal.AckPrimary {
+		return 0
+	}
+	return 1
+}
+
 func (n *Node) regionOf(z ident.Zone) ident.Region { return n.settings.Zones[z] }
 
 // Run serves until ctx ends, then stops gracefully. It returns an *Error if a
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -32,6 +32,10 @@
 	Platform string `json:"platform"`
 	// FirstStart is true when the whole deployment starts for the first time.
 	FirstStart bool `json:"first_start,omitempty"`
+	// FencedPromotions is true where the platform ends a primary's work in the moment
+	// in which another database takes over. Otherwise a replaced primary may go on for
+	// a while, and reads at a primary need the word of other databases.
+	FencedPromotions bool `json:"fenced_promotions,omitempty"`
 	// RateExcess is how far workspaces may exceed their rates.
 	RateExcess RateExcess `json:"rate_excess,omitzero"`
 	// MemoryMB is the VM's memory in MiB; 0 means no memory limit.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -316,6 +316,24 @@
 	return true
 }
 
+// ProposePrimary records that a database acted as the primary, unless another one is
+// the presumed primary or this one was deposed a moment ago. It reports whether the
+// database is now the presumed primary, and whether that is new.
+func (t *Table) ProposePrimary(gid ident.Group, id ident.Target, now time.Time) (changed, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.groupOf(gid)
+	switch {
+	case g.primary == id:
+		return false, true
+	case g.primary != "" || now.Sub(g.deposedAt[id]) <= deposedPeriod:
+		return false, false
+	}
+	g.setPrimary(id)
+	t.notify()
+	return true, true
+}
+
 // DeposePrimary records that a database was not the primary at now. It reports
 // whether the database was the presumed primary.
 func (t *Table) DeposePrimary(gid ident.Group, id ident.Target, now time.Time) bool {
