Hold a lease for rate slices only on VMs that have some

Cause: each VM of the fleet obtained a lease for slices and renewed it every 7.5 s, although 36 slices can have 36 holders; on 295 VMs 259 of these leases held nothing. The pause between claims grew with the VMs, not with the claimers: up to 2.4 s before a VM of 295 counted as ready after a restart.

Change: a VM that is to hold no slice makes no call, and is ready when it knows the list of VMs. Without the list it obtains the lease after 1.5 s as before, which shows whether the store answers. The pause counts the VMs that claim.

Ruled out: one lease for the VM's entry and its slices; their lifetimes differ. TestLeasesOfHolders fails before (40 leases for 4 slices).

--- a/internal/limit/rate_test.go
+++ b/internal/limit/rate_test.go
@@ -244,6 +244,36 @@
 	})
 }
 
+// TestLeasesOfHolders guards against calls to the store by VMs that hold no slice,
+// whose number grows with the fleet, and against such a VM that is never ready, or
+// that does not claim the slices of a VM that dies.
+func TestLeasesOfHolders(t *testing.T) {
+	const vms, slices = 40, 4
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := rates(map[ident.Workspace][2]int{"w": {100, 50}})
+		c.Sharing = catal.Sharing{Shards: 1, Slices: slices}
+		f := newTestFleet(vms, c, func(f *testFleet) { f.batches = true })
+		defer f.stop()
+		time.Sleep(3 * time.Second)
+		leases, holder := 0, (*testVM)(nil)
+		for _, v := range f.vms {
+			is.True(v.Ready())
+			v.slices.mu.Lock()
+			if v.slices.lease != 0 {
+				leases++
+				holder = v
+			}
+			v.slices.mu.Unlock()
+		}
+		is.True(leases > 0 && leases <= slices)
+		is.Equal(len(f.holders(t)), slices)
+		f.kill(holder)
+		time.Sleep(20 * time.Minute) // past the lease of the dead VM
+		is.Equal(len(f.holders(t)), slices)
+	})
+}
+
 // TestReadyAfterFleetStart guards against VMs that become ready late after a start
 // of the whole fleet because they wait between the calls that claim their slices.
 func TestReadyAfterFleetStart(t *testing.T) {
--- a/internal/limit/slices.go
+++ b/internal/limit/slices.go
@@ -26,6 +26,10 @@
 	// foreignRetryDelay is the time until the key of a slice that another VM holds
 	// is read again.
 	foreignRetryDelay = 10 * time.Second
+	// membershipTimeout is how long a VM waits for the list of VMs before it obtains a
+	// lease without knowing whether it is to hold slices, which also shows whether the
+	// store answers.
+	membershipTimeout = 1500 * time.Millisecond
 	storeRetryDelay   = 5 * time.Second
 	storeTimeout      = 2 * time.Second
 )
@@ -57,6 +61,8 @@
 	// leaseRevoked is set when the lease has been given up for good.
 	leaseRevoked bool
 	idlePasses   int // completed passes with no slice to claim or release
+	// startedAt is when the first call could have been made, by Config.Clock.
+	startedAt time.Time
 }
 
 // heldSlices returns the slices of a shard that this VM holds.
@@ -89,6 +95,9 @@
 		case <-l.wakeSlices:
 		}
 	}
+	l.slices.mu.Lock()
+	l.slices.startedAt = l.now()
+	l.slices.mu.Unlock()
 	// When all VMs start at once, their first writes are spread like later ones.
 	wait := time.Duration(2 * rand.Float64() * float64(l.writeInterval()))
 	for {
@@ -113,14 +122,16 @@
 	}
 }
 
-// writeInterval returns the time between two writes of this VM.
+// writeInterval returns the time between two writes of this VM. Only VMs that hold
+// slices write.
 func (l *Limiter) writeInterval() time.Duration {
 	l.slices.mu.Lock()
 	defer l.slices.mu.Unlock()
 	if l.slices.draining {
 		return drainInterval
 	}
-	n := max(1, len(l.view.Load().live))
+	v := l.view.Load()
+	n := max(1, min(len(v.live), int(v.shardCount)*v.sliceCount))
 	return jitter(time.Second * time.Duration(n) / maxFleetWriteRate)
 }
 
@@ -139,6 +150,9 @@
 	}
 	b, canBatch := l.cfg.Store.(store.Batcher)
 	if lease == 0 {
+		if d, ok := l.awaitNeed(now); ok {
+			return d, false
+		}
 		d := l.recordStoreAnswer(l.obtainLease(ctx))
 		if canBatch && !l.isStoreDown() {
 			d = 0 // one further write claims all slices
@@ -163,6 +177,19 @@
 	return min(renewAt.Sub(now), refreshInterval), false
 }
 
+// awaitNeed reports whether a VM without a lease needs none now: it is to hold no
+// slice, or does not know that yet. d is the time after which to look again.
+func (l *Limiter) awaitNeed(now time.Time) (d time.Duration, ok bool) {
+	l.slices.mu.Lock()
+	waited := now.Sub(l.slices.startedAt)
+	l.slices.mu.Unlock()
+	if len(l.view.Load().live) == 0 {
+		return membershipTimeout - waited, waited < membershipTimeout
+	}
+	claim, _ := l.planChanges(now)
+	return refreshInterval, len(claim) == 0
+}
+
 // planChanges returns the slices to claim now and those to release, and counts the
 // passes in which there are none.
 func (l *Limiter) planChanges(now time.Time) (claim, release []quota.Slice) {
