Make the buffers of connections between VMs small

A VM of a large fleet has connections to hundreds of others, each with 64 KB of buffers on either side by the library's default; the messages have a few hundred bytes. They have 4 KB now, and connections without a message to send share theirs.

--- a/internal/peer/cache.go
+++ b/internal/peer/cache.go
@@ -60,6 +60,10 @@
 	lastUsed    time.Time
 }
 
+// connBufferBytes is the size of each buffer of a connection. A VM of a large fleet has
+// connections to hundreds of others, which carry small messages.
+const connBufferBytes = 4 << 10
+
 // maxMessageBytes is enough for a whole catalogue in its message.
 const maxMessageBytes = 4 << 20
 
@@ -119,6 +123,9 @@
 		grpc.WithTransportCredentials(c.creds),
 		grpc.WithStatsHandler(&statsHandler{cache: c, conn: added, address: address}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
+		grpc.WithReadBufferSize(connBufferBytes),
+		grpc.WithWriteBufferSize(connBufferBytes),
+		grpc.WithSharedWriteBuffer(true),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			// The back-off is short, so that a VM that returns is reached within a
 			// few pings.
