Let a few VMs of each region read the store for the fleet

Each VM watched the catalogue itself, one call for each version and 25 s, and two readers of every zone read the lists from the store; in the first 3 s every VM listed all VMs every 0.4 s. The random comparisons of versions opened a connection to another VM each second, up to the 96 of the cache.

Change: two VMs of each region read and watch; two of each zone ask them, the others ask those of their zone. A comparison says as of when the version was the newest, so that a VM whose readers are dead, frozen or cut off notices after 4.2 s and reads the store itself, with a growing delay while the store is away. A list that has not changed is not sent, and its values are not decoded, again. Entries of VMs are renewed every second refresh.

--- a/internal/disco/disco.go
+++ b/internal/disco/disco.go
@@ -45,9 +45,17 @@
 
 	storeDown bool
 
-	// mu guards skipped.
+	// mu guards the following fields.
 	mu      sync.Mutex
 	skipped map[string]store.Revision
+	// decoded has the last decoded entry of each key.
+	decoded map[string]decodedEntry
+}
+
+// decodedEntry is the decoded value of a key at a revision.
+type decodedEntry struct {
+	revision store.Revision
+	entry    roster.Entry
 }
 
 // Run polls until ctx is cancelled.
@@ -98,24 +106,33 @@
 	return nil
 }
 
-// decode returns the entries that can be decoded and logs the others.
+// decode returns the entries that can be decoded and logs the others. Values that have
+// not changed since they were last decoded are not decoded again.
 func (p *Poller) decode(entries []store.Entry) []roster.Entry {
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	out := make([]roster.Entry, 0, len(entries))
+	decoded := make(map[string]decodedEntry, len(entries))
 	for _, e := range entries {
-		r, err := p.Decode(e.Key, e.Value)
-		if err != nil {
-			p.logSkipped(e, err)
-			continue
+		d, ok := p.decoded[e.Key]
+		if !ok || d.revision != e.Revision {
+			r, err := p.Decode(e.Key, e.Value)
+			if err != nil {
+				p.logSkipped(e, err)
+				continue
+			}
+			d = decodedEntry{e.Revision, r}
 		}
-		out = append(out, r)
+		decoded[e.Key] = d
+		out = append(out, d.entry)
 	}
+	p.decoded = decoded
 	return out
 }
 
-// logSkipped logs an entry that can't be decoded, once per revision.
+// logSkipped logs an entry that can't be decoded, once per revision. The caller holds
+// p.mu.
 func (p *Poller) logSkipped(e store.Entry, err error) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	if p.skipped[e.Key] == e.Revision {
 		return
 	}
--- a/internal/disco/disco_test.go
+++ b/internal/disco/disco_test.go
@@ -47,6 +47,32 @@
 	is.Equal(len(table.UsableMembers("g")), 1)
 }
 
+// TestDecodedOnce guards against values that are decoded again with each list although
+// they have not changed, and against a changed value that is not decoded.
+func TestDecodedOnce(t *testing.T) {
+	is := is.New(t)
+	s := &linktest.Store{}
+	put(t, s, "targets/a", "g")
+	var table roster.Table
+	count := 0
+	p := &disco.Poller{Store: s, Prefix: "targets/", Roster: &table, Log: zerolog.Nop(), Decode: func(key string, value []byte) (roster.Entry, error) {
+		count++
+		e, err := decode(key, value)
+		e.Sequence = int64(count)
+		return e, err
+	}}
+	for range 3 {
+		is.NoErr(p.Refresh(t.Context()))
+	}
+	is.Equal(count, 1)
+	e, err := s.Get(t.Context(), "targets/a")
+	is.NoErr(err)
+	_, err = s.Put(t.Context(), store.Write{Key: "targets/a", Value: []byte("g"), Expected: e.Revision})
+	is.NoErr(err)
+	is.NoErr(p.Refresh(t.Context()))
+	is.Equal(count, 2)
+}
+
 // TestRelayedList guards against a list obtained from another VM whose age is
 // ignored, and against an outage that goes unnoticed because the list is read
 // through another VM.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,9 +36,12 @@
 	// leaseTTL is the lifetime of a VM's entry without renewal, and so how long a
 	// dead VM stays in the list.
 	leaseTTL = 10 * time.Second
-	// refreshPeriod is the period of renewing the lease and reading the list. Up
-	// to a fifth is added or subtracted at random.
+	// refreshPeriod is the period of reading the list. Up to a fifth is added or
+	// subtracted at random.
 	refreshPeriod = 2500 * time.Millisecond
+	// renewPeriod is the least time between two renewals of the lease, which leaves
+	// time for a second one.
+	renewPeriod = 3 * time.Second
 	// startupRefreshPeriod is used instead for startupDuration after the start,
 	// while other VMs start too.
 	startupRefreshPeriod = 400 * time.Millisecond
@@ -53,8 +56,8 @@
 	// Self describes this VM; its Address is that of the peer service.
 	Self  member.Info
 	Store store.Store
-	// ListEntries, unless nil, replaces reading from the store after
-	// startupDuration. It returns the entries under a prefix, which may be some
+	// ListEntries, unless nil, replaces reading from the store once a complete list is
+	// known. It returns the entries under a prefix, which may be some
 	// seconds old.
 	ListEntries func(ctx context.Context, prefix string) ([]store.Entry, error)
 	// Seeds are addresses of peer services, some of which may be stale.
@@ -86,6 +89,9 @@
 	// incomplete is the last list read within firstListDelay, which may lack VMs.
 	incomplete []member.Info
 	lease      store.LeaseID
+	renewedAt  time.Time
+	// entries is the list that live was last decoded from.
+	entries []store.Entry
 	// left reports that this VM has removed its entry and must not write it again.
 	left      bool
 	startedAt time.Time
@@ -169,12 +175,21 @@
 			down = err != nil
 			f.logStoreResult(err)
 		}
-		d := refreshPeriod*4/5 + rand.N(refreshPeriod*2/5)
-		if time.Since(f.startedAt) < startupDuration {
-			d = startupRefreshPeriod
-		}
-		wait.For(ctx, d)
+		wait.For(ctx, f.refreshDelay())
+	}
+}
+
+// refreshDelay returns the time to the next refresh. On a first start, no list counts
+// as complete before firstListDelay.
+func (f *Fleet) refreshDelay() time.Duration {
+	age := time.Since(f.startedAt)
+	switch {
+	case f.cfg.FirstStart && age < firstListDelay && len(f.Addresses()) > 0:
+		return firstListDelay - age
+	case age < startupDuration:
+		return startupRefreshPeriod
 	}
+	return refreshPeriod*4/5 + rand.N(refreshPeriod*2/5)
 }
 
 func (f *Fleet) refresh(ctx context.Context) error {
@@ -190,13 +205,18 @@
 // none or it has expired.
 func (f *Fleet) keepEntry(ctx context.Context) error {
 	f.mu.Lock()
-	lease, left := f.lease, f.left
+	lease, left, renewed := f.lease, f.left, time.Since(f.renewedAt) < renewPeriod
 	f.mu.Unlock()
-	if left {
+	if left || lease != 0 && renewed {
 		return nil
 	}
 	if lease != 0 {
 		ok, err := f.cfg.Store.RenewLease(ctx, lease)
+		if err == nil && ok {
+			f.mu.Lock()
+			f.renewedAt = time.Now()
+			f.mu.Unlock()
+		}
 		if err != nil || ok {
 			return err
 		}
@@ -210,6 +230,7 @@
 	}
 	f.mu.Lock()
 	f.lease, left = lease, f.left
+	f.renewedAt = time.Now()
 	f.mu.Unlock()
 	if left {
 		f.revoke(ctx, lease)
@@ -239,6 +260,12 @@
 	if err != nil {
 		return err
 	}
+	f.mu.Lock()
+	unchanged := f.live != nil && len(entries) > 0 && len(entries) == len(f.entries) && &entries[0] == &f.entries[0]
+	f.mu.Unlock()
+	if unchanged {
+		return nil
+	}
 	live := []member.Info{f.cfg.Self}
 	for _, e := range entries {
 		var r record
@@ -255,14 +282,14 @@
 		}
 	}
 	slices.SortFunc(live, func(a, b member.Info) int { return cmp.Compare(a.VM, b.VM) })
-	if f.setList(live) && f.cfg.OnChange != nil {
+	if f.setList(live, entries) && f.cfg.OnChange != nil {
 		f.cfg.OnChange()
 	}
 	return nil
 }
 
 func (f *Fleet) readEntries(ctx context.Context) ([]store.Entry, error) {
-	if f.cfg.ListEntries != nil && time.Since(f.startedAt) > startupDuration {
+	if f.cfg.ListEntries != nil && f.ListComplete() {
 		return f.cfg.ListEntries(ctx, keyPrefix)
 	}
 	return store.ListEntries(ctx, f.cfg.Store, keyPrefix, false)
@@ -270,16 +297,19 @@
 
 // setList sets the list of VMs and reports whether it has changed. On a first
 // start it keeps a list read within firstListDelay as incomplete.
-func (f *Fleet) setList(live []member.Info) bool {
+func (f *Fleet) setList(live []member.Info, entries []store.Entry) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cfg.FirstStart && time.Since(f.startedAt) < firstListDelay {
 		f.incomplete = live
 		return false
 	}
-	changed := f.live == nil || !slices.Equal(f.live, live)
-	f.live, f.incomplete = live, nil
-	return changed
+	f.entries, f.incomplete = entries, nil
+	if f.live != nil && slices.Equal(f.live, live) {
+		return false
+	}
+	f.live = live
+	return true
 }
 
 // Leave removes this VM's entry on a planned stop.
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -2,6 +2,12 @@
 // to the platform's store: it watches the store and gossips versions between VMs,
 // so that a VM whose calls the store rejects receives them too.
 //
+// In a large fleet only a few VMs watch the store. The others compare versions with
+// the reader VMs that Config.Readers names, and learn with each comparison as of when
+// their version was the newest. A VM whose version has not been confirmed for
+// maxUnconfirmedAge reads the store itself, so that readers which are dead, frozen or
+// cut off delay a version by no more than that.
+//
 // The version in force never decreases, whatever the source of a catalogue.
 //
 // # Usage
@@ -37,8 +43,25 @@
 	gossipInterval = time.Second
 	// gossipFanout is the number of VMs notified at once of a new version.
 	gossipFanout = 2
+	// readerInterval is the interval at which a VM that does not watch the store
+	// compares versions with a reader.
+	readerInterval = 700 * time.Millisecond
+	// maxUnconfirmedAge exceeds the age of a confirmation that passes through two
+	// readers: two watch requests of ReaderWatchTimeout, and two intervals.
+	maxUnconfirmedAge = 4200 * time.Millisecond
+	// maxReadBackoff bounds the delay between own reads of the store while it does not
+	// answer this VM.
+	maxReadBackoff = 8 * time.Second
+	// roleInterval is the interval at which a VM checks whether it is to watch.
+	roleInterval = 200 * time.Millisecond
+	// roleTimeout is how long a VM that does not know yet whether it is to watch the
+	// store waits with that.
+	roleTimeout = 2 * time.Second
 	// callTimeout bounds a call to another VM or to the store.
 	callTimeout = time.Second
+	// readerTimeout bounds a comparison with a reader, so that the next one is asked
+	// in time if it does not answer.
+	readerTimeout = 400 * time.Millisecond
 	// storeRetryDelay is the delay before the store is read again after a watch
 	// ended or a read failed, with a jitter of up to a half so that the calls of
 	// VMs spread out.
@@ -64,9 +87,21 @@
 	VM     ident.VM
 	Fleet  Fleet
 	Peers  Peers
-	Log    zerolog.Logger
+	// Readers, unless nil, returns the addresses of the VMs from which to learn of
+	// versions, in order of preference; none if this VM watches the store itself. known
+	// is false while that is not decided.
+	Readers func() (addresses []string, known bool)
+	// Clock returns the time by which the age of a confirmation is measured; nil means
+	// time.Now. Machines that can be suspended need a clock that includes the time of
+	// suspension.
+	Clock func() time.Time
+	Log   zerolog.Logger
 }
 
+// ReaderWatchTimeout is how long the store may hold a watch of a VM from which others
+// learn of versions.
+const ReaderWatchTimeout = time.Second
+
 // Follower holds the catalogue in force. Its methods may be called from several
 // goroutines.
 type Follower struct {
@@ -75,6 +110,9 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
+	// confirmedAt is the last time, by Config.Clock, as of which no version above the
+	// one in force was in the store.
+	confirmedAt time.Time
 	// storeUp is set when the last read of the store succeeded.
 	storeUp atomic.Bool
 	// newVersion is signalled to start a round of gossip at once.
@@ -83,6 +121,12 @@
 
 // New returns a Follower without a catalogue.
 func New(cfg Config) *Follower {
+	if cfg.Clock == nil {
+		cfg.Clock = time.Now
+	}
+	if cfg.Readers == nil {
+		cfg.Readers = func() ([]string, bool) { return nil, true }
+	}
 	return &Follower{cfg: cfg, changed: make(chan struct{}), newVersion: make(chan struct{}, 1)}
 }
 
@@ -142,28 +186,102 @@
 	wg.Wait()
 }
 
-// followStore reads and watches the key until ctx is cancelled.
+// followStore reads the key, and watches it if this VM is to do so, until ctx is
+// cancelled.
 func (f *Follower) followStore(ctx context.Context) {
+	backoff := maxUnconfirmedAge
 	for ctx.Err() == nil {
 		rev, err := f.readStore(ctx)
 		f.setStoreUp(err)
-		if err == nil {
-			// The watch ends when the store has compacted its history or does
-			// not answer; the next read shows which.
-			_ = f.cfg.Store.Watch(ctx, f.cfg.Key, rev, func(ev store.Event) {
-				if !ev.Deleted && ev.Entry.Key == f.cfg.Key {
-					f.applyEntry(ev.Entry)
-				}
-			})
+		switch {
+		case f.awaitRole(ctx):
+			if err == nil {
+				f.watchStore(ctx, rev)
+			}
+			wait.For(ctx, storeRetryDelay/2+rand.N(storeRetryDelay))
+		case err == nil:
+			backoff = maxUnconfirmedAge
+			f.awaitUnconfirmed(ctx, 0)
+		default:
+			f.awaitUnconfirmed(ctx, backoff)
+			backoff = min(2*backoff, maxReadBackoff)
+		}
+	}
+}
+
+// watches reports whether this VM watches the store.
+func (f *Follower) watches() bool {
+	readers, _ := f.cfg.Readers()
+	return len(readers) == 0
+}
+
+// awaitRole reports whether this VM watches the store, after waiting until that is
+// decided.
+func (f *Follower) awaitRole(ctx context.Context) bool {
+	for end := time.Now().Add(roleTimeout); time.Now().Before(end); {
+		if readers, known := f.cfg.Readers(); known {
+			return len(readers) == 0
 		}
-		wait.For(ctx, storeRetryDelay/2+rand.N(storeRetryDelay))
+		if !wait.For(ctx, roleInterval) {
+			return false
+		}
+	}
+	return true
+}
+
+// watchStore watches the key until the watch fails or this VM is no longer to watch.
+func (f *Follower) watchStore(ctx context.Context, rev store.Revision) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	asked := f.cfg.Clock()
+	// The watch ends when the store has compacted its history or does not answer; the
+	// next read shows which.
+	_ = f.cfg.Store.Watch(ctx, f.cfg.Key, rev, func(ev store.Event) {
+		switch {
+		case ev.Progress:
+			f.confirm(asked)
+			asked = f.cfg.Clock()
+			if !f.watches() {
+				cancel()
+			}
+		case !ev.Deleted && ev.Entry.Key == f.cfg.Key:
+			f.applyEntry(ev.Entry)
+		}
+	})
+}
+
+// awaitUnconfirmed returns when the version in force has not been confirmed for
+// maxUnconfirmedAge, but not before minDelay has passed, or when this VM is to watch
+// the store.
+func (f *Follower) awaitUnconfirmed(ctx context.Context, minDelay time.Duration) {
+	end := time.Now().Add(minDelay)
+	for wait.For(ctx, roleInterval) && !f.watches() {
+		if time.Now().After(end) && f.unconfirmedAge() > maxUnconfirmedAge {
+			return
+		}
+	}
+}
+
+// confirm records that no version above the one in force was in the store at a time.
+func (f *Follower) confirm(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.confirmedAt) {
+		f.confirmedAt = at
 	}
 }
 
+func (f *Follower) unconfirmedAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cfg.Clock().Sub(f.confirmedAt)
+}
+
 // readStore reads the key and returns the revision from which to watch it.
 func (f *Follower) readStore(ctx context.Context) (store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	asked := f.cfg.Clock()
 	e, err := f.cfg.Store.Get(ctx, f.cfg.Key)
 	if err != nil {
 		return 0, err
@@ -171,6 +289,7 @@
 	if e.Revision != 0 {
 		f.applyEntry(e)
 	}
+	f.confirm(asked)
 	return max(e.Revision, e.StoreRevision), nil
 }
 
@@ -197,9 +316,10 @@
 	evlog.At(f.cfg.Log, evlog.StoreLost).Err(err).Uint64("version", uint64(f.Version())).Send()
 }
 
-// gossip compares versions with other VMs until ctx is cancelled.
+// gossip compares versions with other VMs until ctx is cancelled: with a reader, or
+// with random VMs if this VM watches the store or reaches no reader.
 func (f *Follower) gossip(ctx context.Context) {
-	t := time.NewTicker(gossipInterval)
+	t := time.NewTimer(f.gossipDelay())
 	defer t.Stop()
 	for {
 		n := 1
@@ -210,32 +330,68 @@
 		case <-f.newVersion:
 			n = gossipFanout
 		}
-		all := f.cfg.Fleet.Addresses()
-		rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-		var wg sync.WaitGroup
-		for _, address := range all[:min(n, len(all))] {
-			wg.Go(func() { f.compare(ctx, address) })
+		if !f.compareWithReader(ctx) {
+			f.compareWithOthers(ctx, n)
 		}
-		wg.Wait()
+		t.Reset(f.gossipDelay())
+	}
+}
+
+// gossipDelay returns the time to the next comparison, which differs at random by a
+// tenth, so that the VMs that learned of a version together spread out again.
+func (f *Follower) gossipDelay() time.Duration {
+	d := gossipInterval
+	if !f.watches() {
+		d = readerInterval
+	}
+	return d*9/10 + rand.N(d/5)
+}
+
+// compareWithReader compares versions with the first reader that answers, and reports
+// whether one did.
+func (f *Follower) compareWithReader(ctx context.Context) bool {
+	readers, _ := f.cfg.Readers()
+	for _, address := range readers {
+		if f.compare(ctx, address, readerTimeout) {
+			return true
+		}
+	}
+	return false
+}
+
+// compareWithOthers compares versions with n random VMs.
+func (f *Follower) compareWithOthers(ctx context.Context, n int) {
+	all := f.cfg.Fleet.Addresses()
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	var wg sync.WaitGroup
+	for _, address := range all[:min(n, len(all))] {
+		wg.Go(func() { f.compare(ctx, address, callTimeout) })
 	}
+	wg.Wait()
 }
 
-// compare sends the version in force to a VM and pulls the VM's catalogue if that
-// is newer. Errors are ignored: the next round asks another VM.
-func (f *Follower) compare(ctx context.Context, address string) {
+// compare sends the version in force to a VM, pulls the VM's catalogue if that is
+// newer, and takes over its confirmation. It reports whether the VM answered. Errors
+// are ignored: the next round asks again or asks another VM.
+func (f *Follower) compare(ctx context.Context, address string, timeout time.Duration) bool {
 	c, err := f.cfg.Peers.Client(address)
 	if err != nil {
-		return
+		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	asked := f.cfg.Clock()
 	r, err := c.PushCatalogue(ctx, &peerpb.PushCatalogueRequest{Version: uint64(f.Version()), Vm: string(f.cfg.VM)})
 	if err != nil {
-		return
+		return false
 	}
 	if ident.Version(r.GetVersion()) > f.Version() {
 		f.pull(ctx, c)
 	}
+	if age := r.GetConfirmedAgeMs(); age > 0 && ident.Version(r.GetVersion()) <= f.Version() {
+		f.confirm(asked.Add(-time.Duration(age) * time.Millisecond))
+	}
+	return true
 }
 
 // pull fetches a newer catalogue from a VM, verifies its hash and applies it.
@@ -276,5 +432,13 @@
 		default:
 		}
 	}
-	return &peerpb.PushCatalogueReply{Version: uint64(f.Version())}, nil
+	reply := &peerpb.PushCatalogueReply{}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	// Read under the lock, since the confirmation refers to this version.
+	reply.Version = uint64(f.Version())
+	if !f.confirmedAt.IsZero() {
+		reply.ConfirmedAgeMs = uint64(f.cfg.Clock().Sub(f.confirmedAt).Milliseconds()) + 1
+	}
+	return reply, nil
 }
--- a/internal/linktest/store.go
+++ b/internal/linktest/store.go
@@ -25,6 +25,10 @@
 	calls   int
 }
 
+// watchPollTimeout is how long a watch waits before it reports progress, or that the
+// store is down.
+const watchPollTimeout = time.Second
+
 var errDown = errors.New("linktest: the store is down")
 
 // SetDown sets whether every call fails.
@@ -156,11 +160,16 @@
 		for _, e := range found {
 			f(store.Event{Entry: e})
 		}
+		f(store.Event{Progress: true})
+		t := time.NewTimer(watchPollTimeout)
 		select {
 		case <-changed:
+		case <-t.C:
 		case <-ctx.Done():
+			t.Stop()
 			return ctx.Err()
 		}
+		t.Stop()
 	}
 }
 
--- a/internal/lists/doc.go
+++ b/internal/lists/doc.go
@@ -1,7 +1,8 @@
 // Package lists reads lists of keys from the platform's store through a cache
-// that VMs share: a few VMs of each zone, the readers, read the store, and the
-// others ask them, so that the number of calls to the store does not grow with
-// the number of VMs.
+// that VMs share. A few VMs of each region read the store, a few of each zone ask
+// them, and the others ask those of their zone, so that the number of calls to the
+// store does not grow with the number of VMs. A list that has not changed is not
+// sent again.
 //
 // A VM reads the store itself if it reaches no reader, or only readers whose own
 // calls to the store fail.
--- a/internal/lists/lists.go
+++ b/internal/lists/lists.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -24,6 +26,9 @@
 	// a cached list, for requests that accept a stale list and those that don't.
 	maxStaleAge = 500 * time.Millisecond
 	maxFreshAge = 800 * time.Millisecond
+	// maxHops is the number of VMs that pass a request on: a reader of a zone and one
+	// of its region. VMs whose lists of VMs differ could otherwise ask each other.
+	maxHops = 2
 )
 
 // Peers returns clients of other VMs by address.
@@ -52,50 +57,92 @@
 
 	avoid peer.AvoidList
 
-	mu    sync.Mutex
-	cache map[query]*cachedList
+	mu     sync.Mutex
+	cache  map[query]*cachedList
+	copies map[copyKey]list
 }
 
-// query identifies a cached list.
+// query identifies a list.
 type query struct {
 	prefix string
 	fresh  bool
 }
 
-// cachedList is a list with the time at which the call to the store began. Its lock
-// is held during the call, so that concurrent requests share one answer.
-type cachedList struct {
-	mu      sync.Mutex
+// copyKey identifies the last list received from a reader.
+type copyKey struct {
+	query
+	address string
+}
+
+// list is a list with the time, by Config.Clock, at which the call to the store began,
+// and a digest that is not 0. The entries are not changed once they are set.
+type list struct {
 	readAt  time.Time
+	digest  uint64
 	entries []store.Entry
 }
 
+func newList(entries []store.Entry, readAt time.Time) list {
+	var d xxhash.Digest
+	var rev [8]byte
+	for _, e := range entries {
+		_, _ = d.WriteString(e.Key) // the digest's writes never fail
+		binary.LittleEndian.PutUint64(rev[:], uint64(e.Revision))
+		_, _ = d.Write(rev[:])
+	}
+	return list{readAt: readAt, digest: max(1, d.Sum64()), entries: entries}
+}
+
+// cachedList is a list that is served to other VMs. Its lock is held while it is read,
+// so that concurrent requests share one answer.
+type cachedList struct {
+	mu sync.Mutex
+	list
+}
+
 // New returns a Reader.
 func New(cfg Config) *Reader {
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
 	}
-	return &Reader{cfg: cfg, cache: map[query]*cachedList{}}
+	return &Reader{cfg: cfg, cache: map[query]*cachedList{}, copies: map[copyKey]list{}}
 }
 
 // List returns the entries under a prefix, and the time, by the runtime's clock,
 // as of which they were current. Unless fresh is set, the store may answer with a
-// copy that is some seconds older. The error is that of the store.
+// copy that is some seconds older. The error is that of the store. The caller must
+// not modify the entries; a list that has not changed is returned as the same slice.
 func (r *Reader) List(ctx context.Context, prefix string, fresh bool) ([]store.Entry, time.Time, error) {
-	for _, address := range r.cfg.Readers() {
+	l, err := r.read(ctx, query{prefix, fresh}, 0)
+	if err != nil {
+		return nil, time.Time{}, err
+	}
+	return l.entries, time.Now().Add(-r.cfg.Clock().Sub(l.readAt)), nil
+}
+
+// read reads a list from a reader, or from the store if no reader answers or other VMs
+// have passed the request on maxHops times.
+func (r *Reader) read(ctx context.Context, q query, hops uint32) (list, error) {
+	var readers []string
+	if hops < maxHops {
+		readers = r.cfg.Readers()
+	}
+	for _, address := range readers {
 		if r.avoid.Has(address) {
 			continue
 		}
-		sent := time.Now()
-		entries, age, err := r.readFrom(ctx, address, prefix, fresh)
+		l, err := r.readFrom(ctx, address, q, hops)
 		if err == nil {
-			return entries, sent.Add(-age), nil
+			return l, nil
 		}
-		r.avoidReader(address, prefix, err)
+		r.avoidReader(address, q.prefix, err)
+	}
+	sent := r.cfg.Clock()
+	entries, err := store.ListEntries(ctx, r.cfg.Store, q.prefix, q.fresh)
+	if err != nil {
+		return list{}, err
 	}
-	sent := time.Now()
-	entries, err := store.ListEntries(ctx, r.cfg.Store, prefix, fresh)
-	return entries, sent, err
+	return newList(entries, sent), nil
 }
 
 func (r *Reader) avoidReader(address, prefix string, err error) {
@@ -103,42 +150,63 @@
 	r.avoid.Add(address, avoidPeriod)
 }
 
-func (r *Reader) readFrom(ctx context.Context, address, prefix string, fresh bool) ([]store.Entry, time.Duration, error) {
+// readFrom asks a reader for a list, which answers without entries when this VM has
+// the same list from it already.
+func (r *Reader) readFrom(ctx context.Context, address string, q query, hops uint32) (list, error) {
 	ctx, cancel := context.WithTimeout(ctx, readerTimeout)
 	defer cancel()
 	client, err := r.cfg.Peers.Client(address)
 	if err != nil {
-		return nil, 0, err
+		return list{}, err
 	}
-	reply, err := client.ReadList(ctx, &peerpb.ReadListRequest{Prefix: prefix, Fresh: fresh})
+	key := copyKey{q, address}
+	r.mu.Lock()
+	known := r.copies[key]
+	r.mu.Unlock()
+	sent := r.cfg.Clock()
+	reply, err := client.ReadList(ctx, &peerpb.ReadListRequest{Prefix: q.prefix, Fresh: q.fresh, Known: known.digest, Hops: hops + 1})
 	if err != nil {
-		return nil, 0, err
+		return list{}, err
+	}
+	out := list{readAt: sent.Add(-time.Duration(reply.AgeMs) * time.Millisecond), digest: reply.Digest, entries: known.entries}
+	if !reply.Unchanged {
+		out.entries = fromReply(reply)
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.copies[key] = out
+	return out, nil
+}
+
+func fromReply(reply *peerpb.ReadListReply) []store.Entry {
 	out := make([]store.Entry, len(reply.Entries))
 	for i, e := range reply.Entries {
 		out[i] = store.Entry{Key: e.Key, Value: e.Value, Revision: store.Revision(e.Revision), Lease: store.LeaseID(e.Lease)}
 	}
-	return out, time.Duration(reply.AgeMs) * time.Millisecond, nil
+	return out
 }
 
 // ReadList implements peer.ListReader.
 func (r *Reader) ReadList(ctx context.Context, req *peerpb.ReadListRequest) (*peerpb.ReadListReply, error) {
-	c := r.cacheEntry(query{req.Prefix, req.Fresh})
+	q := query{req.Prefix, req.Fresh}
+	c := r.cacheEntry(q)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	maxAge := maxStaleAge
 	if req.Fresh {
 		maxAge = maxFreshAge
 	}
-	now := r.cfg.Clock()
-	if c.readAt.IsZero() || now.Sub(c.readAt) > maxAge {
-		entries, err := store.ListEntries(ctx, r.cfg.Store, req.Prefix, req.Fresh)
+	if c.readAt.IsZero() || r.cfg.Clock().Sub(c.readAt) > maxAge {
+		l, err := r.read(ctx, q, req.Hops)
 		if err != nil {
 			return nil, status.Error(codes.Unavailable, err.Error())
 		}
-		c.readAt, c.entries = now, entries
+		c.list = l
+	}
+	reply := &peerpb.ReadListReply{AgeMs: uint32(r.cfg.Clock().Sub(c.readAt).Milliseconds()) + 1, Digest: c.digest}
+	if reply.Unchanged = req.Known == c.digest; reply.Unchanged {
+		return reply, nil
 	}
-	reply := &peerpb.ReadListReply{AgeMs: uint32(r.cfg.Clock().Sub(c.readAt).Milliseconds()) + 1}
 	for _, e := range c.entries {
 		reply.Entries = append(reply.Entries, &peerpb.ListEntry{Key: e.Key, Value: e.Value, Revision: int64(e.Revision), Lease: int64(e.Lease)})
 	}
--- a/internal/lists/lists_test.go
+++ b/internal/lists/lists_test.go
@@ -76,6 +76,65 @@
 	is.Equal(ownStore.CallCount()-setupCalls, 0)
 }
 
+// TestChain guards against readers of zones that read the store themselves, against
+// VMs that ask each other without end, and against a list that ages on its way
+// without being reported so.
+func TestChain(t *testing.T) {
+	is := is.New(t)
+	regionStore, zoneStore, own := storeWithKey(t), storeWithKey(t), storeWithKey(t)
+	c := &clock{}
+	region := serveReader(t, regionStore, c)
+	zone := asker(t, zoneStore, region)
+	address, _ := linktest.ServePeer(t, peer.Handlers{ListReader: zone})
+	r := asker(t, own, address)
+	for range 5 {
+		_, _, err := r.List(t.Context(), "targets/", true)
+		is.NoErr(err)
+	}
+	is.Equal(regionStore.CallCount()-setupCalls, 1)
+	is.Equal(zoneStore.CallCount()+own.CallCount()-2*setupCalls, 0)
+	c.advance(700 * time.Millisecond)
+	_, at, err := asker(t, own, address).List(t.Context(), "targets/", false)
+	is.NoErr(err)
+	is.True(time.Since(at) < 500*time.Millisecond)
+
+	var first, second string
+	loop := func(s store.Store, next *string) string {
+		cache := peer.NewCache(peer.CacheConfig{AllowPlaintext: true})
+		t.Cleanup(cache.Close)
+		r := lists.New(lists.Config{Store: s, Peers: cache, Readers: func() []string { return []string{*next} }})
+		address, _ := linktest.ServePeer(t, peer.Handlers{ListReader: r})
+		return address
+	}
+	first = loop(storeWithKey(t), &second)
+	second = loop(storeWithKey(t), &first)
+	begin := time.Now()
+	_, _, err = asker(t, own, first).List(t.Context(), "targets/", true)
+	is.NoErr(err)
+	is.True(time.Since(begin) < 350*time.Millisecond) // no timeout of a reader
+}
+
+// TestUnchanged guards against a list that is sent or decoded again although it has
+// not changed, and against one that is kept although it has.
+func TestUnchanged(t *testing.T) {
+	is := is.New(t)
+	s := storeWithKey(t)
+	c := &clock{}
+	r := asker(t, storeWithKey(t), serveReader(t, s, c))
+	before, _, err := r.List(t.Context(), "targets/", true)
+	is.NoErr(err)
+	c.advance(time.Minute)
+	same, _, err := r.List(t.Context(), "targets/", true)
+	is.NoErr(err)
+	is.True(&same[0] == &before[0])
+	_, err = s.Put(t.Context(), store.Write{Key: "targets/b", Value: []byte("y")})
+	is.NoErr(err)
+	c.advance(time.Minute)
+	changed, _, err := r.List(t.Context(), "targets/", true)
+	is.NoErr(err)
+	is.Equal(len(changed), 2)
+}
+
 // TestAge guards against a cached list that is reported as newer than it is, also
 // after a suspension of the reader's machine, and against one that never expires.
 func TestAge(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,6 +87,7 @@
 	metrics     *metr.Metrics
 	peers       *peer.Cache
 	lenderTable lenderTable
+	readers     readerTable
 	lender      *relay.Server
 	borrower    *relay.Client
 	lists       *lists.Reader
@@ -119,6 +120,7 @@
 	n.fleet = fleet.New(fleet.Config{Self: self, Store: a.Store, Seeds: s.Seeds, FirstStart: s.FirstStart, Log: log, OnChange: func() { n.limiter.TriggerRefresh() }, ListEntries: n.listVMs})
 	n.follower = follow.New(follow.Config{
 		Store: a.Store, Key: a.CatalogueKey, Decode: a.DecodeCatalogue, VM: s.VM, Fleet: n.fleet, Peers: n.peers, Log: log,
+		Readers: n.catalogueReaders, Clock: uptime.Now,
 	})
 	n.limiter = limit.New(limit.Config{
 		Catalogue: n.follower, Fleet: n.fleet, Peers: vmPeers{n}, Store: a.Store, Log: log, Scope: n.metrics.Scope,
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -45,8 +45,12 @@
 
 // Event is a change reported by a watch.
 type Event struct {
-	Entry   Entry
-	Deleted bool
+	// Progress events have no entry. They report that the watch had delivered all
+	// changes up to the time of the previous event, or of the start of the watch. Not
+	// every store sends them.
+	Progress bool
+	Entry    Entry
+	Deleted  bool
 }
 
 // VM is an entry of the platform's list of VMs, which lags behind the actual state.
