Contain panics at the goroutines that handle input

Cause: nothing recovered a panic, so one unexpected message of a caller, a peer or an operator ended the process with all its sessions (one of the faults that operators of similar systems named).

Change: internal/guard logs the panic with the request and the stack (event 142) and counts it. A session answers that the outcome is unknown, closes the connection of its transaction and ends; a call of a peer fails; a document is skipped.

The new cases of TestPanic (engine, peer) and TestForeignEntry end the test process before.

--- a/internal/disco/disco_test.go
+++ b/internal/disco/disco_test.go
@@ -21,6 +21,9 @@
 // decode decodes an entry whose value is the name of its group; an empty value is
 // an error.
 func decode(key string, value []byte) (roster.Entry, error) {
+	if string(value) == "panic" {
+		panic("unexpected value")
+	}
 	if len(value) == 0 {
 		return roster.Entry{}, errors.New("no value")
 	}
@@ -34,13 +37,14 @@
 	}
 }
 
-// TestForeignEntry guards against an entry that can't be decoded making the
-// others unavailable.
+// TestForeignEntry guards against an entry that can't be decoded, or on which the
+// decoder panics, making the others unavailable.
 func TestForeignEntry(t *testing.T) {
 	is := is.New(t)
 	s := &linktest.Store{}
 	put(t, s, "targets/a", "g")
 	put(t, s, "targets/b", "")
+	put(t, s, "targets/c", "panic")
 	var table roster.Table
 	p := &disco.Poller{Store: s, Prefix: "targets/", Decode: decode, Roster: &table, Log: zerolog.Nop()}
 	is.NoErr(p.Refresh(t.Context()))
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/internal/guard"
 	"chervilspan.example/pkg/access"
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/dbop"
@@ -188,7 +189,7 @@
 // handle serves one statement.
 func (s *Session) handle(st dbop.Statement) dbop.Answer {
 	c := &call{st: st, start: time.Now(), receivedAt: s.e.cfg.Clock()}
-	a := s.dispatch(c)
+	a := s.dispatchGuarded(c)
 	if s.tx == nil {
 		a.State = dbop.Idle
 	} else {
@@ -198,6 +199,20 @@
 	return a
 }
 
+// dispatchGuarded contains a panic: the caller is told that the outcome is unknown, the
+// connection of an open transaction is closed, and the session ends.
+func (s *Session) dispatchGuarded(c *call) (a dbop.Answer) {
+	defer guard.Recover(s.e.cfg.Log, "session", c.st.ID, func() {
+		a = dbop.Answer{Code: dbop.Unknown, Text: "internal error; the statement may have taken effect"}
+		s.ending = true
+		if s.tx != nil {
+			s.tx.failAndClose()
+			s.tx = nil
+		}
+	})
+	return s.dispatch(c)
+}
+
 func (s *Session) dispatch(c *call) dbop.Answer {
 	if a := s.authorize(); a != nil {
 		s.abandon()
--- a/internal/evlog/platform.go
+++ b/internal/evlog/platform.go
@@ -15,5 +15,6 @@
 	EntrySkipped    = register(Event{138, "entry_skipped", zerolog.WarnLevel, "An entry in the store could not be decoded and is ignored; the other entries are used.", "Check the program that wrote the key."})
 	LenderAvoided   = register(Event{140, "lender_avoided", zerolog.WarnLevel, "Another VM could not lend a connection to a database and is not asked for some time; `reason` says whether it failed, is stopping or can't reach the database.", "Nothing, unless it recurs: then check that VM."})
 	ReaderAvoided   = register(Event{141, "reader_avoided", zerolog.WarnLevel, "Another VM could not return a list of the store's entries and is not asked for some time.", "Nothing, unless it recurs: then check that VM and the store's answers to it."})
+	PanicContained  = register(Event{142, "panic_contained", zerolog.ErrorLevel, "The handling of one input ended in an unexpected error; `where` and `request` say which, `stack` where in the code. Only that session, call or document is given up; a statement that was under way is reported as unknown.", "Report the line to the maintainers."})
 	StoreCalls      = register(Event{139, "store_calls", zerolog.InfoLevel, "The number of calls to the platform's store since the start, by operation, and of those without a usable answer.", "Nothing; the calls are counted because each one is charged for."})
 )
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"chervilspan.example/internal/evlog"
 	"chervilspan.example/internal/fleet"
 	"chervilspan.example/internal/follow"
+	"chervilspan.example/internal/guard"
 	"chervilspan.example/internal/lead"
 	"chervilspan.example/internal/limit"
 	"chervilspan.example/internal/lists"
@@ -182,7 +183,7 @@
 	for _, f := range []func(context.Context){n.follower.Run, n.fleet.Run, n.limiter.Run, n.monitor.Run, n.disco.Run, n.housekeep, n.awaitReady} {
 		wg.Go(func() { f(work) })
 	}
-	server := peer.NewServer(peer.ServerConfig{AllowPlaintext: true}, peer.Handlers{Catalogue: n.follower, Lender: n.limiter, Watcher: suspectHandler{n}, Relay: n.lender, ListReader: n.lists})
+	server := peer.NewServer(peer.ServerConfig{AllowPlaintext: true, Log: n.log}, peer.Handlers{Catalogue: n.follower, Lender: n.limiter, Watcher: suspectHandler{n}, Relay: n.lender, ListReader: n.lists})
 	go n.runListener("VMs", func() error { return server.Serve(peers) })
 	go n.runListener("readiness checks", func() error { return n.serveHTTP(ready, false) })
 	go n.runListener("callers", func() error { return n.adapters.Serve(callers, n.engine, n.log) })
@@ -291,6 +292,7 @@
 	n.metrics.Scope.Gauge("target_dials").Update(float64(n.pools.Dials.Load()))
 	n.metrics.Scope.Gauge("vms").Update(float64(len(n.fleet.Live())))
 	n.metrics.Scope.Gauge("lent_connections").Update(float64(n.lender.LentCount()))
+	n.metrics.Scope.Gauge("panics").Update(float64(guard.Count()))
 	n.metrics.Scope.Gauge("sessions").Update(float64(n.engine.Sessions()))
 	if n.adapters.StoreCounts != nil {
 		calls, failures := n.adapters.StoreCounts()
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -119,6 +119,29 @@
 	return err
 }
 
+// panicMembership panics on each call.
+type panicMembership struct{ echoMembership }
+
+func (panicMembership) Ping(context.Context, *peerpb.PingRequest) (*peerpb.PingReply, error) {
+	panic("unexpected")
+}
+
+// TestPanic guards against a message of a peer that ends the process: the call fails,
+// and the server goes on.
+func TestPanic(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := NewServer(ServerConfig{AllowPlaintext: true}, Handlers{Membership: panicMembership{}})
+	go func() { _ = s.Serve(l) }()
+	defer s.Stop(context.Background())
+	c := NewCache(CacheConfig{AllowPlaintext: true})
+	defer c.Close()
+	for range 2 {
+		is.Equal(status.Code(ping(t, c, l.Addr().String())), codes.Internal)
+	}
+}
+
 // TestMutualTLS guards against accepting clients without a certificate of the
 // fleet's authority, and against accepting operators' certificates on the Peer
 // service.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
@@ -15,6 +16,7 @@
 	"google.golang.org/grpc/peer"
 	"google.golang.org/grpc/status"
 
+	"chervilspan.example/internal/guard"
 	"chervilspan.example/internal/proto/adminpb"
 	"chervilspan.example/internal/proto/peerpb"
 )
@@ -83,6 +85,8 @@
 	AllowPlaintext bool
 	// AllowLoopbackPlaintext allows plaintext on loopback addresses.
 	AllowLoopbackPlaintext bool
+	// Log receives the panics of handlers.
+	Log zerolog.Logger
 	// VMOrgUnit, unless empty, is the organizational unit that a client's
 	// certificate must have for the Peer service.
 	VMOrgUnit string
@@ -147,14 +151,19 @@
 	}
 }
 
-func (s *Server) unaryInterceptor(ctx context.Context, req any, info *grpc.UnaryServerInfo, next grpc.UnaryHandler) (any, error) {
+// errPanic is the answer to a call whose handling ended in a panic.
+var errPanic = status.Error(codes.Internal, "internal error")
+
+func (s *Server) unaryInterceptor(ctx context.Context, req any, info *grpc.UnaryServerInfo, next grpc.UnaryHandler) (reply any, err error) {
+	defer guard.Recover(s.cfg.Log, info.FullMethod, "", func() { reply, err = nil, errPanic })
 	if err := s.authorize(ctx, info.FullMethod); err != nil {
 		return nil, err
 	}
 	return next(ctx, req)
 }
 
-func (s *Server) streamInterceptor(srv any, ss grpc.ServerStream, info *grpc.StreamServerInfo, next grpc.StreamHandler) error {
+func (s *Server) streamInterceptor(srv any, ss grpc.ServerStream, info *grpc.StreamServerInfo, next grpc.StreamHandler) (err error) {
+	defer guard.Recover(s.cfg.Log, info.FullMethod, "", func() { err = errPanic })
 	if err := s.authorize(ss.Context(), info.FullMethod); err != nil {
 		return err
 	}
