--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -21,7 +21,7 @@
 // Count returns the number of panics that were contained since the process started.
 func Count() uint64 { return count.Load() }
 
-// Recover, when deferred, ends a panic: it logs where it happened, the id of the
+// Recover ends a panic when it is called by defer: it logs where it happened, the id of the
 // request that caused it, and the stack, and then calls then unless that is nil. A
 // panic of then is contained as well.
 func Recover(log zerolog.Logger, where, id string, then func()) {
