Confirm primaries at the lenders of their connections

A suspected primary was refuted by the first four VMs of the list only, the same for all groups.

Change: a borrower asks the lender of the connection to the primary, with the read itself, and the lender's rounds serve all its borrowers. Suspicions are refuted by the eight VMs that watch the group.

Ruled out: fewer rounds by a shared answer between VMs of a zone, whose time would have to be later than each read's.

--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -167,9 +167,10 @@
 			break
 		}
 		c.offered = true
-		s.e.cfg.Primaries.RequestConfirmation(conn.Group, conn.Target, c.receivedAt)
+		s.requestConfirmation(conn, c.receivedAt)
+		sent := s.e.cfg.Clock()
 		st := c.st
-		st.Scheduling = c.scheduling
+		st.Scheduling, st.Confirm = c.scheduling, true
 		answers, err := conn.Do(c.deadline, st, dbop.Statement{Kind: dbop.Rollback})
 		if err != nil && len(answers) == 0 {
 			c.mayHaveRun = true
@@ -188,6 +189,7 @@
 		default:
 			conn.Release(true)
 		}
+		s.recordConfirmation(conn, &a, sent)
 		if a.Code == dbop.OK && !s.e.cfg.Primaries.AwaitConfirmation(c.deadline, conn.Group, conn.Target, c.receivedAt) {
 			// A newer primary may have acknowledged commits that the read missed.
 			s.recordFailure(c, conn.Target, dbop.ReadOnly)
@@ -202,6 +204,21 @@
 	return c.refusal()
 }
 
+// requestConfirmation prepares for a read at the primary. Where another VM lends the
+// connection, that VM confirms the primary with the read.
+func (s *Session) requestConfirmation(conn *dbpool.Conn, since time.Time) {
+	if !conn.Borrowed() {
+		s.e.cfg.Primaries.RequestConfirmation(conn.Group, conn.Target, since)
+	}
+}
+
+// recordConfirmation records the confirmation that came with an answer.
+func (s *Session) recordConfirmation(conn *dbpool.Conn, a *dbop.Answer, sent time.Time) {
+	if a.Confirmed {
+		s.e.cfg.Primaries.RecordConfirmation(conn.Group, conn.Target, a.Position, sent)
+	}
+}
+
 // discardUnanswered closes a connection with an answer outstanding.
 func (s *Session) discardUnanswered(conn *dbpool.Conn) {
 	conn.Release(false)
--- a/internal/engine/txn.go
+++ b/internal/engine/txn.go
@@ -175,6 +175,7 @@
 	c.offered = true
 	sent = s.e.cfg.Clock()
 	st := c.st
+	st.Confirm = tx.atPrimary && !tx.confirmed && !writes
 	if !tx.hasRun && !writes {
 		// Later statements are not queued: others may wait for the locks of this
 		// transaction.
@@ -184,6 +185,7 @@
 	if err != nil {
 		return a, sent, false
 	}
+	s.recordConfirmation(tx.conn, &answers[0], sent)
 	return answers[0], sent, true
 }
 
@@ -290,7 +292,7 @@
 	conn, ok := s.beginAtPrimary(c)
 	tx.conn, tx.atPrimary = conn, ok
 	if ok {
-		s.e.cfg.Primaries.RequestConfirmation(conn.Group, conn.Target, s.requiredSince(tx))
+		s.requestConfirmation(conn, s.requiredSince(tx))
 	}
 	return ok
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -154,6 +154,29 @@
 // Rank returns the number of VMs that precede this one in the rendezvous order
 // for a name. VMs in the home region precede all others.
 func (f *Fleet) Rank(name string, home ident.Region) int {
+	return max(0, slices.Index(f.rankOrder(name, home), f.cfg.Self.VM))
+}
+
+// RankedAddresses returns the peer addresses of the first n other VMs in the order of
+// Rank, or the seeds while no list of VMs is known.
+func (f *Fleet) RankedAddresses(name string, home ident.Region, n int) []string {
+	var out []string
+	for _, vm := range f.rankOrder(name, home) {
+		if len(out) == n {
+			return out
+		}
+		if a := f.Address(vm); vm != f.cfg.Self.VM && a != "" {
+			out = append(out, a)
+		}
+	}
+	if len(out) > 0 {
+		return out
+	}
+	all := f.Addresses()
+	return all[:min(n, len(all))]
+}
+
+func (f *Fleet) rankOrder(name string, home ident.Region) []ident.VM {
 	var near, far []ident.VM
 	for _, m := range f.Live() {
 		if m.Region == home {
@@ -162,8 +185,7 @@
 			far = append(far, m.VM)
 		}
 	}
-	order := append(rendez.Rank(name, near), rendez.Rank(name, far)...)
-	return max(0, slices.Index(order, f.cfg.Self.VM))
+	return append(rendez.Rank(name, near), rendez.Rank(name, far)...)
 }
 
 // Run maintains this VM's entry and the list until ctx ends.
--- a/internal/lead/confirm.go
+++ b/internal/lead/confirm.go
@@ -83,11 +83,35 @@
 	return st.round
 }
 
-// runRound runs a round and records its result.
+// RecordConfirmation implements engine.Primaries.
+func (mon *Monitor) RecordConfirmation(g ident.Group, id ident.Target, pos ident.Position, sent time.Time) {
+	if !mon.cfg.Unfenced {
+		return
+	}
+	st := mon.groupState(g)
+	st.mu.Lock()
+	if st.proof.id != id || sent.After(st.proof.at) {
+		st.proof = proof{id, sent}
+	}
+	st.mu.Unlock()
+	if !pos.IsZero() {
+		st.positions.Confirm(pos, sent)
+	}
+	st.recordPrimary(id)
+}
+
+// runRound runs a round and records its result. If a VM lends the connection to the
+// presumed primary, that VM asks the other databases for all its borrowers.
 func (mon *Monitor) runRound(st *groupState, r *round) {
-	own, answers := mon.askAll(st, r.id)
+	own, answers := mon.askLender(st, r.id)
+	if own.Code == dbop.Unknown {
+		own, answers = mon.askAll(st, r.id)
+	}
 	verdict := rindex.Unknown
-	if own.Code == dbop.OK {
+	switch {
+	case own.Code == dbop.OK && own.Confirmed:
+		verdict = rindex.Confirmed
+	case own.Code == dbop.OK:
 		verdict = rindex.Decide(own.Position, answers, mon.cfg.SyncReplicas(st.id))
 	}
 	switch {
@@ -97,21 +121,30 @@
 	case verdict == rindex.Superseded, verdict == rindex.Contested:
 		verdict = mon.resolve(st, r.id)
 	}
-	st.mu.Lock()
-	r.verdict, st.round = verdict, nil
 	if verdict == rindex.Confirmed {
-		st.proof = proof{r.id, r.startedAt}
+		mon.RecordConfirmation(st.id, r.id, own.Position, r.startedAt)
 	}
+	st.mu.Lock()
+	r.verdict, st.round = verdict, nil
 	st.mu.Unlock()
-	if verdict == rindex.Confirmed {
-		if !own.Position.IsZero() {
-			st.positions.Confirm(own.Position, r.startedAt)
-		}
-		st.recordPrimary(r.id)
-	}
 	close(r.done)
 }
 
+// askLender asks the presumed primary alone where another VM lends the connection. The
+// code of the answer is Unknown if the others have to be asked too.
+func (mon *Monitor) askLender(st *groupState, id ident.Target) (own dbop.Answer, others []rindex.Answer) {
+	unknown := dbop.Answer{Code: dbop.Unknown}
+	m, ok := mon.cfg.Roster.Member(st.id, id)
+	if !ok || !mon.cfg.Pools.Borrows(&m, "") {
+		return unknown, nil
+	}
+	a, _, err := mon.askBegin(&m)
+	if err != nil || a.Code == dbop.OK && !a.Confirmed {
+		return unknown, nil
+	}
+	return a, nil
+}
+
 // askAll asks all databases of a group to begin a read-write transaction, and those
 // that refuse for their status when others are silent. It returns the answer of the
 // presumed primary and those of the others. A database that has left as planned is
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -188,7 +188,7 @@
 		return unknown, sent, err
 	}
 	sent = mon.cfg.Clock()
-	answers, err := conn.Do(time.Now().Add(probeTimeout), dbop.Statement{Kind: dbop.Begin}, dbop.Statement{Kind: dbop.Rollback})
+	answers, err := conn.Do(time.Now().Add(probeTimeout), dbop.Statement{Kind: dbop.Begin, Confirm: mon.cfg.Unfenced}, dbop.Statement{Kind: dbop.Rollback})
 	if err != nil {
 		conn.Release(false)
 		mon.cfg.Pools.CloseIdleIfSilent(m, conn.SentAt())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,10 +133,11 @@
 	n.disco = &disco.Poller{Store: a.Store, List: n.lists.List, Prefix: a.TargetPrefix, Decode: a.DecodeTarget, Roster: n.roster, Log: log}
 	n.monitor = lead.New(lead.Config{
 		VM: s.VM, Roster: n.roster, Pools: n.pools, Store: a.Store, Promoter: a.Promoter, Peers: vmPeers{n}, RefreshList: n.disco.Refresh,
-		Rank:     func(g ident.Group) int { return n.fleet.Rank("failover/"+string(g), s.homeRegion()) },
+		Rank:     func(g ident.Group) int { return n.fleet.Rank(rankName(g), s.homeRegion()) },
 		RegionOf: n.regionOf, HomeRegion: s.homeRegion(), Clock: uptime.Now, Log: log,
 		Unfenced: !s.FencedPromotions, SyncReplicas: n.syncReplicas,
 	})
+	n.lender.Primaries, n.lender.Clock = n.monitor, uptime.Now
 	n.engine = engine.New(engine.Config{
 		Access: n.follower, Limiter: n.limiter, Primaries: n.monitor, Pools: n.pools, Roster: n.roster,
 		Ready: n.firstReady,
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -12,8 +12,9 @@
 	// confirmTimeout is how long other VMs have to confirm that a primary answers
 	// them.
 	confirmTimeout = 250 * time.Millisecond
-	// maxConfirmVMs is the greatest number of VMs that are asked.
-	maxConfirmVMs = 4
+	// maxConfirmVMs is the greatest number of VMs that are asked. They are the first of
+	// the group's order of rank, which watch its primary.
+	maxConfirmVMs = 8
 )
 
 // vmPeers returns the clients of other VMs and asks these VMs about primaries.
@@ -24,13 +25,15 @@
 	return p.n.peers.Client(p.n.fleet.Address(vm))
 }
 
-// ConfirmsPrimary implements lead.Peers. It asks a few VMs at once and returns true
+// rankName is the name under which VMs are ranked for the failover of a group.
+func rankName(g ident.Group) string { return "failover/" + string(g) }
+
+// ConfirmsPrimary implements lead.Peers. It asks the VMs that watch the group at once and returns true
 // on the first that names the target as a primary that answers it.
 func (p vmPeers) ConfirmsPrimary(ctx context.Context, g ident.Group, id ident.Target) bool {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	all := p.n.fleet.Addresses()
-	all = all[:min(maxConfirmVMs, len(all))]
+	all := p.n.fleet.RankedAddresses(rankName(g), p.n.settings.homeRegion(), maxConfirmVMs)
 	answers := make(chan bool, len(all))
 	for _, address := range all {
 		go func() { answers <- p.peerConfirms(ctx, address, g, id) }()
