Spare questions to primaries and connections in rounds

Change: the last position that a primary reported with a statement stands for the question to it; positions are renewed in the background after half of the accepted age; a question of a round keeps its connection for 1 s, and a database with an unanswered question is left out of the next rounds. A VM that finds another primary while it wants to replace one that is gone learns it (TestOtherPrimaryLearned fails before).

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -107,6 +107,10 @@
 	// only with Config.Unfenced.
 	round *round
 	proof proof
+	// reported is what a database last answered as a primary, without proof.
+	reported report
+	// questions has the databases to which a question of a round is unanswered.
+	questions map[ident.Target]bool
 	// probeRequested is true if a statement has gone unanswered since the primary
 	// was last probed.
 	probeRequested bool
@@ -225,10 +229,11 @@
 	for {
 		changed := st.confirmationSignal()
 		if pos, ok := st.positions.Covering(since); ok {
+			mon.refreshConfirmation(st, since)
 			return pos, true
 		}
 		if id, ok := mon.cfg.Roster.Primary(g); ok && mon.cfg.Unfenced {
-			mon.RequestConfirmation(g, id, since)
+			mon.requestPosition(st, id, since)
 		}
 		if !st.probeAndWait(deadline, changed, nil) {
 			return ident.Position{}, false
@@ -241,7 +246,7 @@
 func (mon *Monitor) Confirm(g ident.Group, id ident.Target, pos ident.Position, sent time.Time) {
 	st := mon.groupState(g)
 	if mon.cfg.Unfenced {
-		mon.presume(st, id, pos)
+		mon.presume(st, id, pos, sent)
 		return
 	}
 	if !pos.IsZero() {
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -171,7 +171,7 @@
 // tryBegin asks a database to begin a read-write transaction. A database that
 // accepts it is confirmed as the primary.
 func (mon *Monitor) tryBegin(st *groupState, m *roster.Member) (dbop.Code, error) {
-	a, sent, err := mon.askBegin(m)
+	a, sent, err := mon.askBegin(m, probeTimeout)
 	if err == nil && a.Code == dbop.OK {
 		mon.Confirm(st.id, m.ID, a.Position, sent)
 	}
@@ -179,8 +179,9 @@
 }
 
 // askBegin begins and rolls back a read-write transaction, which takes no slot. It
-// returns the answer to the start and when that was sent, by Config.Clock.
-func (mon *Monitor) askBegin(m *roster.Member) (a dbop.Answer, sent time.Time, err error) {
+// returns the answer to the start and when that was sent, by Config.Clock. timeout bounds
+// the wait for the answer.
+func (mon *Monitor) askBegin(m *roster.Member, timeout time.Duration) (a dbop.Answer, sent time.Time, err error) {
 	unknown := dbop.Answer{Code: dbop.Unknown}
 	deadline := time.Now().Add(probeTimeout)
 	conn, err := mon.cfg.Pools.Get(deadline, m, "", 0)
@@ -188,7 +189,7 @@
 		return unknown, sent, err
 	}
 	sent = mon.cfg.Clock()
-	answers, err := conn.Do(time.Now().Add(probeTimeout), dbop.Statement{Kind: dbop.Begin, Confirm: mon.cfg.Unfenced}, dbop.Statement{Kind: dbop.Rollback})
+	answers, err := conn.Do(time.Now().Add(timeout), dbop.Statement{Kind: dbop.Begin, Confirm: mon.cfg.Unfenced}, dbop.Statement{Kind: dbop.Rollback})
 	if err != nil {
 		conn.Release(false)
 		mon.cfg.Pools.CloseIdleIfSilent(m, conn.SentAt())
@@ -296,6 +297,9 @@
 	if err := mon.failOver(ctx, st, old, why); err != nil {
 		mon.logAbandoned(st.id, err)
 		var e *Error
+		if errors.As(err, &e) && e.Kind == KindOtherPrimary {
+			mon.learnPrimary(st, old, e.Target)
+		}
 		if errors.As(err, &e) && (e.Kind == KindClaimed || e.Kind == KindNoSuccessor) {
 			return longRetryDelay
 		}
@@ -304,6 +308,15 @@
 	return 0
 }
 
+// learnPrimary makes the VM probe a database that reported being the primary, in place
+// of the one that was to be replaced.
+func (mon *Monitor) learnPrimary(st *groupState, old, current ident.Target) {
+	mon.Depose(st.id, old)
+	if m, ok := mon.cfg.Roster.Member(st.id, current); ok {
+		mon.probe(st, &m)
+	}
+}
+
 // resetStalledWrites clears the count of writes without an answer.
 func (st *groupState) resetStalledWrites() {
 	st.mu.Lock()
