Revert the confirmation of primaries at lenders

A lender kept the connection to the database while it asked the others, so the questions of 89 VMs took all connections of the lenders, and the VMs opened 25,159 of their own. Rounds are run by each VM again, which the last position reported by a primary and the background renewals make rarer. The refutation of a suspicion by the VMs that watch the group stays.

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -93,9 +93,6 @@
 	owner Owner
 }
 
-// Borrowed reports whether another VM holds the connection.
-func (c *Conn) Borrowed() bool { return c.pool == nil }
-
 // State returns the transaction state after the last answer.
 func (c *Conn) State() dbop.State { return c.state }
 
--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -140,15 +140,6 @@
 	return s.LocalLoad(m, ws)
 }
 
-// Borrows reports whether a connection to a database would be borrowed.
-func (s *Pools) Borrows(m *roster.Member, ws ident.Workspace) bool {
-	if s.Lender == nil {
-		return false
-	}
-	_, ok := s.Lender.Load(m, ws)
-	return ok
-}
-
 // LocalLoad is like Load but considers only the local connections.
 func (s *Pools) LocalLoad(m *roster.Member, ws ident.Workspace) Load {
 	p := s.poolOf(m)
--- a/internal/engine/config.go
+++ b/internal/engine/config.go
@@ -71,10 +71,6 @@
 	// includes every commit acknowledged before. It asks other databases if necessary,
 	// until the deadline.
 	AwaitConfirmation(deadline time.Time, g ident.Group, id ident.Target, since time.Time) bool
-	// RecordConfirmation reports that another VM has confirmed, for a statement sent at
-	// the given time by Config.Clock, that a database had not been replaced as the
-	// primary, and the position that the database reported then.
-	RecordConfirmation(g ident.Group, id ident.Target, pos ident.Position, sent time.Time)
 	// Confirm reports that a database was the primary when it answered, with the
 	// given position, a request sent at the given time by Config.Clock.
 	Confirm(g ident.Group, id ident.Target, pos ident.Position, sent time.Time)
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -167,10 +167,9 @@
 			break
 		}
 		c.offered = true
-		s.requestConfirmation(conn, c.receivedAt)
-		sent := s.e.cfg.Clock()
+		s.e.cfg.Primaries.RequestConfirmation(conn.Group, conn.Target, c.receivedAt)
 		st := c.st
-		st.Scheduling, st.Confirm = c.scheduling, true
+		st.Scheduling = c.scheduling
 		answers, err := conn.Do(c.deadline, st, dbop.Statement{Kind: dbop.Rollback})
 		if err != nil && len(answers) == 0 {
 			c.mayHaveRun = true
@@ -189,7 +188,6 @@
 		default:
 			conn.Release(true)
 		}
-		s.recordConfirmation(conn, &a, sent)
 		if a.Code == dbop.OK && !s.e.cfg.Primaries.AwaitConfirmation(c.deadline, conn.Group, conn.Target, c.receivedAt) {
 			// A newer primary may have acknowledged commits that the read missed.
 			s.recordFailure(c, conn.Target, dbop.ReadOnly)
@@ -204,21 +202,6 @@
 	return c.refusal()
 }
 
-// requestConfirmation prepares for a read at the primary. Where another VM lends the
-// connection, that VM confirms the primary with the read.
-func (s *Session) requestConfirmation(conn *dbpool.Conn, since time.Time) {
-	if !conn.Borrowed() {
-		s.e.cfg.Primaries.RequestConfirmation(conn.Group, conn.Target, since)
-	}
-}
-
-// recordConfirmation records the confirmation that came with an answer.
-func (s *Session) recordConfirmation(conn *dbpool.Conn, a *dbop.Answer, sent time.Time) {
-	if a.Confirmed {
-		s.e.cfg.Primaries.RecordConfirmation(conn.Group, conn.Target, a.Position, sent)
-	}
-}
-
 // discardUnanswered closes a connection with an answer outstanding.
 func (s *Session) discardUnanswered(conn *dbpool.Conn) {
 	conn.Release(false)
--- a/internal/engine/txn.go
+++ b/internal/engine/txn.go
@@ -175,7 +175,6 @@
 	c.offered = true
 	sent = s.e.cfg.Clock()
 	st := c.st
-	st.Confirm = tx.atPrimary && !tx.confirmed && !writes
 	if !tx.hasRun && !writes {
 		// Later statements are not queued: others may wait for the locks of this
 		// transaction.
@@ -185,7 +184,6 @@
 	if err != nil {
 		return a, sent, false
 	}
-	s.recordConfirmation(tx.conn, &answers[0], sent)
 	return answers[0], sent, true
 }
 
@@ -292,7 +290,7 @@
 	conn, ok := s.beginAtPrimary(c)
 	tx.conn, tx.atPrimary = conn, ok
 	if ok {
-		s.requestConfirmation(conn, s.requiredSince(tx))
+		s.e.cfg.Primaries.RequestConfirmation(conn.Group, conn.Target, s.requiredSince(tx))
 	}
 	return ok
 }
--- a/internal/lead/confirm.go
+++ b/internal/lead/confirm.go
@@ -127,35 +127,11 @@
 	}
 }
 
-// RecordConfirmation implements engine.Primaries.
-func (mon *Monitor) RecordConfirmation(g ident.Group, id ident.Target, pos ident.Position, sent time.Time) {
-	if !mon.cfg.Unfenced {
-		return
-	}
-	st := mon.groupState(g)
-	st.mu.Lock()
-	if st.proof.id != id || sent.After(st.proof.at) {
-		st.proof = proof{id, sent}
-	}
-	st.mu.Unlock()
-	if !pos.IsZero() {
-		st.positions.Confirm(pos, sent)
-	}
-	st.recordPrimary(id)
-}
-
-// runRound runs a round and records its result. If a VM lends the connection to the
-// presumed primary, that VM asks the other databases for all its borrowers.
+// runRound runs a round and records its result.
 func (mon *Monitor) runRound(st *groupState, r *round) {
-	own, answers := mon.askLender(st, r.id)
-	if own.Code == dbop.Unknown {
-		own, answers = mon.askAll(st, r)
-	}
+	own, answers := mon.askAll(st, r)
 	verdict := rindex.Unknown
-	switch {
-	case own.Code == dbop.OK && own.Confirmed:
-		verdict = rindex.Confirmed
-	case own.Code == dbop.OK:
+	if own.Code == dbop.OK {
 		verdict = rindex.Decide(own.Position, answers, mon.cfg.SyncReplicas(st.id))
 	}
 	switch {
@@ -165,32 +141,35 @@
 	case verdict == rindex.Superseded, verdict == rindex.Contested:
 		verdict = mon.resolve(st, r.id)
 	}
-	if verdict == rindex.Confirmed {
-		mon.recordRound(st, r, own)
-	}
 	st.mu.Lock()
 	r.verdict, st.round = verdict, nil
+	if verdict == rindex.Confirmed {
+		st.proof = proof{r.id, r.startedAt}
+	}
 	st.mu.Unlock()
+	if verdict == rindex.Confirmed {
+		st.recordPosition(r, own.Position)
+		st.recordPrimary(r.id)
+	}
 	close(r.done)
 }
 
-// recordRound records the result of a round that confirmed the primary. The position
-// is the one that the primary reported in the round, or else the last one before.
-func (mon *Monitor) recordRound(st *groupState, r *round, own dbop.Answer) {
+// recordPosition records the position of a primary that a round confirmed: the one that
+// it reported in the round, or else the last one before.
+func (st *groupState) recordPosition(r *round, pos ident.Position) {
 	sent := r.startedAt
-	if r.reported.id == r.id && own.Position == r.reported.pos {
+	if r.reported.id == r.id {
 		sent = r.reported.sent
 	}
-	mon.RecordConfirmation(st.id, r.id, ident.Position{}, r.startedAt)
-	if !own.Position.IsZero() {
-		st.positions.Confirm(own.Position, sent)
+	if !pos.IsZero() {
+		st.positions.Confirm(pos, sent)
 	}
 }
 
 // refreshFraction is the part of the accepted age after which a position is replaced
 // by a newer one in the background, so that reads find one that replicas have had time
 // to apply.
-const refreshFraction = 0.5
+const refreshFraction = 2.0 / 3
 
 // refreshConfirmation starts a round if the last position is old compared with the age
 // that a read accepts, which begins at since.
@@ -208,21 +187,6 @@
 	}
 }
 
-// askLender asks the presumed primary alone where another VM lends the connection. The
-// code of the answer is Unknown if the others have to be asked too.
-func (mon *Monitor) askLender(st *groupState, id ident.Target) (own dbop.Answer, others []rindex.Answer) {
-	unknown := dbop.Answer{Code: dbop.Unknown}
-	m, ok := mon.cfg.Roster.Member(st.id, id)
-	if !ok || !mon.cfg.Pools.Borrows(&m, "") {
-		return unknown, nil
-	}
-	a, _, err := mon.askBegin(&m, probeTimeout)
-	if err != nil || a.Code == dbop.OK && !a.Confirmed {
-		return unknown, nil
-	}
-	return a, nil
-}
-
 // askAll asks all databases of a group to begin a read-write transaction, and those
 // that refuse for their status when others are silent. It returns the answer of the
 // presumed primary and those of the others. A database that has left as planned is
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -189,7 +189,7 @@
 		return unknown, sent, err
 	}
 	sent = mon.cfg.Clock()
-	answers, err := conn.Do(time.Now().Add(timeout), dbop.Statement{Kind: dbop.Begin, Confirm: mon.cfg.Unfenced}, dbop.Statement{Kind: dbop.Rollback})
+	answers, err := conn.Do(time.Now().Add(timeout), dbop.Statement{Kind: dbop.Begin}, dbop.Statement{Kind: dbop.Rollback})
 	if err != nil {
 		conn.Release(false)
 		mon.cfg.Pools.CloseIdleIfSilent(m, conn.SentAt())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,7 +137,6 @@
 		RegionOf: n.regionOf, HomeRegion: s.homeRegion(), Clock: uptime.Now, Log: log,
 		Unfenced: !s.FencedPromotions, SyncReplicas: n.syncReplicas,
 	})
-	n.lender.Primaries, n.lender.Clock = n.monitor, uptime.Now
 	n.engine = engine.New(engine.Config{
 		Access: n.follower, Limiter: n.limiter, Primaries: n.monitor, Pools: n.pools, Roster: n.roster,
 		Ready: n.firstReady,
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -31,7 +31,7 @@
 		out[i] = &peerpb.RelayStatement{
 			Id: []byte(st.ID), Kind: uint32(st.Kind), Text: []byte(st.Text), Name: []byte(st.Name), Arg: []byte(st.Arg),
 			Writes: st.Writes, AfterTerm: uint64(st.Floor.Term), AfterIndex: st.Floor.Index,
-			Class: string(st.Scheduling.Class), Weight: st.Scheduling.Weight, WaitMs: uint32(st.Scheduling.MaxWait.Milliseconds()), Confirm: st.Confirm,
+			Class: string(st.Scheduling.Class), Weight: st.Scheduling.Weight, WaitMs: uint32(st.Scheduling.MaxWait.Milliseconds()),
 		}
 	}
 	return out
@@ -47,7 +47,7 @@
 		}
 		out[i] = dbop.Statement{
 			ID: string(st.Id), Kind: dbop.Kind(st.Kind), Text: string(st.Text), Name: string(st.Name), Arg: string(st.Arg),
-			Writes: st.Writes, Confirm: st.Confirm, Floor: ident.Position{Term: ident.Term(st.AfterTerm), Index: st.AfterIndex},
+			Writes: st.Writes, Floor: ident.Position{Term: ident.Term(st.AfterTerm), Index: st.AfterIndex},
 			Scheduling: dbop.Scheduling{Class: ident.Class(st.Class), Weight: st.Weight, MaxWait: time.Duration(st.WaitMs) * time.Millisecond},
 		}
 	}
@@ -60,7 +60,7 @@
 		a := &in[i]
 		b := &peerpb.RelayAnswer{
 			Signature: []byte(a.Signature), Code: uint32(a.Code), Text: []byte(a.Text), State: uint32(a.State),
-			Term: uint64(a.Position.Term), Index: a.Position.Index, Confirmed: a.Confirmed,
+			Term: uint64(a.Position.Term), Index: a.Position.Index,
 		}
 		for _, r := range a.Rows {
 			b.Rows = append(b.Rows, []byte(r))
@@ -75,7 +75,7 @@
 	for i, b := range in {
 		a := dbop.Answer{
 			Signature: string(b.Signature), Code: dbop.Code(b.Code), Text: string(b.Text), State: dbop.State(b.State),
-			Position: ident.Position{Term: ident.Term(b.Term), Index: b.Index}, Confirmed: b.Confirmed,
+			Position: ident.Position{Term: ident.Term(b.Term), Index: b.Index},
 		}
 		for _, r := range b.Rows {
 			a.Rows = append(a.Rows, string(r))
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -20,10 +20,6 @@
 // first use.
 type Server struct {
 	Pools *dbpool.Pools
-	// Primaries, unless nil, confirms primaries for statements that ask for it.
-	Primaries Primaries
-	// Clock is the clock of Primaries; nil means time.Now.
-	Clock func() time.Time
 
 	mu     sync.Mutex
 	queues map[ident.Target]*readQueue
@@ -33,13 +29,6 @@
 	lent     atomic.Int64
 }
 
-// Primaries confirms that a database had not been replaced as the primary of its group
-// at a time, by Server.Clock; see the interface of the same name in package engine.
-type Primaries interface {
-	RequestConfirmation(g ident.Group, id ident.Target, since time.Time)
-	AwaitConfirmation(deadline time.Time, g ident.Group, id ident.Target, since time.Time) bool
-}
-
 // serverStream is a stream opened by a borrower.
 type serverStream = grpc.BidiStreamingServer[peerpb.RelayRequest, peerpb.RelayReply]
 
@@ -168,7 +157,7 @@
 	ran := &peerpb.RelayRan{Broken: true}
 	deadline := time.Now().Add(time.Duration(r.LimitMs) * time.Millisecond)
 	if sts, ok := fromStatements(r.Statements); ok {
-		answers, err := s.runConfirmed(m, conn, deadline, sts)
+		answers, err := s.runInTurn(m, conn, deadline, sts)
 		ran.Answers, ran.Broken = toAnswers(answers), err != nil
 	}
 	if ran.Broken {
@@ -177,29 +166,6 @@
 	return &peerpb.RelayReply{Step: &peerpb.RelayReply_Ran{Ran: ran}}
 }
 
-// runConfirmed runs statements, and confirms the primary meanwhile if one of them that
-// succeeds asks for that. All borrowers share the questions that this takes.
-func (s *Server) runConfirmed(m *roster.Member, conn *dbpool.Conn, deadline time.Time, sts []dbop.Statement) ([]dbop.Answer, error) {
-	i := slices.IndexFunc(sts, func(st dbop.Statement) bool { return st.Confirm })
-	if i < 0 || s.Primaries == nil {
-		return s.runInTurn(m, conn, deadline, sts)
-	}
-	received := s.now()
-	s.Primaries.RequestConfirmation(m.Group, m.ID, received)
-	answers, err := s.runInTurn(m, conn, deadline, sts)
-	if err == nil && answers[i].Code == dbop.OK {
-		answers[i].Confirmed = s.Primaries.AwaitConfirmation(deadline, m.Group, m.ID, received)
-	}
-	return answers, err
-}
-
-func (s *Server) now() time.Time {
-	if s.Clock == nil {
-		return time.Now()
-	}
-	return s.Clock()
-}
-
 // runInTurn runs statements. When a read among them has to be scheduled, it first
 // waits for the turn of that read.
 func (s *Server) runInTurn(m *roster.Member, conn *dbpool.Conn, deadline time.Time, sts []dbop.Statement) ([]dbop.Answer, error) {
--- a/pkg/dbop/dbop.go
+++ b/pkg/dbop/dbop.go
@@ -56,9 +56,6 @@
 	Floor ident.Position
 	// Term is the term of a Fence or Demote.
 	Term ident.Term
-	// Confirm asks a VM that lends the connection to make sure that the database had
-	// not been replaced as the primary when the VM received the statement.
-	Confirm bool
 	// Scheduling sets how the statement queues when the database is busy.
 	Scheduling Scheduling
 }
@@ -159,6 +156,4 @@
 	// Position is the position of the database's log; zero when the answer
 	// carries none.
 	Position ident.Position
-	// Confirmed reports that the lender has done what Statement.Confirm asks for.
-	Confirmed bool
 }
