--- a/model/readindex.pml
+++ b/model/readindex.pml
@@ -108,12 +108,14 @@
 	:: atomic { ask(2) }; atomic { ask(1) }
 	fi;
 #endif
+#ifndef ONE_REFUSAL
 	/* A status is asked for when one of the two is silent. */
 	if
 	:: answer[1] == 1 && answer[2] == 0 -> atomic { ask_status(1) }
 	:: answer[2] == 1 && answer[1] == 0 -> atomic { ask_status(2) }
 	:: else
 	fi;
+#endif
 	atomic {
 #ifdef NO_CONFIRMATION
 		passed_on = true;
