Demote a working primary before another database is promoted

Change: a primary that answers is demoted before the call; the list is read again after that, and databases that joined are fenced and may be the successor. A round that does not ask the primary itself no longer counts as an answer of it: in rounds with the last reported position, a dead primary looked alive.

Ruled out: fencing joined databases until the call; one may join after it. Cost: strict reads wait for the promotion in planned changes too.

--- a/internal/lead/confirm.go
+++ b/internal/lead/confirm.go
@@ -141,16 +141,19 @@
 	case verdict == rindex.Superseded, verdict == rindex.Contested:
 		verdict = mon.resolve(st, r.id)
 	}
+	if verdict == rindex.Confirmed {
+		st.recordPosition(r, own.Position)
+		if r.reported.id != r.id {
+			st.recordPrimary(r.id) // it has answered
+		}
+	}
 	st.mu.Lock()
 	r.verdict, st.round = verdict, nil
 	if verdict == rindex.Confirmed {
 		st.proof = proof{r.id, r.startedAt}
+		st.wakeWaiters()
 	}
 	st.mu.Unlock()
-	if verdict == rindex.Confirmed {
-		st.recordPosition(r, own.Position)
-		st.recordPrimary(r.id)
-	}
 	close(r.done)
 }
 
--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"chervilspan.example/pkg/dbop"
@@ -20,8 +21,10 @@
 	old   ident.Target
 	why   reason
 	claim *heldClaim
-	// fenced has the databases that may be fenced.
-	fenced []roster.Member
+	// fenced has the databases that may be fenced, and answers what those answered that
+	// are.
+	fenced  []roster.Member
+	answers []reply
 }
 
 // failOver replaces the primary. If it returns nil, the promoted database has
@@ -101,10 +104,10 @@
 		return best, err
 	}
 	primary, works := answeringPrimary(replies, f.old)
-	if works && (f.why == reasonLeaving || f.why == reasonMissing) {
-		return f.prepareTransfer(ctx, &primary, replies)
+	if works {
+		return f.replaceWorking(ctx, &primary, replies)
 	}
-	if !works && f.why != reasonSilent && f.mon.confirmedByPeer(ctx, f.st.id, f.old) {
+	if f.why != reasonSilent && f.mon.confirmedByPeer(ctx, f.st.id, f.old) {
 		return best, f.error("status", KindPrimaryWorks, f.old)
 	}
 	if id, ok := enoughAnswered(replies); !ok {
@@ -113,6 +116,64 @@
 	return f.fenceAll(answeredReplicas(replies), nextTerm(replies))
 }
 
+// replaceWorking returns the successor of a primary that answers, and demotes the
+// primary before the promotion: a database that joins the group after the fences could
+// acknowledge its commits until the promotion takes effect.
+func (f *failover) replaceWorking(ctx context.Context, primary *reply, replies []reply) (best roster.Member, err error) {
+	id, all := enoughAnswered(replies)
+	if f.why == reasonLeaving || f.why == reasonMissing {
+		best, err = f.prepareTransfer(ctx, primary, replies)
+		if err != nil || !all {
+			return best, err
+		}
+	} else {
+		if !all {
+			return best, f.error("status", KindNoAnswer, id)
+		}
+		if best, err = f.fenceAll(answeredReplicas(replies), nextTerm(replies)); err != nil {
+			return best, err
+		}
+	}
+	if err := f.demote(primary, nextTerm(replies)); err != nil {
+		return best, err
+	}
+	return f.includeJoined(ctx, replies, best)
+}
+
+// demote demotes the primary, which must confirm it.
+func (f *failover) demote(primary *reply, term ident.Term) error {
+	r := f.mon.control(dbop.Statement{Kind: dbop.Demote, Term: term}, &primary.member)
+	if !r.answered || r.status.Primary {
+		return f.error("demote", KindNoAnswer, f.old)
+	}
+	return nil
+}
+
+// includeJoined reads the list again after the primary was demoted. Databases that
+// joined the group since the first reading may have acknowledged commits until then, so
+// they are fenced, and the successor is chosen among them and the one chosen before.
+func (f *failover) includeJoined(ctx context.Context, replies []reply, best roster.Member) (roster.Member, error) {
+	if err := f.mon.refreshList(ctx, f.st.id); err != nil {
+		return best, err
+	}
+	var joined []roster.Member
+	for _, m := range f.mon.cfg.Roster.AllMembers(f.st.id) {
+		if !slices.ContainsFunc(replies, func(r reply) bool { return r.member.ID == m.ID }) {
+			joined = append(joined, m)
+		}
+	}
+	if len(joined) == 0 {
+		return best, nil
+	}
+	candidates := slices.DeleteFunc(slices.Clone(f.answers), func(r reply) bool { return r.member.ID != best.ID })
+	fenced, err := f.fence(joined, nextTerm(replies))
+	if err != nil {
+		return best, err
+	}
+	best, _ = mostAdvanced(append(candidates, fenced...), f.mon.cfg.RegionOf, f.mon.cfg.HomeRegion)
+	return best, nil
+}
+
 // collectStatuses asks every database of the group for its status.
 func (f *failover) collectStatuses() ([]reply, error) {
 	replies := f.mon.controlAll(dbop.Statement{Kind: dbop.Status}, f.mon.cfg.Roster.AllMembers(f.st.id))
@@ -149,6 +210,7 @@
 			return nil, f.error("fence", KindNoAnswer, r.member.ID)
 		}
 	}
+	f.answers = append(f.answers, replies...)
 	if !f.claim.allowsCall(f.mon.cfg.Clock()) {
 		return nil, f.error("fence", KindClaimExpired, "")
 	}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -268,6 +268,12 @@
 	}
 	st.primary, st.confirmedAt = id, time.Now()
 	st.failingSince, st.failedDials = time.Time{}, 0
+	st.wakeWaiters()
+}
+
+// wakeWaiters wakes the callers that wait for a primary or a position. The caller holds
+// st.mu.
+func (st *groupState) wakeWaiters() {
 	if st.changed != nil {
 		close(st.changed)
 		st.changed = nil
--- a/internal/lead/transfer.go
+++ b/internal/lead/transfer.go
@@ -25,7 +25,7 @@
 		return best, f.error("catch up", KindNoSuccessor, best.ID)
 	}
 	if _, ok := enoughAnswered(replies); !ok {
-		return f.prepareDemoted(primary, replies)
+		return f.prepareDemoted(ctx, primary, replies)
 	}
 	var others []roster.Member
 	for _, m := range answeredReplicas(replies) {
@@ -48,10 +48,12 @@
 // prepareDemoted chooses the successor of a working primary while a replica does not
 // answer. The primary is demoted first: from then on it acknowledges no commit, and
 // its log has every acknowledged commit. It may itself be the successor.
-func (f *failover) prepareDemoted(primary *reply, replies []reply) (best roster.Member, err error) {
-	r := f.mon.control(dbop.Statement{Kind: dbop.Demote, Term: nextTerm(replies)}, &primary.member)
-	if !r.answered || r.status.Primary {
-		return best, f.error("demote", KindNoAnswer, f.old)
+func (f *failover) prepareDemoted(ctx context.Context, primary *reply, replies []reply) (best roster.Member, err error) {
+	if err := f.demote(primary, nextTerm(replies)); err != nil {
+		return best, err
+	}
+	if err := f.mon.refreshList(ctx, f.st.id); err != nil {
+		return best, err
 	}
 	if replies, err = f.collectStatuses(); err != nil {
 		return best, err
--- a/internal/lead/transfer_test.go
+++ b/internal/lead/transfer_test.go
@@ -97,3 +97,44 @@
 		is.True(!strings.Contains(f.log.String(), "primary_elected"))
 	})
 }
+
+// TestDemotedBeforePromotion guards against a primary that goes on while another database
+// is being promoted: one that joins the group meanwhile is not fenced, and acknowledges
+// commits that the promoted one lacks.
+func TestDemotedBeforePromotion(t *testing.T) {
+	for name, trigger := range map[string]func(*fixture){
+		"leaving": func(f *fixture) { f.markLeaving("a") },
+		"missing": func(f *fixture) { f.cluster.Update("a", func(d *linktest.DB) { d.Unlisted = true }) },
+		"stalled": func(f *fixture) {
+			f.cluster.Update("a", func(d *linktest.DB) { d.Index = 9 })
+			f.monitors[0].ReportStalledWrite("g", "a")
+			f.monitors[0].ReportStalledWrite("g", "a")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, 1, func(is *is.I, f *fixture) {
+				trigger(f)
+				f.await(is, "promote")
+				log := f.cluster.ControlLog()
+				is.True(slices.Contains(log, "demote a"))
+				is.True(slices.Index(log, "demote a") < slices.Index(log, f.promotions()[0]))
+			})
+		})
+	}
+}
+
+// TestJoinedBeforeDemotion guards against the promotion of a database that lacks what one
+// has acknowledged that joined the group between the fences and the demotion.
+func TestJoinedBeforeDemotion(t *testing.T) {
+	runWith(t, 1, &fixture{joining: []ident.Target{"d"}}, func(is *is.I, f *fixture) {
+		f.refresh = func() {
+			if slices.Contains(f.cluster.ControlLog(), "demote a") {
+				f.cluster.Update("d", func(d *linktest.DB) { d.Removed, d.Index = false, 9 })
+				f.cluster.UpdateRoster()
+			}
+		}
+		f.markLeaving("a")
+		f.await(is, "promote")
+		is.Equal(f.promotions(), []string{"promote d"})
+	})
+}
