--- a/internal/lead/doc.go
+++ b/internal/lead/doc.go
@@ -30,6 +30,19 @@
 // replicas stay fenced until a later failover, which has a higher token,
 // supersedes it.
 //
+// A primary that answers is demoted before another database is promoted, since one that
+// joins the group after the fences is not fenced. One that is leaving or missing from the
+// list is replaced only by a replica in service that has its log.
+//
+// # Former primaries
+//
+// Where the platform does not end a primary's work in the moment of a promotion
+// (Config.Unfenced), two databases may act as primaries for a while. What a primary
+// answers counts then only with a round of questions to the other databases, sent after
+// the read began; package rindex decides what their answers show. Rounds are shared by
+// all reads of a group that wait. A VM that finds two primaries demotes that of the lower
+// term.
+//
 // # Usage
 //
 //	mon := lead.New(lead.Config{VM: vm, Roster: &table, Pools: pools, Store: s, Promoter: p})
