Ask other VMs about every silent database before a promotion

A VM had i-5d35a35ac9 promoted but, cut off from it, did not see it become the primary; for that VM the group had none. It fenced the others and promoted i-42c5b05d31 at 21.8 s while the other VMs worked with i-5d35a35ac9, whose commits a database that joined at 21.5 s acknowledged. The other VMs were asked only about the last primary that this VM knew.

Change: they are asked about each database that did not answer; one that they confirm is taken over instead of a promotion.

TestWorkingElsewhere fails before.

--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"chervilspan.example/pkg/dbop"
@@ -107,8 +108,8 @@
 	if works {
 		return f.replaceWorking(ctx, &primary, replies)
 	}
-	if f.why != reasonSilent && f.mon.confirmedByPeer(ctx, f.st.id, f.old) {
-		return best, f.error("status", KindPrimaryWorks, f.old)
+	if id, ok := f.silentPrimary(ctx, replies); ok {
+		return best, f.error("status", KindPrimaryWorks, id)
 	}
 	if id, ok := enoughAnswered(replies); !ok {
 		return best, f.error("status", KindNoAnswer, id)
@@ -116,6 +117,25 @@
 	return f.fenceAll(answeredReplicas(replies), nextTerm(replies))
 }
 
+// silentPrimary returns a database that did not answer this VM, but that another VM has
+// recently confirmed as the primary. It may be one that this VM had promoted itself
+// without seeing it become the primary.
+func (f *failover) silentPrimary(ctx context.Context, replies []reply) (id ident.Target, ok bool) {
+	var wg sync.WaitGroup
+	confirmed := make([]bool, len(replies))
+	for i, r := range replies {
+		if r.answered || r.member.ID == f.old && f.why == reasonSilent {
+			continue // the other VMs were asked about a silent primary before
+		}
+		wg.Go(func() { confirmed[i] = f.mon.confirmedByPeer(ctx, f.st.id, r.member.ID) })
+	}
+	wg.Wait()
+	if i := slices.Index(confirmed, true); i >= 0 {
+		return replies[i].member.ID, true
+	}
+	return "", false
+}
+
 // replaceWorking returns the successor of a primary that answers, and demotes the
 // primary before the promotion: a database that joins the group after the fences could
 // acknowledge its commits until the promotion takes effect.
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -199,10 +199,12 @@
 	})
 }
 
-// otherMonitor returns the monitor of a further VM, which answers the others.
+// otherMonitor returns the monitor of a further VM with a roster of its own, which
+// answers the others.
 func (f *fixture) otherMonitor() *lead.Monitor {
-	mon := lead.New(lead.Config{Roster: f.cluster.Roster(), Pools: &dbpool.Pools{
-		Dialer: f.cluster, Roster: f.cluster.Roster(), ConnLimit: func(*roster.Member) int { return 4 },
+	table := &roster.Table{}
+	mon := lead.New(lead.Config{Roster: table, Pools: &dbpool.Pools{
+		Dialer: f.cluster, Roster: table, ConnLimit: func(*roster.Member) int { return 4 },
 	}})
 	f.monitors = append(f.monitors, mon)
 	return mon
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -297,8 +297,13 @@
 	if err := mon.failOver(ctx, st, old, why); err != nil {
 		mon.logAbandoned(st.id, err)
 		var e *Error
-		if errors.As(err, &e) && e.Kind == KindOtherPrimary {
+		switch {
+		case !errors.As(err, &e):
+		case e.Kind == KindOtherPrimary:
 			mon.learnPrimary(st, old, e.Target)
+		case e.Kind == KindPrimaryWorks && e.Target != old:
+			// This VM does not reach it, but must not replace it.
+			mon.cfg.Roster.ConfirmPrimary(st.id, e.Target)
 		}
 		if errors.As(err, &e) && (e.Kind == KindClaimed || e.Kind == KindNoSuccessor) {
 			return longRetryDelay
--- a/internal/lead/transfer_test.go
+++ b/internal/lead/transfer_test.go
@@ -138,3 +138,19 @@
 		is.Equal(f.promotions(), []string{"promote d"})
 	})
 }
+
+// TestWorkingElsewhere guards against the replacement of a primary that this VM does not
+// reach and never knew as the primary, for instance because it did not see the end of a
+// promotion, while another VM is in contact with it.
+func TestWorkingElsewhere(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		other := f.otherMonitor()
+		f.cluster.Update("b", func(d *linktest.DB) { d.Unlisted, d.Unreachable = true, true })
+		f.cluster.Promote("b")
+		for range 80 {
+			other.Confirm("g", "b", ident.Position{Term: 2, Index: 1}, time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(f.promotions(), []string{"promote b"})
+	})
+}
