--- a/internal/disco/disco.go
+++ b/internal/disco/disco.go
@@ -9,7 +9,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -118,7 +117,7 @@
 	for _, e := range entries {
 		d, ok := p.decoded[e.Key]
 		if !ok || d.revision != e.Revision {
-			r, err := p.decodeEntry(e)
+			r, err := guard.Call(p.Log, "database entry", e.Key, func() (roster.Entry, error) { return p.Decode(e.Key, e.Value) })
 			if err != nil {
 				p.logSkipped(e, err)
 				continue
@@ -132,14 +131,6 @@
 	return out
 }
 
-var errDecode = errors.New("disco: the entry could not be decoded")
-
-// decodeEntry decodes an entry. One that makes the decoder panic is an error.
-func (p *Poller) decodeEntry(e store.Entry) (r roster.Entry, err error) {
-	defer guard.Recover(p.Log, "database entry", e.Key, func() { err = errDecode })
-	return p.Decode(e.Key, e.Value)
-}
-
 // logSkipped logs an entry that can't be decoded, once per revision. The caller holds
 // p.mu.
 func (p *Poller) logSkipped(e store.Entry, err error) {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -57,8 +57,7 @@
 	Self  member.Info
 	Store store.Store
 	// ListEntries, unless nil, replaces reading from the store once a complete list is
-	// known. It returns the entries under a prefix, which may be some
-	// seconds old.
+	// known. It returns the entries under a prefix, which may be some seconds old.
 	ListEntries func(ctx context.Context, prefix string) ([]store.Entry, error)
 	// Seeds are addresses of peer services, some of which may be stale.
 	Seeds []string
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -21,7 +21,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -297,7 +296,7 @@
 
 // applyEntry decodes and applies a catalogue from the store.
 func (f *Follower) applyEntry(e store.Entry) {
-	c, err := f.decode(e.Value)
+	c, err := guard.Call(f.cfg.Log, "catalogue", "", func() (*catal.Catalogue, error) { return f.cfg.Decode(e.Value) })
 	if err != nil {
 		evlog.At(f.cfg.Log, evlog.CatalogueUnread).Int64("revision", int64(e.Revision)).Err(err).Send()
 		return
@@ -305,14 +304,6 @@
 	f.Apply(c, "store")
 }
 
-var errDecode = errors.New("follow: the catalogue could not be decoded")
-
-// decode decodes a catalogue. A document that makes the decoder panic is an error.
-func (f *Follower) decode(raw []byte) (c *catal.Catalogue, err error) {
-	defer guard.Recover(f.cfg.Log, "catalogue", "", func() { err = errDecode })
-	return f.cfg.Decode(raw)
-}
-
 // setStoreUp records whether a read of the store succeeded, and logs changes.
 func (f *Follower) setStoreUp(err error) {
 	up := err == nil
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -7,6 +7,7 @@
 package guard
 
 import (
+	"errors"
 	"fmt"
 	"runtime/debug"
 	"sync/atomic"
@@ -21,8 +22,18 @@
 // Count returns the number of panics that were contained since the process started.
 func Count() uint64 { return count.Load() }
 
-// Recover ends a panic when it is called by defer: it logs where it happened, the id of the
-// request that caused it, and the stack, and then calls then unless that is nil. A
+// ErrPanic is the error of Call for a function that ended in a panic.
+var ErrPanic = errors.New("guard: the call ended in a panic")
+
+// Call returns the result of f. A panic of f is logged like by Recover and returned as
+// ErrPanic.
+func Call[T any](log zerolog.Logger, where, id string, f func() (T, error)) (out T, err error) {
+	defer Recover(log, where, id, func() { err = ErrPanic })
+	return f()
+}
+
+// Recover ends a panic when it is called by defer: it logs where it happened, the id of
+// the request that caused it, and the stack, and then calls then unless that is nil. A
 // panic of then is contained as well.
 func Recover(log zerolog.Logger, where, id string, then func()) {
 	v := recover()
--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -26,6 +26,8 @@
 	// are.
 	fenced  []roster.Member
 	answers []reply
+	// demoted is set once the primary has confirmed its demotion.
+	demoted bool
 }
 
 // failOver replaces the primary. If it returns nil, the promoted database has
@@ -52,7 +54,9 @@
 		return &Error{Op: "await", Kind: KindNotPromoted, Group: st.id, Target: best.ID}
 	}
 	mon.logElected(st.id, best.ID, old, c.token)
-	mon.demoteFormer(st, old, best)
+	if !f.demoted {
+		mon.demoteFormer(st, old, best)
+	}
 	return nil
 }
 
@@ -141,19 +145,25 @@
 // acknowledge its commits until the promotion takes effect.
 func (f *failover) replaceWorking(ctx context.Context, primary *reply, replies []reply) (best roster.Member, err error) {
 	id, all := enoughAnswered(replies)
-	if f.why == reasonLeaving || f.why == reasonMissing {
-		best, err = f.prepareTransfer(ctx, primary, replies)
-		if err != nil || !all {
-			return best, err
-		}
-	} else {
-		if !all {
-			return best, f.error("status", KindNoAnswer, id)
-		}
-		if best, err = f.fenceAll(answeredReplicas(replies), nextTerm(replies)); err != nil {
+	planned := f.why == reasonLeaving || f.why == reasonMissing
+	if planned {
+		if best, err = f.awaitSuccessor(ctx, primary, replies); err != nil {
 			return best, err
 		}
 	}
+	switch {
+	case planned && all:
+		err = f.fenceForTransfer(ctx, best, replies)
+	case planned:
+		return f.prepareDemoted(ctx, primary, replies)
+	case all:
+		best, err = f.fenceAll(answeredReplicas(replies), nextTerm(replies))
+	default:
+		err = f.error("status", KindNoAnswer, id)
+	}
+	if err != nil {
+		return best, err
+	}
 	if err := f.demote(primary, nextTerm(replies)); err != nil {
 		return best, err
 	}
@@ -166,6 +176,7 @@
 	if !r.answered || r.status.Primary {
 		return f.error("demote", KindNoAnswer, f.old)
 	}
+	f.demoted = true
 	return nil
 }
 
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -20,9 +20,9 @@
 	watchInterval = 150 * time.Millisecond
 	// idleInterval is the interval of VMs that are not among the watchers.
 	idleInterval = time.Second
-	// watcherCount is the number of VMs that probe an idle primary; the others
-	// probe it only when requests need it.
-	watcherCount = 8
+	// WatcherCount is the number of VMs, the first by Config.Rank, that probe an idle
+	// primary; the others probe it only when requests need it.
+	WatcherCount = 8
 	// minWakeupInterval is the least time between checks that requests cause.
 	minWakeupInterval = 30 * time.Millisecond
 	// probeConfirmationAge is the age of the last confirmation above which
@@ -89,7 +89,7 @@
 				return
 			}
 		}
-		watching := mon.cfg.Rank(st.id) < watcherCount
+		watching := mon.cfg.Rank(st.id) < WatcherCount
 		checkedAt = time.Now()
 		mon.checkPrimary(st, &noPrimarySince, watching)
 		t.Reset(st.checkInterval(watching || !noPrimarySince.IsZero()))
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -146,9 +146,9 @@
 
 // nextTerm returns a term above all that the replies contain.
 func nextTerm(replies []reply) ident.Term {
-	var t ident.Term
+	t := highestTerm(replies)
 	for _, r := range replies {
-		t = max(t, r.status.Term, r.status.FenceTerm)
+		t = max(t, r.status.FenceTerm)
 	}
 	return t + 1
 }
--- a/internal/lead/transfer.go
+++ b/internal/lead/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"chervilspan.example/pkg/dbop"
@@ -14,35 +15,31 @@
 // another database already has. It covers a few round trips between regions.
 const catchUpTimeout = 500 * time.Millisecond
 
-// prepareTransfer chooses the successor of a primary that still works, but is
-// leaving or missing from the list. The successor stays in service and has the log
-// that the primary had when it was asked; without such a replica nothing changes.
-// The successor is fenced last, so that it goes on receiving what the other
-// replicas acknowledged before their fence.
-func (f *failover) prepareTransfer(ctx context.Context, primary *reply, replies []reply) (best roster.Member, err error) {
+// awaitSuccessor returns the successor of a primary that still works, but is leaving or
+// missing from the list. It stays in service and has the log that the primary had when
+// it was asked; without such a replica nothing changes.
+func (f *failover) awaitSuccessor(ctx context.Context, primary *reply, replies []reply) (roster.Member, error) {
 	best, ok := f.awaitPosition(ctx, stayingReplicas(replies), primary.status.Received)
 	if !ok {
 		return best, f.error("catch up", KindNoSuccessor, best.ID)
 	}
-	if _, ok := enoughAnswered(replies); !ok {
-		return f.prepareDemoted(ctx, primary, replies)
-	}
-	var others []roster.Member
-	for _, m := range answeredReplicas(replies) {
-		if m.ID != best.ID {
-			others = append(others, m)
-		}
-	}
+	return best, nil
+}
+
+// fenceForTransfer fences all replicas, the successor last, so that it goes on receiving
+// what the others acknowledged before their fence.
+func (f *failover) fenceForTransfer(ctx context.Context, best roster.Member, replies []reply) error {
+	others := slices.DeleteFunc(answeredReplicas(replies), func(m roster.Member) bool { return m.ID == best.ID })
 	term := nextTerm(replies)
 	fenced, err := f.fence(others, term)
 	if err != nil {
-		return best, err
+		return err
 	}
 	if _, ok := f.awaitPosition(ctx, []roster.Member{best}, highestReceived(fenced)); !ok {
-		return best, f.error("catch up", KindNoSuccessor, best.ID)
+		return f.error("catch up", KindNoSuccessor, best.ID)
 	}
 	_, err = f.fence([]roster.Member{best}, term)
-	return best, err
+	return err
 }
 
 // prepareDemoted chooses the successor of a working primary while a replica does not
--- a/internal/lists/lists.go
+++ b/internal/lists/lists.go
@@ -57,9 +57,11 @@
 
 	avoid peer.AvoidList
 
-	mu     sync.Mutex
-	cache  map[query]*cachedList
-	copies map[copyKey]list
+	mu    sync.Mutex
+	cache map[query]*cachedList
+	// copies has the last list received from a reader. Its digest identifies it to
+	// every reader.
+	copies map[query]list
 }
 
 // query identifies a list.
@@ -68,12 +70,6 @@
 	fresh  bool
 }
 
-// copyKey identifies the last list received from a reader.
-type copyKey struct {
-	query
-	address string
-}
-
 // list is a list with the time, by Config.Clock, at which the call to the store began,
 // and a digest that is not 0. The entries are not changed once they are set.
 type list struct {
@@ -105,7 +101,7 @@
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
 	}
-	return &Reader{cfg: cfg, cache: map[query]*cachedList{}, copies: map[copyKey]list{}}
+	return &Reader{cfg: cfg, cache: map[query]*cachedList{}, copies: map[query]list{}}
 }
 
 // List returns the entries under a prefix, and the time, by the runtime's clock,
@@ -159,9 +155,8 @@
 	if err != nil {
 		return list{}, err
 	}
-	key := copyKey{q, address}
 	r.mu.Lock()
-	known := r.copies[key]
+	known := r.copies[q]
 	r.mu.Unlock()
 	sent := r.cfg.Clock()
 	reply, err := client.ReadList(ctx, &peerpb.ReadListRequest{Prefix: q.prefix, Fresh: q.fresh, Known: known.digest, Hops: hops + 1})
@@ -174,7 +169,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.copies[key] = out
+	r.copies[q] = out
 	return out, nil
 }
 
--- a/internal/lists/lists_test.go
+++ b/internal/lists/lists_test.go
@@ -135,6 +135,22 @@
 	is.Equal(len(changed), 2)
 }
 
+// TestUnchangedAtNextReader guards against a list that is sent again, and its values
+// decoded, because another reader returned it than the time before.
+func TestUnchangedAtNextReader(t *testing.T) {
+	is := is.New(t)
+	s, c := storeWithKey(t), &clock{}
+	reader := lists.New(lists.Config{Store: s, Readers: func() []string { return nil }, Clock: c.now})
+	first, stop := linktest.ServePeer(t, peer.Handlers{ListReader: reader})
+	r := asker(t, storeWithKey(t), first, serveReader(t, s, c))
+	before, _, err := r.List(t.Context(), "targets/", true)
+	is.NoErr(err)
+	stop()
+	same, _, err := r.List(t.Context(), "targets/", true)
+	is.NoErr(err)
+	is.True(&same[0] == &before[0])
+}
+
 // TestAge guards against a cached list that is reported as newer than it is, also
 // after a suspension of the reader's machine, and against one that never expires.
 func TestAge(t *testing.T) {
--- a/internal/node/lend.go
+++ b/internal/node/lend.go
@@ -42,6 +42,11 @@
 	addresses map[ident.VM]string
 }
 
+// sameList reports whether two results of fleet.Live are the same list.
+func sameList(a, b []member.Info) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // lendersOf returns the lenders of a database, followed by their backups. They
 // are in the database's zone, so that a statement crosses zones once, as it does
 // without a lender. If that zone has no more than lenderCount VMs, they are taken
@@ -49,7 +54,7 @@
 func (l *lenderTable) lendersOf(m *roster.Member, live []member.Info) []ident.VM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.live) != len(live) || len(live) > 0 && &l.live[0] != &live[0] {
+	if !sameList(l.live, live) {
 		l.live, l.byTarget, l.addresses = live, map[ident.Target][]ident.VM{}, make(map[ident.VM]string, len(live))
 		for _, i := range live {
 			l.addresses[i.VM] = i.Address
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -36,7 +36,7 @@
 func (t *readerTable) addressesFor(self member.Info, live []member.Info) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.live) != len(live) || len(live) > 0 && &t.live[0] != &live[0] {
+	if !sameList(t.live, live) {
 		t.live, t.addresses = live, readersFor(self, live)
 	}
 	return t.addresses
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -4,18 +4,13 @@
 	"context"
 	"time"
 
+	"chervilspan.example/internal/lead"
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/ident"
 )
 
-const (
-	// confirmTimeout is how long other VMs have to confirm that a primary answers
-	// them.
-	confirmTimeout = 250 * time.Millisecond
-	// maxConfirmVMs is the greatest number of VMs that are asked. They are the first of
-	// the group's order of rank, which watch its primary.
-	maxConfirmVMs = 8
-)
+// confirmTimeout is how long other VMs have to confirm that a primary answers them.
+const confirmTimeout = 250 * time.Millisecond
 
 // vmPeers returns the clients of other VMs and asks these VMs about primaries.
 type vmPeers struct{ n *Node }
@@ -28,12 +23,12 @@
 // rankName is the name under which VMs are ranked for the failover of a group.
 func rankName(g ident.Group) string { return "failover/" + string(g) }
 
-// ConfirmsPrimary implements lead.Peers. It asks the VMs that watch the group at once and returns true
-// on the first that names the target as a primary that answers it.
+// ConfirmsPrimary implements lead.Peers. It asks the VMs that watch the group at once,
+// and returns true on the first that names the target as a primary that answers it.
 func (p vmPeers) ConfirmsPrimary(ctx context.Context, g ident.Group, id ident.Target) bool {
 	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
 	defer cancel()
-	all := p.n.fleet.RankedAddresses(rankName(g), p.n.settings.homeRegion(), maxConfirmVMs)
+	all := p.n.fleet.RankedAddresses(rankName(g), p.n.settings.homeRegion(), lead.WatcherCount)
 	answers := make(chan bool, len(all))
 	for _, address := range all {
 		go func() { answers <- p.peerConfirms(ctx, address, g, id) }()
