--- /dev/null
+++ b/internal/follow/watch.go
@@ -0,0 +1,143 @@
+package follow
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"chervilspan.example/internal/evlog"
+	"chervilspan.example/internal/guard"
+	"chervilspan.example/pkg/catal"
+	"chervilspan.example/pkg/store"
+	"chervilspan.example/pkg/wait"
+)
+
+// followStore reads the key, and watches it if this VM is to do so, until ctx is
+// cancelled.
+func (f *Follower) followStore(ctx context.Context) {
+	backoff := maxUnconfirmedAge
+	for ctx.Err() == nil {
+		rev, err := f.readStore(ctx)
+		f.setStoreUp(err)
+		switch {
+		case f.awaitRole(ctx):
+			if err == nil {
+				f.watchStore(ctx, rev)
+			}
+			wait.For(ctx, storeRetryDelay/2+rand.N(storeRetryDelay))
+		case err == nil:
+			backoff = maxUnconfirmedAge
+			f.awaitUnconfirmed(ctx, 0)
+		default:
+			f.awaitUnconfirmed(ctx, backoff)
+			backoff = min(2*backoff, maxReadBackoff)
+		}
+	}
+}
+
+// watches reports whether this VM watches the store.
+func (f *Follower) watches() bool {
+	readers, _ := f.cfg.Readers()
+	return len(readers) == 0
+}
+
+// awaitRole reports whether this VM watches the store, after waiting until that is
+// decided.
+func (f *Follower) awaitRole(ctx context.Context) bool {
+	for end := time.Now().Add(roleTimeout); time.Now().Before(end); {
+		if readers, known := f.cfg.Readers(); known {
+			return len(readers) == 0
+		}
+		if !wait.For(ctx, roleInterval) {
+			return false
+		}
+	}
+	return true
+}
+
+// watchStore watches the key until the watch fails or this VM is no longer to watch.
+func (f *Follower) watchStore(ctx context.Context, rev store.Revision) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	asked := f.cfg.Clock()
+	// The watch ends when the store has compacted its history or does not answer; the
+	// next read shows which.
+	_ = f.cfg.Store.Watch(ctx, f.cfg.Key, rev, func(ev store.Event) {
+		switch {
+		case ev.Progress:
+			f.confirm(asked)
+			asked = f.cfg.Clock()
+			if !f.watches() {
+				cancel()
+			}
+		case !ev.Deleted && ev.Entry.Key == f.cfg.Key:
+			f.applyEntry(ev.Entry)
+		}
+	})
+}
+
+// awaitUnconfirmed returns when the version in force has not been confirmed for
+// maxUnconfirmedAge, but not before minDelay has passed, or when this VM is to watch
+// the store.
+func (f *Follower) awaitUnconfirmed(ctx context.Context, minDelay time.Duration) {
+	end := time.Now().Add(minDelay)
+	for wait.For(ctx, roleInterval) && !f.watches() {
+		if time.Now().After(end) && f.unconfirmedAge() > maxUnconfirmedAge {
+			return
+		}
+	}
+}
+
+// confirm records that no version above the one in force was in the store at a time.
+func (f *Follower) confirm(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at.After(f.confirmedAt) {
+		f.confirmedAt = at
+	}
+}
+
+func (f *Follower) unconfirmedAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cfg.Clock().Sub(f.confirmedAt)
+}
+
+// readStore reads the key and returns the revision from which to watch it.
+func (f *Follower) readStore(ctx context.Context) (store.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	asked := f.cfg.Clock()
+	e, err := f.cfg.Store.Get(ctx, f.cfg.Key)
+	if err != nil {
+		return 0, err
+	}
+	if e.Revision != 0 {
+		f.applyEntry(e)
+	}
+	f.confirm(asked)
+	return max(e.Revision, e.StoreRevision), nil
+}
+
+// applyEntry decodes and applies a catalogue from the store.
+func (f *Follower) applyEntry(e store.Entry) {
+	c, err := guard.Call(f.cfg.Log, "catalogue", "", func() (*catal.Catalogue, error) { return f.cfg.Decode(e.Value) })
+	if err != nil {
+		evlog.At(f.cfg.Log, evlog.CatalogueUnread).Int64("revision", int64(e.Revision)).Err(err).Send()
+		return
+	}
+	f.Apply(c, "store")
+}
+
+// setStoreUp records whether a read of the store succeeded, and logs changes.
+func (f *Follower) setStoreUp(err error) {
+	up := err == nil
+	if f.storeUp.Swap(up) == up {
+		return
+	}
+	if up {
+		evlog.At(f.cfg.Log, evlog.StoreRegained).Send()
+		return
+	}
+	evlog.At(f.cfg.Log, evlog.StoreLost).Err(err).Uint64("version", uint64(f.Version())).Send()
+}
