Test which VMs are asked about a group's primary

The refutation of a suspicion by the VMs that watch the group had no test of its own. TestRankedAddresses fails when the order is that of another name.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -63,6 +63,32 @@
 	})
 }
 
+// TestRankedAddresses guards against asking about a group VMs that do not watch it: those
+// asked have to be the ones that Rank names first, without this VM.
+func TestRankedAddresses(t *testing.T) {
+	is := is.New(t)
+	var live []member.Info
+	for _, vm := range []ident.VM{"a", "b", "c", "d", "e", "f"} {
+		live = append(live, info(vm, "r1"))
+	}
+	live = append(live, info("far", "r2"))
+	at := func(vm ident.VM) *Fleet {
+		f := New(Config{Self: info(vm, "r1"), Seeds: []string{"seed"}})
+		f.live = live
+		return f
+	}
+	first := map[int]string{}
+	for _, m := range live {
+		first[at(m.VM).Rank("g", "r1")] = m.Address
+	}
+	is.Equal(first[len(live)-1], "address of far")
+	got := at("far").RankedAddresses("g", "r1", 3)
+	is.Equal(got, []string{first[0], first[1], first[2]})
+	self := ident.VM(first[0][len("address of "):])
+	is.Equal(at(self).RankedAddresses("g", "r1", 2), []string{first[1], first[2]})
+	is.Equal(New(Config{Self: info("a", "r1"), Seeds: []string{"seed"}}).RankedAddresses("g", "r1", 3), []string{"seed"})
+}
+
 // TestOutage guards against a list that becomes empty during an outage of the
 // store, and against an entry that is not written again after its lease has
 // expired.
