Log restorations of the store and older versions of the catalogue

The logs could not tell a store that was away from one that came back from an older copy, nor a read that shows an older version from one that confirms the version in force. No decision uses them yet.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -111,6 +111,8 @@
 	confirmedAt time.Time
 	// storeUp is set when the last read of the store succeeded.
 	storeUp atomic.Bool
+	// olderLogged is the version of the last catalogue_older line.
+	olderLogged ident.Version
 	// newVersion is signalled to start a round of gossip at once.
 	newVersion chan struct{}
 }
--- a/internal/follow/watch.go
+++ b/internal/follow/watch.go
@@ -8,6 +8,7 @@
 	"chervilspan.example/internal/evlog"
 	"chervilspan.example/internal/guard"
 	"chervilspan.example/pkg/catal"
+	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/store"
 	"chervilspan.example/pkg/wait"
 )
@@ -126,7 +127,20 @@
 		evlog.At(f.cfg.Log, evlog.CatalogueUnread).Int64("revision", int64(e.Revision)).Err(err).Send()
 		return
 	}
-	f.Apply(c, "store")
+	if !f.Apply(c, "store") {
+		f.logOlder(c.Version, e.Revision)
+	}
+}
+
+// logOlder logs, once for each version, that the store has an older one than that in
+// force. Operators write only higher versions, so the store has lost the newer one.
+func (f *Follower) logOlder(v ident.Version, rev store.Revision) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if inForce := f.Version(); v < inForce && v != f.olderLogged {
+		f.olderLogged = v
+		evlog.At(f.cfg.Log, evlog.CatalogueOlder).Uint64("version", uint64(v)).Uint64("in_force", uint64(inForce)).Int64("revision", int64(rev)).Send()
+	}
 }
 
 // setStoreUp records whether a read of the store succeeded, and logs changes.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -180,7 +180,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){n.follower.Run, n.fleet.Run, n.limiter.Run, n.monitor.Run, n.disco.Run, n.housekeep, n.awaitReady} {
+	for _, f := range []func(context.Context){n.follower.Run, n.fleet.Run, n.limiter.Run, n.monitor.Run, n.disco.Run, n.housekeep, n.awaitReady, n.reportRestorations} {
 		wg.Go(func() { f(work) })
 	}
 	server := peer.NewServer(peer.ServerConfig{AllowPlaintext: true, Log: n.log}, peer.Handlers{Catalogue: n.follower, Lender: n.limiter, Watcher: suspectHandler{n}, Relay: n.lender, ListReader: n.lists})
@@ -287,6 +287,22 @@
 	}
 }
 
+// reportRestorations logs when the store has been restored from an older copy.
+func (n *Node) reportRestorations(ctx context.Context) {
+	s, ok := n.adapters.Store.(store.Restorable)
+	for ok {
+		restored := s.Restored()
+		select {
+		case <-ctx.Done():
+			return
+		case <-restored:
+		}
+		r := s.LastRestoration()
+		evlog.At(n.log, evlog.StoreRestored).Int64("before", int64(r.Before)).Int64("after", int64(r.After)).
+			Int64("last_before", int64(r.LastBefore)).Int64("first_after", int64(r.FirstAfter)).Send()
+	}
+}
+
 // updateGauges reports totals that other packages count.
 func (n *Node) updateGauges() {
 	n.metrics.Scope.Gauge("target_dials").Update(float64(n.pools.Dials.Load()))
@@ -294,6 +310,9 @@
 	n.metrics.Scope.Gauge("lent_connections").Update(float64(n.lender.LentCount()))
 	n.metrics.Scope.Gauge("panics").Update(float64(guard.Count()))
 	n.metrics.Scope.Gauge("sessions").Update(float64(n.engine.Sessions()))
+	if s, ok := n.adapters.Store.(store.Restorable); ok {
+		n.metrics.Scope.Gauge("store_epoch").Update(float64(s.Epoch()))
+	}
 	if n.adapters.StoreCounts != nil {
 		calls, failures := n.adapters.StoreCounts()
 		for op, count := range calls {
