Order revisions across restorations of the store

Callers saw: after a restored store a primary was replaced under a fencing token that was not higher than those before. Where the platform checks, the call is refused.

Cause: tokens are revisions, and a restored store gives revisions out again. The same holds for conditions of writes, decoded entries kept by revision, and digests of lists (found by reading: equal numbers stand for other writes).

Change: a revision has the epoch in its high bits, made in the client from the epoch of the answer that gave it. In the first epoch revisions are what they were, so older programs in the fleet compare alike.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -299,7 +299,7 @@
 		}
 		r := s.LastRestoration()
 		evlog.At(n.log, evlog.StoreRestored).Int64("before", int64(r.Before)).Int64("after", int64(r.After)).
-			Int64("last_before", int64(r.LastBefore)).Int64("first_after", int64(r.FirstAfter)).Send()
+			Int64("last_before", r.LastBefore.Counter()).Int64("first_after", r.FirstAfter.Counter()).Send()
 	}
 }
 
--- a/pkg/store/errors.go
+++ b/pkg/store/errors.go
@@ -16,7 +16,7 @@
 	// KindFormat means that a value could not be encoded or decoded.
 	KindFormat
 	// KindCompacted means that the store no longer has the history from which a
-	// watch was to start.
+	// watch was to start: it has discarded it, or lost it in a restoration.
 	KindCompacted
 )
 
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -7,9 +7,27 @@
 	"chervilspan.example/pkg/ident"
 )
 
-// Revision orders the writes of the store; 0 means that a key does not exist.
+// Revision orders the writes of the store; 0 means that a key does not exist. A later
+// write has a higher revision, also when the store was restored in between: the epoch is
+// in the high bits, the store's own counter in the low ones.
 type Revision int64
 
+// counterBits is the number of low bits that hold the store's counter. It leaves room
+// for 8 million restorations.
+const counterBits = 40
+
+// NewRevision returns the revision at which the store's counter stood in an epoch. In
+// the first epoch, and in stores that don't count epochs, it equals the counter.
+func NewRevision(e Epoch, counter int64) Revision {
+	return Revision(int64(max(e, 1)-1)<<counterBits | counter)
+}
+
+// Epoch returns the epoch in which the revision was given out, at least 1.
+func (r Revision) Epoch() Epoch { return Epoch(r>>counterBits) + 1 }
+
+// Counter returns the store's own number of the revision.
+func (r Revision) Counter() int64 { return int64(r & (1<<counterBits - 1)) }
+
 // LeaseID identifies a lease; 0 means none.
 type LeaseID int64
 
