Report a refused write to the store as refused

store.Swap read the key back after every error. A limiter then took its claims for unanswered and the store for down, and waited 5 s. Such errors are returned as they are now, and end the lease of the limiter at once.

--- a/internal/limit/claim.go
+++ b/internal/limit/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 
 	"chervilspan.example/pkg/quota"
 	"chervilspan.example/pkg/store"
@@ -28,8 +29,7 @@
 	}
 	res, err := store.Swap(ctx, l.cfg.Store, w)
 	if err != nil {
-		l.recordUnansweredClaim(sl)
-		return err
+		return l.recordFailedClaim(err, sl)
 	}
 	if res.Done {
 		l.recordClaim(sl, res.Current.Revision)
@@ -42,8 +42,7 @@
 	w.Expected = res.Current.Revision
 	res, err = store.Swap(ctx, l.cfg.Store, w)
 	if err != nil {
-		l.recordUnansweredClaim(sl)
-		return err
+		return l.recordFailedClaim(err, sl)
 	}
 	if res.Done {
 		l.recordClaim(sl, res.Current.Revision)
@@ -79,10 +78,20 @@
 	return true
 }
 
-func (l *Limiter) recordUnansweredClaim(sl quota.Slice) {
+// recordFailedClaim records that claims got no answer, or that the lease has ended, in
+// which case nothing was written and the store has answered.
+func (l *Limiter) recordFailedClaim(err error, sls ...quota.Slice) error {
+	var e *store.Error
+	if errors.As(err, &e) && e.Kind == store.KindLeaseEnded {
+		l.recordLapse()
+		return nil
+	}
 	l.slices.mu.Lock()
 	defer l.slices.mu.Unlock()
-	l.slices.set.RecordUnansweredClaim(sl)
+	for _, sl := range sls {
+		l.slices.set.RecordUnansweredClaim(sl)
+	}
+	return err
 }
 
 func (l *Limiter) recordClaim(sl quota.Slice, rev store.Revision) {
@@ -123,17 +132,18 @@
 		return err
 	}
 	done, rev, err := store.SwapAll(ctx, l.cfg.Store, b, batch.writes)
+	if err != nil {
+		return l.recordFailedClaim(err, batch.slices...)
+	}
 	for _, sl := range batch.slices {
 		switch {
-		case err != nil:
-			l.recordUnansweredClaim(sl)
 		case done && batch.inherited[sl]:
 			l.recordInheritance(sl, rev)
 		case done:
 			l.recordClaim(sl, rev)
 		}
 	}
-	return err
+	return nil
 }
 
 // newClaimBatch returns the slices that no other VM holds, at most
--- a/pkg/store/swap.go
+++ b/pkg/store/swap.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 
 	"github.com/google/uuid"
 )
@@ -18,7 +19,8 @@
 // Put fails, the entry is read back, and the write counts as done when the entry
 // carries this operation's id. An error of kind KindUnavailable means that the
 // outcome is unknown: the read failed too, or it found the expected revision, in
-// which case the write may still arrive. Result.Current.Value is the value
+// which case the write may still arrive. Other kinds mean that nothing was written.
+// Result.Current.Value is the value
 // without its envelope.
 func Swap(ctx context.Context, s Store, w Write) (Result, error) {
 	op := uuid.NewString()
@@ -29,6 +31,9 @@
 	value := w.Value
 	w.Value = raw
 	res, err := s.Put(ctx, w)
+	if refused(err) {
+		return Result{}, err
+	}
 	if err != nil {
 		return readBack(ctx, s, w, op, err)
 	}
@@ -41,6 +46,12 @@
 	return resultFrom(res.Current, op)
 }
 
+// refused reports whether an error says that nothing was written.
+func refused(err error) bool {
+	var e *Error
+	return errors.As(err, &e) && (e.Kind == KindLeaseEnded || e.Kind == KindTooLarge)
+}
+
 func readBack(ctx context.Context, s Store, w Write, op string, cause error) (Result, error) {
 	e, err := s.Get(ctx, w.Key)
 	if err != nil {
@@ -108,7 +119,7 @@
 		wrapped[i].Value = raw
 	}
 	done, rev, err = b.PutAll(ctx, wrapped)
-	if err == nil || len(ws) == 0 {
+	if err == nil || len(ws) == 0 || refused(err) {
 		return done, rev, err
 	}
 	res, err := readBack(ctx, s, wrapped[0], op, err)
