--- a/internal/linktest/store.go
+++ b/internal/linktest/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -15,14 +16,21 @@
 // Store is an in-memory store. The zero Store is empty; its methods may be called
 // from several goroutines.
 type Store struct {
+	// EpochTracker has the epoch that calls have shown.
+	store.EpochTracker
+
 	mu      sync.Mutex
-	rev     store.Revision
+	epoch   store.Epoch
+	counter int64
 	entries map[string]store.Entry
 	leases  map[store.LeaseID]time.Time
 	ttls    map[store.LeaseID]time.Duration
-	down    bool
-	changed chan struct{}
-	calls   int
+	// granted is the epoch of each lease, lastLease the id of the last one.
+	granted   map[store.LeaseID]store.Epoch
+	lastLease store.LeaseID
+	down      bool
+	changed   chan struct{}
+	calls     int
 }
 
 // watchPollTimeout is how long a watch waits before it reports progress, or that the
@@ -52,6 +60,7 @@
 	s.calls++
 	if s.entries == nil {
 		s.entries, s.leases, s.ttls = map[string]store.Entry{}, map[store.LeaseID]time.Time{}, map[store.LeaseID]time.Duration{}
+		s.granted, s.epoch = map[store.LeaseID]store.Epoch{}, 1
 	}
 	for id, end := range s.leases {
 		if time.Now().After(end) {
@@ -61,9 +70,42 @@
 	if s.down {
 		return &store.Error{Op: op, Key: key, Kind: store.KindUnavailable, Err: errDown}
 	}
+	s.Observe(s.epoch, s.rev())
 	return nil
 }
 
+// rev returns the revision of the store.
+func (s *Store) rev() store.Revision { return store.NewRevision(s.epoch, s.counter) }
+
+// StoreCopy is a copy of a Store's contents.
+type StoreCopy struct {
+	entries map[string]store.Entry
+	leases  map[store.LeaseID]time.Time
+	counter int64
+}
+
+// Copy returns a copy of the present contents.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCopy{maps.Clone(s.entries), maps.Clone(s.leases), s.counter}
+}
+
+// Restore replaces the contents by those of a copy, in a new epoch. The next call shows
+// it. No watch goes on.
+func (s *Store) Restore(c StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.entries, s.leases, s.counter = map[string]store.Entry{}, map[store.LeaseID]time.Time{}, c.counter
+	maps.Copy(s.leases, c.leases)
+	for k, e := range c.entries {
+		e.Revision = store.NewRevision(s.epoch, e.Revision.Counter())
+		s.entries[k] = e
+	}
+	s.wakeWatches()
+}
+
 // endLease removes a lease and its keys.
 func (s *Store) endLease(id store.LeaseID) {
 	delete(s.leases, id)
@@ -77,7 +119,11 @@
 
 // nextRevision increases the revision and wakes the watches.
 func (s *Store) nextRevision() {
-	s.rev++
+	s.counter++
+	s.wakeWatches()
+}
+
+func (s *Store) wakeWatches() {
 	if s.changed != nil {
 		close(s.changed)
 		s.changed = nil
@@ -89,7 +135,7 @@
 	err := s.lock("get", key)
 	defer s.mu.Unlock()
 	e := s.entries[key]
-	e.Key, e.StoreRevision = key, s.rev
+	e.Key, e.StoreRevision = key, s.rev()
 	return e, err
 }
 
@@ -116,13 +162,45 @@
 	if current := s.entries[w.Key]; current.Revision != w.Expected {
 		return store.Result{Current: current}, nil
 	}
-	if _, ok := s.leases[w.Lease]; w.Lease != 0 && !ok {
+	if !s.leaseHolds(w.Lease) {
 		return store.Result{}, &store.Error{Op: "put", Key: w.Key, Kind: store.KindLeaseEnded}
 	}
+	return store.Result{Done: true, Current: s.put(w)}, nil
+}
+
+// leaseHolds reports whether a lease, if any, was granted in this epoch and has not
+// ended.
+func (s *Store) leaseHolds(id store.LeaseID) bool {
+	_, ok := s.leases[id]
+	return id == 0 || ok && s.granted[id] == s.epoch
+}
+
+func (s *Store) put(w store.Write) store.Entry {
 	s.nextRevision()
-	e := store.Entry{Key: w.Key, Value: w.Value, Revision: s.rev, Lease: w.Lease}
+	e := store.Entry{Key: w.Key, Value: w.Value, Revision: s.rev(), Lease: w.Lease}
 	s.entries[w.Key] = e
-	return store.Result{Done: true, Current: e}, nil
+	return e
+}
+
+// PutAll implements store.Batcher.
+func (s *Store) PutAll(_ context.Context, ws []store.Write) (bool, store.Revision, error) {
+	err := s.lock("put", ws[0].Key)
+	defer s.mu.Unlock()
+	if err != nil {
+		return false, 0, err
+	}
+	for _, w := range ws {
+		if s.entries[w.Key].Revision != w.Expected {
+			return false, 0, nil
+		}
+		if !s.leaseHolds(w.Lease) {
+			return false, 0, &store.Error{Op: "put", Key: w.Key, Kind: store.KindLeaseEnded}
+		}
+	}
+	for _, w := range ws {
+		s.put(w)
+	}
+	return true, s.rev(), nil
 }
 
 // Delete implements store.Store.
@@ -145,13 +223,17 @@
 			s.mu.Unlock()
 			return err
 		}
+		if from != 0 && from.Epoch() != s.epoch {
+			s.mu.Unlock()
+			return &store.Error{Op: "watch", Key: prefix, Kind: store.KindCompacted}
+		}
 		var found []store.Entry
 		for k, e := range s.entries {
 			if strings.HasPrefix(k, prefix) && e.Revision > from {
 				found = append(found, e)
 			}
 		}
-		from = s.rev
+		from = s.rev()
 		if s.changed == nil {
 			s.changed = make(chan struct{})
 		}
@@ -181,8 +263,9 @@
 		return 0, err
 	}
 	s.nextRevision()
-	id := store.LeaseID(s.rev)
-	s.leases[id], s.ttls[id] = time.Now().Add(ttl), ttl
+	s.lastLease++
+	id := s.lastLease
+	s.leases[id], s.ttls[id], s.granted[id] = time.Now().Add(ttl), ttl, s.epoch
 	return id, nil
 }
 
@@ -190,8 +273,7 @@
 func (s *Store) RenewLease(_ context.Context, id store.LeaseID) (bool, error) {
 	err := s.lock("renew", "")
 	defer s.mu.Unlock()
-	_, ok := s.leases[id]
-	if err != nil || !ok {
+	if err != nil || !s.leaseHolds(id) {
 		return false, err
 	}
 	s.leases[id] = time.Now().Add(s.ttls[id])
@@ -202,7 +284,7 @@
 func (s *Store) RevokeLease(_ context.Context, id store.LeaseID) error {
 	err := s.lock("revoke", "")
 	defer s.mu.Unlock()
-	if err == nil {
+	if err == nil && s.leaseHolds(id) {
 		s.endLease(id)
 	}
 	return err
