Void claims of failovers that a restored store may have forgotten

The key of a claim that was made since the copy is gone in the restored store, so a second VM could decide about the same group while the first still fences and calls.

A claim is void for its holder once an answer of the store shows a higher epoch than that of its token, and new claims wait as rate slices do, here for the 6 s that a claim lasts. A failover within that time after a restored store is later by up to 2.5 s than before, as the list of databases has to be read for 3.5 s already.

--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -42,10 +42,39 @@
 // sent at now.
 func (c *heldClaim) allowsCall(now time.Time) bool { return now.Before(c.expiresAt.Add(-claimMargin)) }
 
+// allowsCall reports whether a promotion call, or the end of a fence, may be sent now.
+// A claim is void once the store is known to have been restored since: the store may have
+// forgotten it.
+func (mon *Monitor) allowsCall(c *heldClaim) bool {
+	if r, ok := mon.cfg.Store.(store.Restorable); ok && r.Epoch() > c.token.Epoch() {
+		return false
+	}
+	return c.allowsCall(mon.cfg.Clock())
+}
+
+// settledEpoch returns the store's epoch if claims may be made in it.
+func (mon *Monitor) settledEpoch(ctx context.Context, g ident.Group) (store.Epoch, error) {
+	if mon.cfg.Epochs == nil {
+		return store.Revision(0).Epoch(), nil
+	}
+	epoch, ok, err := mon.cfg.Epochs.Settled(ctx, ClaimTTL)
+	switch {
+	case err != nil:
+		return 0, &Error{Op: "claim", Kind: KindStore, Group: g, Err: err}
+	case !ok:
+		return 0, &Error{Op: "claim", Kind: KindRestored, Group: g}
+	}
+	return epoch, nil
+}
+
 // acquireClaim creates this VM's claim to a group.
 func (mon *Monitor) acquireClaim(ctx context.Context, g ident.Group, old ident.Target) (*heldClaim, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	epoch, err := mon.settledEpoch(ctx, g)
+	if err != nil {
+		return nil, err
+	}
 	sent := mon.cfg.Clock()
 	lease, err := mon.cfg.Store.GrantLease(ctx, ClaimTTL)
 	if err != nil {
@@ -66,6 +95,10 @@
 		return nil, &Error{Op: "claim", Kind: KindClaimed, Group: g}
 	}
 	c.token = res.Current.Revision
+	if c.token.Epoch() != epoch {
+		mon.releaseClaim(c)
+		return nil, &Error{Op: "claim", Kind: KindRestored, Group: g}
+	}
 	return c, nil
 }
 
--- a/internal/lead/errors.go
+++ b/internal/lead/errors.go
@@ -29,6 +29,9 @@
 	// KindNotPromoted means that the promoted database has not become the primary
 	// in time.
 	KindNotPromoted
+	// KindRestored means that the store was restored from an older copy, and may have
+	// forgotten a claim that has not expired.
+	KindRestored
 )
 
 // Error is the error type of this package.
@@ -47,6 +50,7 @@
 	KindOtherPrimary: "it leads already", KindListIncomplete: "the list of databases may be incomplete",
 	KindPrimaryWorks: "another VM is in contact with the primary", KindNoSuccessor: "no replica in service has the log of the primary",
 	KindNotPromoted: "the promoted database has not become the primary in time",
+	KindRestored:    "the store may have forgotten the claim of another VM",
 }
 
 // Error returns the step, the group and the cause.
--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -75,7 +75,7 @@
 // VM may rely on fences of its own, and a primary whose commits get no
 // acknowledgement is replaced in any case.
 func (f *failover) unfence() bool {
-	if len(f.fenced) == 0 || !f.claim.allowsCall(f.mon.cfg.Clock()) {
+	if len(f.fenced) == 0 || !f.mon.allowsCall(f.claim) {
 		return true
 	}
 	for _, r := range f.mon.controlAll(dbop.Statement{Kind: dbop.Unfence}, f.fenced) {
@@ -242,7 +242,7 @@
 		}
 	}
 	f.answers = append(f.answers, replies...)
-	if !f.claim.allowsCall(f.mon.cfg.Clock()) {
+	if !f.mon.allowsCall(f.claim) {
 		return nil, f.error("fence", KindClaimExpired, "")
 	}
 	return replies, nil
@@ -255,7 +255,7 @@
 // requestPromotion calls the platform until it answers or the claim may end too
 // soon for another call.
 func (mon *Monitor) requestPromotion(ctx context.Context, g ident.Group, m roster.Member, c *heldClaim) error {
-	for c.allowsCall(mon.cfg.Clock()) {
+	for mon.allowsCall(c) {
 		c.promotionSent = true
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		v, err := mon.cfg.Promoter.Promote(call, g, m.ID, c.token)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -38,12 +38,21 @@
 	ConfirmsPrimary(ctx context.Context, g ident.Group, id ident.Target) bool
 }
 
+// Epochs reports whether claims under leases of a lifetime may be made in an epoch of the
+// store, in which their keys then must have been written.
+type Epochs interface {
+	Settled(ctx context.Context, lifetime time.Duration) (store.Epoch, bool, error)
+}
+
 // Config configures a Monitor. Peers, Rank and RegionOf may be nil.
 type Config struct {
-	VM       ident.VM
-	Roster   *roster.Table
-	Pools    *dbpool.Pools
-	Store    store.Store
+	VM     ident.VM
+	Roster *roster.Table
+	Pools  *dbpool.Pools
+	Store  store.Store
+	// Epochs, unless nil, reports when groups may be claimed after the store was
+	// restored from an older copy.
+	Epochs   Epochs
 	Promoter Promoter
 	Peers    Peers
 	// RefreshList, unless nil, reads the list of databases before a failover.
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/internal/epoch"
 	"chervilspan.example/internal/lead"
 	"chervilspan.example/internal/linktest"
 	"chervilspan.example/pkg/dbop"
@@ -89,7 +90,8 @@
 			pools := &dbpool.Pools{Dialer: fx.cluster, Roster: fx.cluster.Roster(), ConnLimit: func(*roster.Member) int { return 4 }}
 			mon := lead.New(lead.Config{
 				VM: ident.VM(rune('x' + i)), Roster: fx.cluster.Roster(), Pools: pools, Store: fx.store, Promoter: fx.promoter,
-				Peers: peers{fx, i}, Rank: func(ident.Group) int { return i }, Clock: fx.now, Unfenced: fx.unfenced,
+				Epochs: epoch.New(epoch.Config{Store: fx.store, Lifetimes: []time.Duration{lead.ClaimTTL}}),
+				Peers:  peers{fx, i}, Rank: func(ident.Group) int { return i }, Clock: fx.now, Unfenced: fx.unfenced,
 				RefreshList: func(context.Context) error {
 					if fx.refresh != nil {
 						fx.refresh()
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -305,7 +305,7 @@
 			// This VM does not reach it, but must not replace it.
 			mon.cfg.Roster.ConfirmPrimary(st.id, e.Target)
 		}
-		if errors.As(err, &e) && (e.Kind == KindClaimed || e.Kind == KindNoSuccessor) {
+		if errors.As(err, &e) && (e.Kind == KindClaimed || e.Kind == KindNoSuccessor || e.Kind == KindRestored) {
 			return longRetryDelay
 		}
 		return retryDelay
--- a/internal/lead/transfer_test.go
+++ b/internal/lead/transfer_test.go
@@ -1,6 +1,7 @@
 package lead_test
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"chervilspan.example/internal/lead"
 	"chervilspan.example/internal/linktest"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
@@ -84,6 +86,29 @@
 	})
 }
 
+// TestRestoredClaim guards against two VMs that decide about a group at once because the
+// store has forgotten the claim of the first: it gives up when it hears of that, and the
+// others wait until its claim would have expired.
+func TestRestoredClaim(t *testing.T) {
+	run(t, 2, func(is *is.I, f *fixture) {
+		older := f.store.Copy()
+		f.cluster.Update("c", func(d *linktest.DB) { d.DroppedAnswers[dbop.Fence] = 1 })
+		f.remove("a")
+		f.await(is, "fence b")
+		f.store.Restore(older)
+		restored := time.Now()
+		_, err := f.store.Get(context.Background(), "any") // shows the new epoch
+		is.NoErr(err)
+		fences := len(f.cluster.ControlLog())
+		time.Sleep(lead.ClaimTTL - time.Second)
+		is.Equal(len(f.promotions()), 0)
+		is.True(!slices.Contains(f.cluster.ControlLog()[fences:], "fence b"))
+		f.await(is, "promote")
+		is.True(time.Since(restored) >= lead.ClaimTTL)
+		is.Equal(len(f.promotions()), 1)
+	})
+}
+
 // TestNotPromoted guards against a failover that counts as done although the promoted
 // database has not become the primary.
 func TestNotPromoted(t *testing.T) {
