Take no older version in a restored store for a confirmation

A read that showed an older version than the one in force confirmed the latter, for this VM and for those that learn versions from it. A still newer version, lost in the store and known to other VMs only, was then not looked for; and the word of a reader about an older version confirmed a newer one. TestOlderVersion and TestConfirmedVersion failed before.

The version in force is confirmed only by a read that shows it, or by a VM that has the same one.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -8,7 +8,8 @@
 // maxUnconfirmedAge reads the store itself, so that readers which are dead, frozen or
 // cut off delay a version by no more than that.
 //
-// The version in force never decreases, whatever the source of a catalogue.
+// The version in force never decreases, whatever the source of a catalogue. A store that
+// was restored from an older copy may show a lower one for a while; this confirms nothing.
 //
 // # Usage
 //
@@ -106,11 +107,15 @@
 
 	mu      sync.Mutex
 	changed chan struct{}
-	// confirmedAt is the last time, by Config.Clock, as of which no version above the
-	// one in force was in the store.
+	// confirmedAt is the last time, by Config.Clock, as of which the version in force
+	// was the newest in the store.
 	confirmedAt time.Time
 	// storeUp is set when the last read of the store succeeded.
 	storeUp atomic.Bool
+	// storeVersion is the version that the store last showed this VM.
+	storeVersion ident.Version
+	// compared is set once another VM has answered a comparison of versions.
+	compared bool
 	// olderLogged is the version of the last catalogue_older line.
 	olderLogged ident.Version
 	// newVersion is signalled to start a round of gossip at once.
@@ -154,6 +159,13 @@
 	return f.changed
 }
 
+// Compared reports whether another VM has answered a comparison of versions.
+func (f *Follower) Compared() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.compared
+}
+
 // StoreUp reports whether the last read of the store succeeded.
 func (f *Follower) StoreUp() bool { return f.storeUp.Load() }
 
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -86,8 +86,11 @@
 	if ident.Version(r.GetVersion()) > f.Version() {
 		f.pull(ctx, c)
 	}
-	if age := r.GetConfirmedAgeMs(); age > 0 && ident.Version(r.GetVersion()) <= f.Version() {
-		f.confirm(asked.Add(-time.Duration(age) * time.Millisecond))
+	f.mu.Lock()
+	f.compared = true
+	f.mu.Unlock()
+	if age := r.GetConfirmedAgeMs(); age > 0 {
+		f.confirm(ident.Version(r.GetVersion()), asked.Add(-time.Duration(age)*time.Millisecond))
 	}
 	return true
 }
--- a/internal/follow/reader_test.go
+++ b/internal/follow/reader_test.go
@@ -11,6 +11,8 @@
 	"github.com/matryer/is"
 
 	"chervilspan.example/internal/linktest"
+	"chervilspan.example/internal/proto/peerpb"
+	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
 )
 
@@ -143,3 +145,49 @@
 		is.Equal(c.vms[3].Version(), ident.Version(3))
 	})
 }
+
+// TestOlderVersion guards against an older version in the store, which was restored from
+// a copy, that is taken for a confirmation of the one in force: a newer one, which the
+// store has lost too, would not be looked for.
+func TestOlderVersion(t *testing.T) {
+	runChain(t, 3, func(is *is.I, c *chain) {
+		c.put(is, "3")
+		time.Sleep(3 * time.Second)
+		older := c.stores[0].Copy()
+		c.put(is, "5")
+		time.Sleep(3 * time.Second)
+		reply, err := c.vms[0].PushCatalogue(context.Background(), &peerpb.PushCatalogueRequest{Version: 5})
+		is.NoErr(err)
+		is.True(time.Duration(reply.GetConfirmedAgeMs())*time.Millisecond < maxUnconfirmedAge)
+		for _, s := range c.stores {
+			s.Restore(older)
+		}
+		before := c.calls(2)
+		time.Sleep(3 * maxUnconfirmedAge)
+		for _, v := range c.vms {
+			is.Equal(v.Version(), ident.Version(5))
+			reply, err := v.PushCatalogue(context.Background(), &peerpb.PushCatalogueRequest{Version: 5})
+			is.NoErr(err)
+			is.True(time.Duration(reply.GetConfirmedAgeMs())*time.Millisecond > 2*maxUnconfirmedAge)
+		}
+		is.True(c.calls(2)-before <= 4) // own reads while nothing is confirmed
+		c.put(is, "9")
+		time.Sleep(3 * time.Second)
+		for _, v := range c.vms {
+			is.Equal(v.Version(), ident.Version(9))
+		}
+	})
+}
+
+// TestConfirmedVersion guards against the word of a VM about an older version that
+// confirms a newer one.
+func TestConfirmedVersion(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	f := New(Config{Clock: func() time.Time { return now }})
+	f.Apply(&catal.Catalogue{Version: 5}, "peer")
+	f.confirm(4, now)
+	is.True(f.confirmedAt.IsZero())
+	f.confirm(5, now)
+	is.Equal(f.confirmedAt, now)
+}
--- a/internal/follow/watch.go
+++ b/internal/follow/watch.go
@@ -26,7 +26,7 @@
 				f.watchStore(ctx, rev)
 			}
 			wait.For(ctx, storeRetryDelay/2+rand.N(storeRetryDelay))
-		case err == nil:
+		case err == nil && !f.storeIsOlder():
 			backoff = maxUnconfirmedAge
 			f.awaitUnconfirmed(ctx, 0)
 		default:
@@ -66,12 +66,15 @@
 	_ = f.cfg.Store.Watch(ctx, f.cfg.Key, rev, func(ev store.Event) {
 		switch {
 		case ev.Progress:
-			f.confirm(asked)
+			f.confirmFromStore(asked)
 			asked = f.cfg.Clock()
 			if !f.watches() {
 				cancel()
 			}
-		case !ev.Deleted && ev.Entry.Key == f.cfg.Key:
+		case ev.Entry.Key != f.cfg.Key:
+		case ev.Deleted:
+			f.recordStoreVersion(0)
+		default:
 			f.applyEntry(ev.Entry)
 		}
 	})
@@ -89,11 +92,34 @@
 	}
 }
 
-// confirm records that no version above the one in force was in the store at a time.
-func (f *Follower) confirm(at time.Time) {
+// confirmFromStore records that this VM knew all versions in the store at a time. It
+// confirms the version in force unless the store showed only an older one.
+func (f *Follower) confirmFromStore(at time.Time) {
+	if !f.storeIsOlder() {
+		f.confirm(f.Version(), at)
+	}
+}
+
+// storeIsOlder reports whether the store last showed an older version than the one in
+// force.
+func (f *Follower) storeIsOlder() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.storeVersion < f.Version()
+}
+
+// recordStoreVersion records the version that the store showed.
+func (f *Follower) recordStoreVersion(v ident.Version) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeVersion = v
+}
+
+// confirm records that a version was the newest at a time, if it is still in force.
+func (f *Follower) confirm(v ident.Version, at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if at.After(f.confirmedAt) {
+	if v == f.Version() && at.After(f.confirmedAt) {
 		f.confirmedAt = at
 	}
 }
@@ -115,8 +141,10 @@
 	}
 	if e.Revision != 0 {
 		f.applyEntry(e)
+	} else {
+		f.recordStoreVersion(0)
 	}
-	f.confirm(asked)
+	f.confirmFromStore(asked)
 	return max(e.Revision, e.StoreRevision), nil
 }
 
@@ -127,6 +155,7 @@
 		evlog.At(f.cfg.Log, evlog.CatalogueUnread).Int64("revision", int64(e.Revision)).Err(err).Send()
 		return
 	}
+	f.recordStoreVersion(c.Version)
 	if !f.Apply(c, "store") {
 		f.logOlder(c.Version, e.Revision)
 	}
