Ask another VM for its version when starting after a restoration

A VM that starts when the store has come back with an older catalogue knows nothing else: it would accept a withdrawn key and refuse an added route although others know better. From the second epoch on, a starting VM is ready once another VM has answered a comparison of versions, at most 1 s later than otherwise; logins wait for it as for the rest of the start. In the first epoch nothing changes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,9 @@
 	grantLifetime = 400 * time.Millisecond
 	// sweepInterval is how often unused connections are closed.
 	sweepInterval = 2 * time.Second
+	// versionCheckTimeout is how long a starting VM waits for another VM's version of
+	// the catalogue. It is below the time for which logins wait for the start.
+	versionCheckTimeout = time.Second
 	// storeCallsLogInterval is how often the number of calls to the store is logged.
 	storeCallsLogInterval = 10 * time.Second
 	// memoryLimitFraction is the fraction of the VM's memory that is set as the soft
@@ -95,7 +98,8 @@
 	lists       *lists.Reader
 	disco       *disco.Poller
 
-	stopping atomic.Bool
+	stopping  atomic.Bool
+	startedAt time.Time
 	// storeCallsLoggedAt is used by housekeep only.
 	storeCallsLoggedAt time.Time
 	// firstReady is closed when the VM is ready for the first time.
@@ -110,7 +114,7 @@
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(s.MemoryMB) * memoryLimitFraction * (1 << 20)))
 	}
-	n := &Node{settings: s, adapters: a, log: log, roster: &roster.Table{}, metrics: metr.New(), firstReady: make(chan struct{})}
+	n := &Node{settings: s, adapters: a, log: log, roster: &roster.Table{}, metrics: metr.New(), startedAt: time.Now(), firstReady: make(chan struct{})}
 	n.gracePeriod.Store(int64(s.Grace()))
 	n.pools = &dbpool.Pools{Dialer: a.Dialer, Roster: n.roster, ConnLimit: n.connLimit, DialLimit: n.dialLimit}
 	n.peers = peer.NewCache(peer.CacheConfig{AllowPlaintext: true, Scope: n.metrics.Scope})
@@ -240,7 +244,15 @@
 
 // isReady reports whether the VM can serve callers.
 func (n *Node) isReady() bool {
-	return !n.stopping.Load() && n.follower.Index() != nil && n.roster.Loaded() && n.limiter.Ready()
+	return !n.stopping.Load() && n.follower.Index() != nil && n.versionChecked() && n.roster.Loaded() && n.limiter.Ready()
+}
+
+// versionChecked reports whether the version in force may be served by. After a
+// restoration of the store, it may be one that other VMs have replaced; a starting VM
+// then asks another VM first, or waits for versionCheckTimeout if none answers.
+func (n *Node) versionChecked() bool {
+	s, ok := n.adapters.Store.(store.Restorable)
+	return !ok || s.Epoch() <= store.Revision(0).Epoch() || n.follower.Compared() || time.Since(n.startedAt) > versionCheckTimeout
 }
 
 // readyPollInterval is how often a starting VM checks whether it is ready.
