Write a VM's entry again as soon as the store was restored

The entry of a VM that started since the copy was missing until the next renewal of its lease, 3 s or more after the store's return: others did not compare versions with it, ask it or lend to it. It is written again at the first answer of the new epoch, spread over a second, as the whole fleet notices then. The lookups of the epoch that limit, lead, epoch and node had each move to pkg/store.

--- a/internal/epoch/epoch.go
+++ b/internal/epoch/epoch.go
@@ -67,8 +67,8 @@
 // right whose key gets a revision of another epoch must not be used, since the store may
 // be restored meanwhile. In a new epoch, Settled begins the wait. The error is an *Error.
 func (g *Guard) Settled(ctx context.Context, lifetime time.Duration) (epoch store.Epoch, ok bool, err error) {
-	if g.store == nil || g.store.Epoch() == firstEpoch {
-		return firstEpoch, true, nil
+	if g.store == nil || g.store.Epoch() == store.FirstEpoch {
+		return store.FirstEpoch, true, nil
 	}
 	if epoch, ok := g.knownSettled(lifetime); ok {
 		return epoch, true, nil
@@ -78,17 +78,13 @@
 		return 0, false, &Error{Op: "list", Kind: KindStore, Err: err}
 	}
 	epoch = g.store.Epoch()
-	if epoch <= firstEpoch {
-		return firstEpoch, true, nil
+	if epoch <= store.FirstEpoch {
+		return store.FirstEpoch, true, nil
 	}
 	ok, err = g.check(ctx, lifetime, epoch, entries)
 	return epoch, ok, err
 }
 
-// firstEpoch is that of a store which has never been restored, and of the revisions of one
-// that does not count epochs.
-const firstEpoch store.Epoch = 1
-
 // check reports whether the wait for a lifetime is over in an epoch, by the guard's keys.
 func (g *Guard) check(ctx context.Context, lifetime time.Duration, epoch store.Epoch, entries []store.Entry) (bool, error) {
 	keys := make(map[string]store.Entry, len(entries))
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -46,7 +46,10 @@
 	// while other VMs start too.
 	startupRefreshPeriod = 400 * time.Millisecond
 	startupDuration      = 3 * time.Second
-	callTimeout          = time.Second
+	// restoredSpread is the time over which the VMs write their entries again after the
+	// store was restored, which all of them notice at once.
+	restoredSpread = time.Second
+	callTimeout    = time.Second
 	// firstListDelay covers the start of all VMs and two refreshes by each.
 	firstListDelay = time.Second
 )
@@ -191,15 +194,30 @@
 func (f *Fleet) Run(ctx context.Context) {
 	down := false
 	for ctx.Err() == nil {
+		restored := store.RestoredSignal(f.cfg.Store)
 		err := f.refresh(ctx)
 		if (err != nil) != down && ctx.Err() == nil {
 			down = err != nil
 			f.logStoreResult(err)
 		}
-		wait.For(ctx, f.refreshDelay())
+		select {
+		case <-ctx.Done():
+		case <-time.After(f.refreshDelay()):
+		case <-restored:
+			f.expectEndOfLease()
+			wait.For(ctx, rand.N(restoredSpread))
+		}
 	}
 }
 
+// expectEndOfLease has the lease renewed at the next refresh, which shows whether it has
+// ended.
+func (f *Fleet) expectEndOfLease() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.renewedAt = time.Time{}
+}
+
 // refreshDelay returns the time to the next refresh. On a first start, no list counts
 // as complete before firstListDelay.
 func (f *Fleet) refreshDelay() time.Duration {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -121,3 +121,29 @@
 		<-done
 	})
 }
+
+// TestRestored guards against an entry that the store has lost in a restoration and that
+// is written again only when its lease is next renewed.
+func TestRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &linktest.Store{}
+		older := s.Copy()
+		f := New(Config{Self: info("a", "r"), Store: s})
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { f.Run(ctx); close(done) }()
+		for range 5 {
+			time.Sleep(7 * time.Second)
+			s.Restore(older)
+			_, err := s.Get(t.Context(), "any") // shows the new epoch
+			is.NoErr(err)
+			time.Sleep(restoredSpread)
+			e, err := s.Get(t.Context(), "vm/a")
+			is.NoErr(err)
+			is.True(e.Revision != 0)
+		}
+		stop()
+		<-done
+	})
+}
--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -46,7 +46,7 @@
 // A claim is void once the store is known to have been restored since: the store may have
 // forgotten it.
 func (mon *Monitor) allowsCall(c *heldClaim) bool {
-	if r, ok := mon.cfg.Store.(store.Restorable); ok && r.Epoch() > c.token.Epoch() {
+	if store.EpochOf(mon.cfg.Store) > c.token.Epoch() {
 		return false
 	}
 	return c.allowsCall(mon.cfg.Clock())
@@ -55,7 +55,7 @@
 // settledEpoch returns the store's epoch if claims may be made in it.
 func (mon *Monitor) settledEpoch(ctx context.Context, g ident.Group) (store.Epoch, error) {
 	if mon.cfg.Epochs == nil {
-		return store.Revision(0).Epoch(), nil
+		return store.FirstEpoch, nil
 	}
 	epoch, ok, err := mon.cfg.Epochs.Settled(ctx, ClaimTTL)
 	switch {
--- a/internal/limit/claim.go
+++ b/internal/limit/claim.go
@@ -160,7 +160,7 @@
 // it returns.
 func (l *Limiter) settled(ctx context.Context) (store.Epoch, bool, error) {
 	if l.cfg.Epochs == nil {
-		return store.Revision(0).Epoch(), true, nil
+		return store.FirstEpoch, true, nil
 	}
 	return l.cfg.Epochs.Settled(ctx, l.cfg.LeaseTTL)
 }
--- a/internal/limit/slices.go
+++ b/internal/limit/slices.go
@@ -110,7 +110,7 @@
 	// When all VMs start at once, their first writes are spread like later ones.
 	wait := time.Duration(2 * rand.Float64() * float64(l.writeInterval()))
 	for {
-		restored := restoredSignal(l.cfg.Store)
+		restored := store.RestoredSignal(l.cfg.Store)
 		select {
 		case <-ctx.Done():
 			return
@@ -137,15 +137,6 @@
 	}
 }
 
-// restoredSignal returns a channel that is closed when the store is next found to be
-// restored, nil if it never is.
-func restoredSignal(s store.Store) <-chan struct{} {
-	if r, ok := s.(store.Restorable); ok {
-		return r.Restored()
-	}
-	return nil
-}
-
 // expectEndOfLease has the lease renewed next, which shows that it has ended.
 func (l *Limiter) expectEndOfLease() {
 	l.slices.mu.Lock()
@@ -275,7 +266,7 @@
 	}
 	s := &l.slices
 	s.mu.Lock()
-	s.lease, s.leaseEpoch, s.renewAt = id, l.epoch(), sent.Add(jitter(l.renewDelay()))
+	s.lease, s.leaseEpoch, s.renewAt = id, store.EpochOf(l.cfg.Store), sent.Add(jitter(l.renewDelay()))
 	s.revisions, s.foreign = map[quota.Slice]store.Revision{}, map[quota.Slice]foreignSlice{}
 	s.mu.Unlock()
 	l.recordRenewal(sent)
@@ -314,20 +305,12 @@
 	return nil
 }
 
-// epoch returns the store's epoch, 0 if it does not count.
-func (l *Limiter) epoch() store.Epoch {
-	if r, ok := l.cfg.Store.(store.Restorable); ok {
-		return r.Epoch()
-	}
-	return 0
-}
-
 // recordLapse gives up all slices and the lease, which has ended or is about to be
 // revoked.
 func (l *Limiter) recordLapse() {
 	s := &l.slices
 	s.mu.Lock()
-	if l.epoch() == s.leaseEpoch {
+	if store.EpochOf(l.cfg.Store) == s.leaseEpoch {
 		s.set.RecordLapse()
 	} else {
 		s.set.RecordRestoration()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -251,8 +251,7 @@
 // restoration of the store, it may be one that other VMs have replaced; a starting VM
 // then asks another VM first, or waits for versionCheckTimeout if none answers.
 func (n *Node) versionChecked() bool {
-	s, ok := n.adapters.Store.(store.Restorable)
-	return !ok || s.Epoch() <= store.Revision(0).Epoch() || n.follower.Compared() || time.Since(n.startedAt) > versionCheckTimeout
+	return store.EpochOf(n.adapters.Store) <= store.FirstEpoch || n.follower.Compared() || time.Since(n.startedAt) > versionCheckTimeout
 }
 
 // readyPollInterval is how often a starting VM checks whether it is ready.
--- a/pkg/store/epoch.go
+++ b/pkg/store/epoch.go
@@ -20,6 +20,26 @@
 	LastRestoration() Restoration
 }
 
+// EpochOf returns the epoch that a store has shown, 0 if it shows none.
+func EpochOf(s Store) Epoch {
+	if r, ok := s.(Restorable); ok {
+		return r.Epoch()
+	}
+	return 0
+}
+
+// RestoredSignal returns the channel of Restorable.Restored, nil for a store that is never
+// restored.
+func RestoredSignal(s Store) <-chan struct{} {
+	if r, ok := s.(Restorable); ok {
+		return r.Restored()
+	}
+	return nil
+}
+
+// FirstEpoch is the epoch of a store that has never been restored.
+const FirstEpoch Epoch = 1
+
 // Restoration is a restoration of the store as the answers to one client show it.
 type Restoration struct {
 	// Before and After are the epochs before and after it.
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -19,11 +19,11 @@
 // NewRevision returns the revision at which the store's counter stood in an epoch. In
 // the first epoch, and in stores that don't count epochs, it equals the counter.
 func NewRevision(e Epoch, counter int64) Revision {
-	return Revision(int64(max(e, 1)-1)<<counterBits | counter)
+	return Revision(int64(max(e, FirstEpoch)-FirstEpoch)<<counterBits | counter)
 }
 
-// Epoch returns the epoch in which the revision was given out, at least 1.
-func (r Revision) Epoch() Epoch { return Epoch(r>>counterBits) + 1 }
+// Epoch returns the epoch in which the revision was given out, at least FirstEpoch.
+func (r Revision) Epoch() Epoch { return Epoch(r>>counterBits) + FirstEpoch }
 
 // Counter returns the store's own number of the revision.
 func (r Revision) Counter() int64 { return int64(r & (1<<counterBits - 1)) }
