Treat a restoration of the store as an outage of the list of databases

Found by reading; TestRestored of disco failed before, without either check. The first lists after a restoration may lack databases that registered since the copy and have some that left. When no read failed meanwhile, the former counted as gone at once, and the list as complete for a failover. A list from before a restoration, passed on by another VM, is not used once a later one is known.

--- a/internal/disco/disco.go
+++ b/internal/disco/disco.go
@@ -9,6 +9,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -51,6 +52,8 @@
 	skipped map[string]store.Revision
 	// decoded has the last decoded entry of each key.
 	decoded map[string]decodedEntry
+	// epoch is the highest epoch of the store that a list has shown.
+	epoch store.Epoch
 }
 
 // decodedEntry is the decoded value of a key at a revision.
@@ -76,6 +79,9 @@
 		p.Roster.RecordOutage(time.Now())
 		return
 	}
+	if !p.checkEpoch(entries) {
+		return
+	}
 	out := p.decode(entries)
 	if stale {
 		// A stale list may lack added entries and still hold removed ones.
@@ -103,10 +109,36 @@
 		p.Roster.RecordOutage(time.Now())
 		return err
 	}
+	if !p.checkEpoch(entries) {
+		return &store.Error{Op: "list", Key: p.Prefix, Kind: store.KindUnavailable, Err: errFormerEpoch}
+	}
 	p.Roster.Update(p.decode(entries), at)
 	return nil
 }
 
+// errFormerEpoch is the cause of an error when a list is not used.
+var errFormerEpoch = errors.New("the store was restored since the list was read")
+
+// checkEpoch returns false for a list from before a restoration that another list has
+// shown. The first list after a restoration may lack databases that were listed since the
+// copy, and have some that left, until those write again; this counts as an outage.
+func (p *Poller) checkEpoch(entries []store.Entry) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	epoch := store.EpochOf(p.Store)
+	for _, e := range entries {
+		epoch = max(epoch, e.Revision.Epoch())
+	}
+	if len(entries) > 0 && entries[0].Revision.Epoch() < p.epoch {
+		return false
+	}
+	if epoch > max(p.epoch, store.FirstEpoch) {
+		p.Roster.RecordOutage(time.Now())
+	}
+	p.epoch = max(p.epoch, epoch)
+	return true
+}
+
 // decode returns the entries that can be decoded and logs the others. Values that have
 // not changed since they were last decoded are not decoded again.
 func (p *Poller) decode(entries []store.Entry) []roster.Entry {
--- a/internal/disco/disco_test.go
+++ b/internal/disco/disco_test.go
@@ -129,3 +129,49 @@
 	is.True(p.Refresh(t.Context()) != nil)
 	is.True(!table.ListComplete(time.Now()))
 }
+
+// TestRestored guards against a database that counts as gone, and a list that counts as
+// complete, because the store was restored from a copy that lacks the database, and
+// against a list from before the restoration that is used after it.
+func TestRestored(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &linktest.Store{}
+		put(t, s, "targets/a", "g")
+		older := s.Copy()
+		put(t, s, "targets/b", "g")
+		former, err := s.List(t.Context(), "targets/")
+		is.NoErr(err)
+		var table roster.Table
+		var relayed []store.Entry
+		p := &disco.Poller{Store: s, Prefix: "targets/", Decode: decode, Roster: &table, Log: zerolog.Nop()}
+		is.NoErr(p.Refresh(t.Context()))
+		time.Sleep(10 * time.Second)
+		is.NoErr(p.Refresh(t.Context()))
+		is.True(table.ListComplete(time.Now()))
+		s.Restore(older)
+		is.NoErr(p.Refresh(t.Context()))
+		is.True(!table.ListComplete(time.Now()))
+		is.Equal(len(table.UsableMembers("g")), 2)
+		put(t, s, "targets/b", "g")
+		time.Sleep(4 * time.Second)
+		is.NoErr(p.Refresh(t.Context()))
+		is.True(table.ListComplete(time.Now()))
+		is.Equal(len(table.UsableMembers("g")), 2)
+
+		e, err := s.Get(t.Context(), "targets/b")
+		is.NoErr(err)
+		_, err = s.Delete(t.Context(), "targets/b", e.Revision)
+		is.NoErr(err)
+		is.NoErr(p.Refresh(t.Context()))
+		is.Equal(len(table.UsableMembers("g")), 1)
+		relayed = former
+		p.List = func(context.Context, string, bool) ([]store.Entry, time.Time, error) { return relayed, time.Now(), nil }
+		ctx, cancel := context.WithCancel(t.Context())
+		go p.Run(ctx)
+		time.Sleep(5 * time.Second)
+		is.Equal(len(table.UsableMembers("g")), 1)
+		cancel()
+		synctest.Wait()
+	})
+}
