Don't miss a restoration that is shown during a call

Found by reading: the limiter and the fleet's loop took a new signal before each call, so one that came during the call was seen only with the next renewal, up to 7.5 s later. They now keep the signal until they have seen it.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -193,8 +193,9 @@
 // Run maintains this VM's entry and the list until ctx ends.
 func (f *Fleet) Run(ctx context.Context) {
 	down := false
+	// A signal that comes during a refresh is seen after it.
+	restored := store.RestoredSignal(f.cfg.Store)
 	for ctx.Err() == nil {
-		restored := store.RestoredSignal(f.cfg.Store)
 		err := f.refresh(ctx)
 		if (err != nil) != down && ctx.Err() == nil {
 			down = err != nil
@@ -204,6 +205,7 @@
 		case <-ctx.Done():
 		case <-time.After(f.refreshDelay()):
 		case <-restored:
+			restored = store.RestoredSignal(f.cfg.Store)
 			f.expectEndOfLease()
 			wait.For(ctx, rand.N(restoredSpread))
 		}
--- a/internal/limit/slices.go
+++ b/internal/limit/slices.go
@@ -109,12 +109,14 @@
 	l.slices.mu.Unlock()
 	// When all VMs start at once, their first writes are spread like later ones.
 	wait := time.Duration(2 * rand.Float64() * float64(l.writeInterval()))
+	// A signal that comes during a call is seen after it.
+	restored := store.RestoredSignal(l.cfg.Store)
 	for {
-		restored := store.RestoredSignal(l.cfg.Store)
 		select {
 		case <-ctx.Done():
 			return
 		case <-restored:
+			restored = store.RestoredSignal(l.cfg.Store)
 			l.expectEndOfLease()
 		case <-time.After(wait):
 		}
@@ -127,6 +129,7 @@
 		case <-ctx.Done():
 			return
 		case <-restored:
+			restored = store.RestoredSignal(l.cfg.Store)
 			l.expectEndOfLease()
 			wait = l.writeInterval()
 		case <-l.wakeSlices:
