Confirm a version under the lock under which it changes

TestOlderVersion and the others of the package pass; a test of the interleaving itself would need a hook in the code and is not there.

--- a/internal/follow/watch.go
+++ b/internal/follow/watch.go
@@ -95,8 +95,10 @@
 // confirmFromStore records that this VM knew all versions in the store at a time. It
 // confirms the version in force unless the store showed only an older one.
 func (f *Follower) confirmFromStore(at time.Time) {
-	if !f.storeIsOlder() {
-		f.confirm(f.Version(), at)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.storeVersion >= f.Version() {
+		f.setConfirmed(at)
 	}
 }
 
@@ -119,7 +121,15 @@
 func (f *Follower) confirm(v ident.Version, at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if v == f.Version() && at.After(f.confirmedAt) {
+	if v == f.Version() {
+		f.setConfirmed(at)
+	}
+}
+
+// setConfirmed moves confirmedAt on. The caller holds f.mu, under which the version in
+// force changes.
+func (f *Follower) setConfirmed(at time.Time) {
+	if at.After(f.confirmedAt) {
 		f.confirmedAt = at
 	}
 }
