Report a write that a restored store may still apply as unknown

Found by reading; TestSwapAcrossRestoration failed before. A write whose answer was lost is read back. When the store had been restored meanwhile and had the key at the same counter, the revision differed by its epoch, and the write counted as not done, although the request can arrive later: the store compares counters only.

--- a/pkg/store/swap.go
+++ b/pkg/store/swap.go
@@ -57,8 +57,9 @@
 	if err != nil {
 		return Result{}, &Error{Op: "swap", Key: w.Key, Kind: KindUnavailable, Err: cause}
 	}
-	if e.Revision == w.Expected {
-		// The write has not been applied, but its request may still arrive.
+	if e.Revision.Counter() == w.Expected.Counter() {
+		// The write has not been applied, but its request may still arrive. The store
+		// compares its counter only, also when it was restored in between.
 		return Result{}, &Error{Op: "swap", Key: w.Key, Kind: KindUnavailable, Err: cause}
 	}
 	return resultFrom(e, op)
