Log an older version only when a read shows it

The VM had version 39 from another VM when its own watch delivered 35, which is late and not lost; operators were told to write the newest version again. The line now needs a read that began when the newer version was in force. TestOlderLogged failed before.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -116,7 +116,7 @@
 	storeVersion ident.Version
 	// compared is set once another VM has answered a comparison of versions.
 	compared bool
-	// olderLogged is the version of the last catalogue_older line.
+	// olderLogged is the version in force of the last catalogue_older line.
 	olderLogged ident.Version
 	// newVersion is signalled to start a round of gossip at once.
 	newVersion chan struct{}
--- a/internal/follow/reader_test.go
+++ b/internal/follow/reader_test.go
@@ -1,14 +1,17 @@
 package follow
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"chervilspan.example/internal/linktest"
 	"chervilspan.example/internal/proto/peerpb"
@@ -191,3 +194,28 @@
 	f.confirm(5, now)
 	is.Equal(f.confirmedAt, now)
 }
+
+// TestOlderLogged guards against operators who are told that the store has lost a version
+// when only an event of it came late, and against a lost version that is not logged.
+func TestOlderLogged(t *testing.T) {
+	is := is.New(t)
+	s := &linktest.Store{}
+	var log bytes.Buffer
+	f := New(Config{Store: s, Key: "catalogue", Decode: decode, Log: zerolog.New(&log)})
+	put(is, s, "3")
+	older := s.Copy()
+	late, err := s.Get(t.Context(), "catalogue")
+	is.NoErr(err)
+	put(is, s, "5")
+	f.Apply(&catal.Catalogue{Version: 5}, "peer")
+	f.applyEntry(late)
+	_, err = f.readStore(t.Context())
+	is.NoErr(err)
+	is.Equal(strings.Count(log.String(), "catalogue_older"), 0)
+	s.Restore(older)
+	for range 2 {
+		_, err = f.readStore(t.Context())
+		is.NoErr(err)
+	}
+	is.Equal(strings.Count(log.String(), "catalogue_older"), 1)
+}
--- a/internal/follow/watch.go
+++ b/internal/follow/watch.go
@@ -144,7 +144,7 @@
 func (f *Follower) readStore(ctx context.Context) (store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	asked := f.cfg.Clock()
+	asked, inForce := f.cfg.Clock(), f.Version()
 	e, err := f.cfg.Store.Get(ctx, f.cfg.Key)
 	if err != nil {
 		return 0, err
@@ -154,6 +154,7 @@
 	} else {
 		f.recordStoreVersion(0)
 	}
+	f.logOlder(inForce, e.Revision)
 	f.confirmFromStore(asked)
 	return max(e.Revision, e.StoreRevision), nil
 }
@@ -166,19 +167,18 @@
 		return
 	}
 	f.recordStoreVersion(c.Version)
-	if !f.Apply(c, "store") {
-		f.logOlder(c.Version, e.Revision)
-	}
+	f.Apply(c, "store")
 }
 
-// logOlder logs, once for each version, that the store has an older one than that in
-// force. Operators write only higher versions, so the store has lost the newer one.
-func (f *Follower) logOlder(v ident.Version, rev store.Revision) {
+// logOlder logs, once for each version, that a read showed an older version than the one
+// that had been in force when it began. Operators write only higher versions, so the store
+// has lost the newer one.
+func (f *Follower) logOlder(inForce ident.Version, rev store.Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if inForce := f.Version(); v < inForce && v != f.olderLogged {
-		f.olderLogged = v
-		evlog.At(f.cfg.Log, evlog.CatalogueOlder).Uint64("version", uint64(v)).Uint64("in_force", uint64(inForce)).Int64("revision", int64(rev)).Send()
+	if v := f.storeVersion; v < inForce && inForce != f.olderLogged {
+		f.olderLogged = inForce
+		evlog.At(f.cfg.Log, evlog.CatalogueOlder).Uint64("version", uint64(v)).Uint64("in_force", uint64(inForce)).Int64("revision", rev.Counter()).Send()
 	}
 }
 
