--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -38,18 +38,14 @@
 	promotionSent bool
 }
 
-// allowsCall reports whether a promotion call, or the end of a fence, may still be
-// sent at now.
-func (c *heldClaim) allowsCall(now time.Time) bool { return now.Before(c.expiresAt.Add(-claimMargin)) }
-
-// allowsCall reports whether a promotion call, or the end of a fence, may be sent now.
+// allowsCall reports whether a promotion call, or the end of a fence, may still be sent.
 // A claim is void once the store is known to have been restored since: the store may have
 // forgotten it.
 func (mon *Monitor) allowsCall(c *heldClaim) bool {
 	if store.EpochOf(mon.cfg.Store) > c.token.Epoch() {
 		return false
 	}
-	return c.allowsCall(mon.cfg.Clock())
+	return mon.cfg.Clock().Before(c.expiresAt.Add(-claimMargin))
 }
 
 // settledEpoch returns the store's epoch if claims may be made in it.
--- a/internal/limit/claim.go
+++ b/internal/limit/claim.go
@@ -193,10 +193,11 @@
 				return batch, err
 			}
 		}
-		if !l.mayClaim(sl, e, &r) {
+		inherited := l.isInherited(e)
+		if !l.mayClaim(sl, e, inherited, &r) {
 			continue
 		}
-		batch.inherited[sl] = l.isInherited(e)
+		batch.inherited[sl] = inherited
 		if len(batch.writes) == store.MaxBatchWrites {
 			break
 		}
@@ -207,10 +208,10 @@
 }
 
 // mayClaim reports whether a slice with an entry, whose Revision is 0 if there is none,
-// may be claimed. In an epoch that is not settled, the entries are those of the copy
+// may be claimed; inherited means that a former process of this VM wrote it. In an epoch that is not settled, the entries are those of the copy
 // until their holders write them again, and the store may have lost some. A VM may then
 // write its own slices again, and those of its former process.
-func (l *Limiter) mayClaim(sl quota.Slice, e store.Entry, r *claimRules) bool {
+func (l *Limiter) mayClaim(sl quota.Slice, e store.Entry, inherited bool, r *claimRules) bool {
 	l.slices.mu.Lock()
 	kept := l.slices.set.Kept(sl, l.now())
 	l.slices.mu.Unlock()
@@ -220,7 +221,7 @@
 	if l.recordForeign(sl, e) {
 		return false
 	}
-	if !r.settled && !l.isInherited(e) {
+	if !r.settled && !inherited {
 		l.recordUnsettled(sl)
 		return false
 	}
