Count bytes by mechanism and border

Cause: prices of the fleets of 24 and 89 VMs are mostly bytes between zones, and no counter told what they are sent for. Change: internal/usage counts the bytes of each connection that a VM opens, by mechanism and by the border that they cross, and calls between VMs by method; metrics bytes{mechanism,border} and event 146 bytes_used.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"chervilspan.example/internal/metr"
 	"chervilspan.example/internal/peer"
 	"chervilspan.example/internal/relay"
+	"chervilspan.example/internal/usage"
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/member"
@@ -40,6 +41,8 @@
 	// StoreCounts, unless nil, returns the number of calls to the store by operation,
 	// and how many of them got no usable answer.
 	StoreCounts func() (calls map[string]uint64, failures uint64)
+	// Usage, unless nil, counts the bytes that the VM sends and receives.
+	Usage *usage.Table
 	// SetWatchTimeout, unless nil, sets how long the store may hold a watch; 0 means
 	// the adapter's default.
 	SetWatchTimeout func(time.Duration)
@@ -69,8 +72,9 @@
 	// versionCheckTimeout is how long a starting VM waits for another VM's version of
 	// the catalogue. It is below the time for which logins wait for the start.
 	versionCheckTimeout = time.Second
-	// storeCallsLogInterval is how often the number of calls to the store is logged.
-	storeCallsLogInterval = 10 * time.Second
+	// countsLogInterval is how often the numbers of calls to the store and of bytes are
+	// logged.
+	countsLogInterval = 10 * time.Second
 	// memoryLimitFraction is the fraction of the VM's memory that is set as the soft
 	// memory limit of the Go runtime.
 	memoryLimitFraction = 0.6
@@ -100,8 +104,8 @@
 
 	stopping  atomic.Bool
 	startedAt time.Time
-	// storeCallsLoggedAt is used by housekeep only.
-	storeCallsLoggedAt time.Time
+	// countsLoggedAt is used by housekeep only.
+	countsLoggedAt time.Time
 	// firstReady is closed when the VM is ready for the first time.
 	firstReady chan struct{}
 	// gracePeriod is the longest time of a planned stop, in nanoseconds. A reload may
@@ -117,7 +121,7 @@
 	n := &Node{settings: s, adapters: a, log: log, roster: &roster.Table{}, metrics: metr.New(), startedAt: time.Now(), firstReady: make(chan struct{})}
 	n.gracePeriod.Store(int64(s.Grace()))
 	n.pools = &dbpool.Pools{Dialer: a.Dialer, Roster: n.roster, ConnLimit: n.connLimit, DialLimit: n.dialLimit}
-	n.peers = peer.NewCache(peer.CacheConfig{AllowPlaintext: true, Scope: n.metrics.Scope})
+	n.peers = peer.NewCache(peer.CacheConfig{AllowPlaintext: true, Scope: n.metrics.Scope, Usage: a.Usage, ZoneOf: n.zoneOfAddress})
 	n.borrower = relay.NewClient(relay.Config{Lenders: n.lenderAddresses, Peers: n.peers, Log: log})
 	n.pools.Lender = n.borrower
 	n.lender = &relay.Server{Pools: n.pools}
@@ -165,6 +169,16 @@
 	return 1
 }
 
+// zoneOfAddress returns the zone of the VM at an address, "" if it isn't listed.
+func (n *Node) zoneOfAddress(address string) ident.Zone {
+	for _, m := range n.fleet.Live() {
+		if m.Address == address {
+			return m.Zone
+		}
+	}
+	return ""
+}
+
 func (n *Node) regionOf(z ident.Zone) ident.Region { return n.settings.Zones[z] }
 
 // Run serves until ctx ends, then stops gracefully. It returns an *Error if a
@@ -326,17 +340,36 @@
 	if s, ok := n.adapters.Store.(store.Restorable); ok {
 		n.metrics.Scope.Gauge("store_epoch").Update(float64(s.Epoch()))
 	}
+	n.reportCounts(time.Since(n.countsLoggedAt) >= countsLogInterval)
+}
+
+// reportCounts reports the calls to the store and the bytes sent and received, as
+// metrics and, if log is set, in the log.
+func (n *Node) reportCounts(log bool) {
+	if log {
+		n.countsLoggedAt = time.Now()
+	}
 	if n.adapters.StoreCounts != nil {
 		calls, failures := n.adapters.StoreCounts()
 		for op, count := range calls {
 			n.metrics.Scope.Tagged(map[string]string{"op": strings.ReplaceAll(op, " ", "_")}).Gauge("store_calls").Update(float64(count))
 		}
 		n.metrics.Scope.Gauge("store_failures").Update(float64(failures))
-		if now := time.Now(); now.Sub(n.storeCallsLoggedAt) >= storeCallsLogInterval {
-			n.storeCallsLoggedAt = now
+		if log {
 			evlog.At(n.log, evlog.StoreCalls).Interface("calls", calls).Uint64("failures", failures).Send()
 		}
 	}
+	if n.adapters.Usage == nil {
+		return
+	}
+	bytes := map[string]uint64{}
+	for _, row := range n.adapters.Usage.Rows() {
+		n.metrics.Scope.Tagged(map[string]string{"mechanism": string(row.Mechanism), "border": row.Border.String()}).Gauge("bytes").Update(float64(row.Bytes))
+		bytes[string(row.Mechanism)+" "+row.Border.String()] = row.Bytes
+	}
+	if log {
+		evlog.At(n.log, evlog.BytesUsed).Interface("bytes", bytes).Send()
+	}
 }
 
 // poolIsCurrent reports whether the roster still has a pool's database with the
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -6,6 +6,7 @@
 	"os"
 	"time"
 
+	"chervilspan.example/internal/usage"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/strict"
 )
@@ -63,6 +64,11 @@
 	return time.Duration(s.GraceS * float64(time.Second))
 }
 
+// Place returns the location of the VM.
+func (s *Settings) Place() usage.Place {
+	return usage.Place{Zone: s.Zone, Region: s.Region, RegionOf: func(z ident.Zone) ident.Region { return s.Zones[z] }}
+}
+
 // Load reads and checks a settings file. Its errors are of type *Error and kind
 // KindSettings, and list every problem.
 func Load(path string) (*Settings, error) {
--- a/internal/peer/cache.go
+++ b/internal/peer/cache.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -15,6 +17,7 @@
 
 	"chervilspan.example/internal/proto/adminpb"
 	"chervilspan.example/internal/proto/peerpb"
+	"chervilspan.example/internal/usage"
 	"chervilspan.example/pkg/ident"
 )
 
@@ -38,6 +41,10 @@
 	// Scope receives the counters peer_sent_bytes and peer_received_bytes, each with
 	// the tag peer_region.
 	Scope tally.Scope
+	// Usage, unless nil, counts the bytes of the connections, in all and by the methods
+	// of calls. ZoneOf returns the zone of an address for it, "" while it isn't known.
+	Usage  *usage.Table
+	ZoneOf func(address string) ident.Zone
 	// DialOptions are added to those of each connection.
 	DialOptions []grpc.DialOption
 }
@@ -133,6 +140,9 @@
 			MinConnectTimeout: time.Second,
 		}),
 	}, c.cfg.DialOptions...)
+	if c.cfg.Usage != nil {
+		opts = append(opts, grpc.WithContextDialer(c.dialCounted))
+	}
 	cc, err := grpc.NewClient("passthrough:///"+address, opts...)
 	if err != nil {
 		return nil, &Error{Op: "dial", Kind: KindInvalidAddress, Subject: address, Err: err}
@@ -142,6 +152,23 @@
 	return cc, nil
 }
 
+// dialCounted opens a connection whose bytes are counted.
+func (c *Cache) dialCounted(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return c.cfg.Usage.Conn(conn, usage.Peers, func() ident.Zone { return c.zoneOf(address) }), nil
+}
+
+func (c *Cache) zoneOf(address string) ident.Zone {
+	if c.cfg.ZoneOf == nil {
+		return ""
+	}
+	return c.cfg.ZoneOf(address)
+}
+
 // Sweep closes connections that are idle for IdleTimeout. Callers run it
 // periodically; it also runs before each new connection.
 func (c *Cache) Sweep() {
--- a/internal/peer/count.go
+++ b/internal/peer/count.go
@@ -3,9 +3,14 @@
 import (
 	"cmp"
 	"context"
+	"path"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc/stats"
+
+	"chervilspan.example/internal/usage"
+	"chervilspan.example/pkg/ident"
 )
 
 // statsHandler counts the bytes and the running calls of one connection. Only
@@ -14,10 +19,28 @@
 	cache   *Cache
 	conn    *cachedConn
 	address string
+	// zone caches the zone of the address once it is known.
+	zone atomic.Pointer[ident.Zone]
+}
+
+func (n *statsHandler) zoneOfPeer() ident.Zone {
+	if z := n.zone.Load(); z != nil {
+		return *z
+	}
+	z := n.cache.zoneOf(n.address)
+	if z != "" {
+		n.zone.Store(&z)
+	}
+	return z
 }
 
+// methodKey is the key of a call's method in its context.
+type methodKey struct{}
+
 // TagRPC implements stats.Handler.
-func (*statsHandler) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+func (*statsHandler) TagRPC(ctx context.Context, info *stats.RPCTagInfo) context.Context {
+	return context.WithValue(ctx, methodKey{}, path.Base(info.FullMethodName))
+}
 
 // TagConn implements stats.Handler.
 func (*statsHandler) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
@@ -26,16 +49,16 @@
 func (*statsHandler) HandleConn(context.Context, stats.ConnStats) {}
 
 // HandleRPC implements stats.Handler.
-func (n *statsHandler) HandleRPC(_ context.Context, s stats.RPCStats) {
+func (n *statsHandler) HandleRPC(ctx context.Context, s stats.RPCStats) {
 	switch s := s.(type) {
 	case *stats.Begin:
 		n.addCalls(1)
 	case *stats.End:
 		n.addCalls(-1)
 	case *stats.OutPayload:
-		n.countBytes("peer_sent_bytes", s.WireLength)
+		n.countBytes(ctx, "peer_sent_bytes", s.WireLength)
 	case *stats.InPayload:
-		n.countBytes("peer_received_bytes", s.WireLength)
+		n.countBytes(ctx, "peer_received_bytes", s.WireLength)
 	}
 }
 
@@ -46,7 +69,10 @@
 	n.conn.lastUsed = time.Now()
 }
 
-func (n *statsHandler) countBytes(name string, bytes int) {
+func (n *statsHandler) countBytes(ctx context.Context, name string, bytes int) {
+	if method, ok := ctx.Value(methodKey{}).(string); ok && n.cache.cfg.Usage != nil {
+		n.cache.cfg.Usage.Add(usage.Mechanism(method), n.zoneOfPeer(), bytes)
+	}
 	region := "unknown"
 	if n.cache.cfg.RegionOf != nil {
 		region = cmp.Or(string(n.cache.cfg.RegionOf(n.address)), region)
