Count messages too, and the steps of relayed loans

Cause: bytes by method don't tell what a call costs in framing. Change: counters of messages, and a mechanism for each step of a relayed loan.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -362,10 +362,10 @@
 	if n.adapters.Usage == nil {
 		return
 	}
-	bytes := map[string]uint64{}
+	bytes := map[string][2]uint64{}
 	for _, row := range n.adapters.Usage.Rows() {
 		n.metrics.Scope.Tagged(map[string]string{"mechanism": string(row.Mechanism), "border": row.Border.String()}).Gauge("bytes").Update(float64(row.Bytes))
-		bytes[string(row.Mechanism)+" "+row.Border.String()] = row.Bytes
+		bytes[string(row.Mechanism)+" "+row.Border.String()] = [2]uint64{row.Bytes, row.Messages}
 	}
 	if log {
 		evlog.At(n.log, evlog.BytesUsed).Interface("bytes", bytes).Send()
--- a/internal/peer/count.go
+++ b/internal/peer/count.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/grpc/stats"
 
+	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/internal/usage"
 	"chervilspan.example/pkg/ident"
 )
@@ -56,9 +57,9 @@
 	case *stats.End:
 		n.addCalls(-1)
 	case *stats.OutPayload:
-		n.countBytes(ctx, "peer_sent_bytes", s.WireLength)
+		n.countBytes(ctx, "peer_sent_bytes", s.Payload, s.WireLength)
 	case *stats.InPayload:
-		n.countBytes(ctx, "peer_received_bytes", s.WireLength)
+		n.countBytes(ctx, "peer_received_bytes", s.Payload, s.WireLength)
 	}
 }
 
@@ -69,9 +70,9 @@
 	n.conn.lastUsed = time.Now()
 }
 
-func (n *statsHandler) countBytes(ctx context.Context, name string, bytes int) {
+func (n *statsHandler) countBytes(ctx context.Context, name string, message any, bytes int) {
 	if method, ok := ctx.Value(methodKey{}).(string); ok && n.cache.cfg.Usage != nil {
-		n.cache.cfg.Usage.Add(usage.Mechanism(method), n.zoneOfPeer(), bytes)
+		n.cache.cfg.Usage.Add(mechanismOf(method, message), n.zoneOfPeer(), bytes)
 	}
 	region := "unknown"
 	if n.cache.cfg.RegionOf != nil {
@@ -79,3 +80,27 @@
 	}
 	n.cache.cfg.Scope.Tagged(map[string]string{"peer_region": region}).Counter(name).Inc(int64(bytes))
 }
+
+// mechanismOf returns the name under which the bytes of a message are counted: the
+// method of its call, and the step of a relayed loan.
+func mechanismOf(method string, message any) usage.Mechanism {
+	switch m := message.(type) {
+	case *peerpb.RelayRequest:
+		switch m.Step.(type) {
+		case *peerpb.RelayRequest_Open:
+			return "Relay.open"
+		case *peerpb.RelayRequest_Run:
+			return "Relay.run"
+		}
+		return "Relay.return"
+	case *peerpb.RelayReply:
+		switch m.Step.(type) {
+		case *peerpb.RelayReply_Opened:
+			return "Relay.opened"
+		case *peerpb.RelayReply_Ran:
+			return "Relay.ran"
+		}
+		return "Relay.taken"
+	}
+	return usage.Mechanism(method)
+}
--- a/internal/usage/table.go
+++ b/internal/usage/table.go
@@ -82,17 +82,27 @@
 	Mechanism Mechanism
 	Border    Border
 	Bytes     uint64
+	// Messages is the number of messages, or of reads and writes of a connection.
+	Messages uint64
+}
+
+// counter counts the bytes and messages of one key.
+type counter struct{ bytes, messages atomic.Uint64 }
+
+func (c *counter) add(n int) {
+	c.bytes.Add(uint64(n))
+	c.messages.Add(1)
 }
 
 // Table counts bytes. Its methods may be called from several goroutines.
 type Table struct {
 	place    Place
 	mu       sync.Mutex
-	counters map[key]*atomic.Uint64
+	counters map[key]*counter
 }
 
 // New returns an empty Table for a VM at the given place.
-func New(p Place) *Table { return &Table{place: p, counters: map[key]*atomic.Uint64{}} }
+func New(p Place) *Table { return &Table{place: p, counters: map[key]*counter{}} }
 
 // Add counts n bytes to or from a zone; "" is an unknown zone. A nil Table counts
 // nothing.
@@ -100,16 +110,16 @@
 	if t == nil || n <= 0 {
 		return
 	}
-	t.counter(m, t.place.BorderTo(z)).Add(uint64(n))
+	t.counter(m, t.place.BorderTo(z)).add(n)
 }
 
-func (t *Table) counter(m Mechanism, b Border) *atomic.Uint64 {
+func (t *Table) counter(m Mechanism, b Border) *counter {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	k := key{m, b}
 	c := t.counters[k]
 	if c == nil {
-		c = &atomic.Uint64{}
+		c = &counter{}
 		t.counters[k] = c
 	}
 	return c
@@ -121,7 +131,7 @@
 	defer t.mu.Unlock()
 	out := make([]Row, 0, len(t.counters))
 	for k, c := range t.counters {
-		out = append(out, Row{k.mechanism, k.border, c.Load()})
+		out = append(out, Row{k.mechanism, k.border, c.bytes.Load(), c.messages.Load()})
 	}
 	slices.SortFunc(out, func(a, b Row) int {
 		return cmp.Or(cmp.Compare(a.Mechanism, b.Mechanism), cmp.Compare(a.Border, b.Border))
@@ -144,7 +154,7 @@
 	mechanism Mechanism
 	zone      func() ident.Zone
 	// known is the counter once the zone is known.
-	known atomic.Pointer[atomic.Uint64]
+	known atomic.Pointer[counter]
 }
 
 // Read implements net.Conn.
@@ -165,13 +175,13 @@
 	if n <= 0 {
 		return
 	}
-	counter := c.known.Load()
-	if counter == nil {
+	known := c.known.Load()
+	if known == nil {
 		border := c.table.place.BorderTo(c.zone())
-		counter = c.table.counter(c.mechanism, border)
+		known = c.table.counter(c.mechanism, border)
 		if border != Unknown {
-			c.known.Store(counter)
+			c.known.Store(known)
 		}
 	}
-	counter.Add(uint64(n))
+	known.add(n)
 }
--- a/internal/usage/table_test.go
+++ b/internal/usage/table_test.go
@@ -40,7 +40,7 @@
 		is.NoErr(err)
 	}
 	is.NoErr(conn.Close())
-	is.Equal(table.Rows(), []Row{{Peers, Unknown, 10}, {Peers, Regions, 10}})
+	is.Equal(table.Rows(), []Row{{Peers, Unknown, 10, 2}, {Peers, Regions, 10, 2}})
 }
 
 // TestNil guards against a daemon without counters that fails.
