Let few VMs of a zone hold its rate slices in a large fleet

Change: above 16 VMs the slices of a zone are placed in two sets. Slices stay exclusive by their keys in the store, so a fleet of two versions is safe. TestFewHolders failed before. Also, connections between VMs have a fixed flow control window: gRPC's estimate of the bandwidth sends a ping for most messages.

--- a/internal/peer/cache.go
+++ b/internal/peer/cache.go
@@ -71,6 +71,11 @@
 // connections to hundreds of others, which carry small messages.
 const connBufferBytes = 4 << 10
 
+// windowBytes is the size of the flow control window of a stream and of a connection. A
+// fixed size keeps gRPC from estimating the bandwidth, which takes a ping and its answer
+// for most messages and costs more bytes than a small message has.
+const windowBytes = 256 << 10
+
 // maxMessageBytes is enough for a whole catalogue in its message.
 const maxMessageBytes = 4 << 20
 
@@ -133,6 +138,8 @@
 		grpc.WithReadBufferSize(connBufferBytes),
 		grpc.WithWriteBufferSize(connBufferBytes),
 		grpc.WithSharedWriteBuffer(true),
+		grpc.WithStaticStreamWindowSize(windowBytes),
+		grpc.WithStaticConnWindowSize(windowBytes),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			// The back-off is short, so that a VM that returns is reached within a
 			// few pings.
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -114,6 +114,8 @@
 		grpc.ReadBufferSize(connBufferBytes),
 		grpc.WriteBufferSize(connBufferBytes),
 		grpc.SharedWriteBuffer(true),
+		grpc.StaticStreamWindowSize(windowBytes),
+		grpc.StaticConnWindowSize(windowBytes),
 		grpc.ConnectionTimeout(5 * time.Second),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 30 * time.Second, Timeout: 10 * time.Second}),
 		grpc.ChainUnaryInterceptor(s.unaryInterceptor),
--- a/pkg/quota/order.go
+++ b/pkg/quota/order.go
@@ -8,6 +8,17 @@
 	"chervilspan.example/pkg/rendez"
 )
 
+const (
+	// maxSpreadVMs is the number of VMs up to which each slice is placed by itself, so
+	// that all VMs hold some.
+	maxSpreadVMs = 16
+	// holdersPerZone is the number of VMs of a zone that hold its slices in a larger
+	// fleet. There most VMs borrow, and a holder of many slices lends a whole token where
+	// several holders of one slice would each lend a fraction. The second one bounds what
+	// is lost with a VM.
+	holdersPerZone = 2
+)
+
 // Placement assigns slices to VMs for one state of the membership. All VMs that
 // see the same zones and live VMs compute the same assignment.
 type Placement struct {
@@ -35,13 +46,17 @@
 
 // PreferredHolder returns the VM that should hold a slice: the rendezvous choice
 // among the live VMs of the slice's zone, or among all live VMs while the zone has
-// none, as the slice's share of the rates would be unused otherwise. ok is false
-// when there is no VM or no zone.
+// none, as the slice's share of the rates would be unused otherwise. Above maxSpreadVMs,
+// the slices of a zone are placed in holdersPerZone sets. ok is false when there is no VM
+// or no zone.
 func (p *Placement) PreferredHolder(s Slice) (vm ident.VM, ok bool) {
 	if len(p.zones) == 0 {
 		return "", false
 	}
 	zone := p.zones[int(s.Index)%len(p.zones)]
+	if len(p.vms) > maxSpreadVMs {
+		s.Index %= Index(len(p.zones) * holdersPerZone)
+	}
 	if vms := p.byZone[zone]; len(vms) > 0 {
 		return rendez.First(s.Key(), vms)
 	}
--- a/pkg/quota/slice_test.go
+++ b/pkg/quota/slice_test.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/member"
 )
 
 // TestSettleAfterDecrease guards against a settlement that refunds tokens above the
@@ -167,3 +169,45 @@
 	is.True(float64(admitted) <= bound)
 	is.True(admitted > int(l.Rate*window.Seconds()*9/10))
 }
+
+// TestFewHolders guards against a large fleet in which the slices of a shard lie with so
+// many VMs that borrowers have to assemble a token from several of them, and against
+// zones without slices of their own.
+func TestFewHolders(t *testing.T) {
+	is := is.New(t)
+	zones := []ident.Zone{"a", "b", "c", "d", "e", "f"}
+	const slices = 36
+	holders := func(vms int) map[ident.Zone]map[ident.VM]bool {
+		var live []member.Info
+		zoneOf := map[ident.VM]ident.Zone{}
+		for i := range vms {
+			m := member.Info{VM: ident.VM(fmt.Sprint("vm", i)), Zone: zones[i%len(zones)]}
+			live = append(live, m)
+			zoneOf[m.VM] = m.Zone
+		}
+		out := map[ident.Zone]map[ident.VM]bool{}
+		place := NewPlacement(zones, live)
+		for i := range slices {
+			vm, ok := place.PreferredHolder(Slice{Index: Index(i)})
+			is.True(ok)
+			z := zoneOf[vm]
+			is.Equal(z, zones[i%len(zones)])
+			if out[z] == nil {
+				out[z] = map[ident.VM]bool{}
+			}
+			out[z][vm] = true
+		}
+		return out
+	}
+	for _, vms := range []int{24, 89, 295} {
+		byZone := holders(vms)
+		is.Equal(len(byZone), len(zones))
+		for _, vms := range byZone {
+			is.True(len(vms) <= holdersPerZone)
+		}
+	}
+	small := holders(12)
+	for _, vms := range small {
+		is.Equal(len(vms), 2) // of two VMs in the zone
+	}
+}
