Borrow no token ahead after a single request

Cause: one arrival in the window of 100 ms counted as a rate of 10 a second, so that each request of a rarely used workspace borrowed a second token, which went back unused in a message of its own. Change: the first arrival of a window doesn't count. TestLoneRequest gave 40 messages for 20 requests before.

--- a/pkg/quota/holders.go
+++ b/pkg/quota/holders.go
@@ -86,18 +86,23 @@
 	if elapsed >= 2*demandWindow || d.windowStart.IsZero() {
 		d.rate = 0
 	} else {
-		d.rate = float64(d.arrivals) / elapsed.Seconds()
+		d.rate = float64(d.furtherArrivals()) / elapsed.Seconds()
 	}
 	d.windowStart, d.arrivals = now, 0
 }
 
+// furtherArrivals returns the number of arrivals in the window after the first one. A
+// single arrival says nothing about the rate, and a token borrowed for the next one would
+// mostly be returned unused.
+func (d *demand) furtherArrivals() int { return max(0, d.arrivals-1) }
+
 // expected returns the tokens that arrivals within the period t will need, rounded
 // down to whole tokens, as borrowed fractions would mostly expire unused.
 func (d *demand) expected(now time.Time, t time.Duration) ident.MicroTokens {
 	d.advanceWindow(now)
 	rate := d.rate
 	if elapsed := now.Sub(d.windowStart).Seconds(); elapsed > 0 {
-		rate = max(rate, float64(d.arrivals)/max(elapsed, demandWindow.Seconds()))
+		rate = max(rate, float64(d.furtherArrivals())/max(elapsed, demandWindow.Seconds()))
 	}
 	return ident.Accrue(rate, t) / ident.Token * ident.Token
 }
--- a/pkg/quota/slice_test.go
+++ b/pkg/quota/slice_test.go
@@ -211,3 +211,31 @@
 		is.Equal(len(vms), 2) // of two VMs in the zone
 	}
 }
+
+// TestLoneRequest guards against a request of a rarely used workspace that borrows more
+// than its own token, as the rest has to be returned in a message of its own.
+func TestLoneRequest(t *testing.T) {
+	is := is.New(t)
+	a := NewAccount(Config{Self: "v"})
+	a.Configure(Setup{Limit: Limit{30, 30}, SliceCount: 3, Holders: []ident.VM{"w"}}, epoch)
+	var messages int
+	for i := range 20 {
+		now := epoch.Add(time.Duration(i) * 700 * time.Millisecond)
+		is.True(!a.Admit(now, time.Time{}))
+		a.Enqueue(now)
+		out := a.Poll(now, time.Time{})
+		is.Equal(len(out.Borrows), 1)
+		is.Equal(out.Borrows[0].Amount, ident.Token)
+		messages++
+		now = now.Add(time.Millisecond)
+		a.HandleReply(out.Borrows[0].ID, BorrowReply{Amount: out.Borrows[0].Amount, Grant: GrantID(i + 1), Remaining: 9 * ident.Token, MintingSlices: 1}, now)
+		out = a.Poll(now, time.Time{})
+		is.Equal(len(out.Admitted), 1)
+		messages += len(out.Borrows)
+		for range 4 {
+			now = now.Add(100 * time.Millisecond)
+			messages += len(a.Poll(now, time.Time{}).Borrows)
+		}
+	}
+	is.Equal(messages, 20)
+}
