Run a relayed read in one round trip

Cause: a read at a database whose connections another VM lends takes two round trips and six messages (open, taken, opened, run, ran, return), and the connection is held for one of them; between regions that is 60 ms of waiting and of a scarce connection. Change: RelayRead carries the connection wanted, the session state needed and the read; the lender sets the connection up, runs the read in turn and answers with one message. A lender says with its first loan that it understands reads, so a fleet of two versions works. Writes and transactions keep their loans.

--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -13,9 +13,8 @@
 
 const (
 	// probeTimeout bounds the wait for the answer to a statement that takes no
-	// slot, such as the start of a transaction. It exceeds a round trip between
-	// regions.
-	probeTimeout = 400 * time.Millisecond
+	// slot, such as the start of a transaction.
+	probeTimeout = dbpool.SetupTimeout
 	// initialBackoff and maxBackoff bound the wait between two attempts.
 	initialBackoff = 10 * time.Millisecond
 	maxBackoff     = 80 * time.Millisecond
@@ -214,6 +213,11 @@
 // after an answer. A failed read is retried only if no earlier attempt may have
 // run. It also records what the answer tells about the database.
 func (s *Session) shouldRetry(c *call, conn *dbpool.Conn, code dbop.Code) bool {
+	return s.retriesAfter(c, conn.Group, conn.Target, code)
+}
+
+// retriesAfter is shouldRetry for the answer of a database.
+func (s *Session) retriesAfter(c *call, g ident.Group, id ident.Target, code dbop.Code) bool {
 	switch code {
 	case dbop.OK, dbop.TooLarge, dbop.Malformed, dbop.Timeout:
 		return false
@@ -223,11 +227,11 @@
 		}
 		c.mayHaveRun = true
 	case dbop.ReadOnly:
-		s.e.cfg.Primaries.Depose(conn.Group, conn.Target)
+		s.e.cfg.Primaries.Depose(g, id)
 	case dbop.Lagging:
-		s.e.cfg.Roster.RecordLag(conn.Group, conn.Target, time.Now())
+		s.e.cfg.Roster.RecordLag(g, id, time.Now())
 	}
-	s.recordFailure(c, conn.Target, code)
+	s.recordFailure(c, id, code)
 	return true
 }
 
@@ -277,6 +281,9 @@
 // readAt runs a read at one database. done is false when another one may be
 // tried.
 func (s *Session) readAt(c *call, m *roster.Member, floor ident.Position) (a dbop.Answer, done bool) {
+	if a, done, ok := s.readRemotely(c, m, floor); ok {
+		return a, done
+	}
 	conn, err := s.e.cfg.Pools.Get(s.connDeadline(c), m, s.auth.Workspace, s.owner)
 	if err != nil {
 		s.recordFailure(c, m.ID, s.handleGetError(m, err))
@@ -309,6 +316,31 @@
 	return answers[0], !s.shouldRetry(c, conn, answers[0].Code)
 }
 
+// readRemotely is readAt for a database whose connections another VM lends, which then
+// runs the read as a whole. ok is false when a connection has to be used.
+func (s *Session) readRemotely(c *call, m *roster.Member, floor ident.Position) (a dbop.Answer, done, ok bool) {
+	st := c.st
+	st.Floor, st.Scheduling = floor, c.scheduling
+	r := dbpool.Read{Setup: s.setup(&c.st), Statement: st, ConnDeadline: s.connDeadline(c), Limit: time.Until(s.attemptDeadline(c)), Deadline: c.deadline}
+	res, ok := s.e.cfg.Pools.ReadRemotely(m, s.auth.Workspace, s.owner, &r)
+	c.mayHaveRun = c.mayHaveRun || res.MayHaveRun
+	switch {
+	case !ok:
+		return a, false, false
+	case res.Err != nil:
+		s.recordFailure(c, m.ID, s.handleGetError(m, res.Err))
+	case res.Setup != dbop.OK:
+		s.recordFailure(c, m.ID, res.Setup)
+	case !res.Answered:
+		c.offered = true
+		s.recordFailure(c, m.ID, dbop.Unknown)
+	default:
+		c.offered = true
+		return res.Answer, !s.retriesAfter(c, m.Group, m.ID, res.Answer.Code), true
+	}
+	return a, false, true
+}
+
 // connDeadline returns the deadline of the wait for a connection to one database
 // of several. It leaves a quarter of the time for the read.
 func (s *Session) connDeadline(c *call) time.Time {
--- a/internal/engine/setup.go
+++ b/internal/engine/setup.go
@@ -12,27 +12,20 @@
 // answers has an unknown outcome.
 const verifyAfter = time.Second
 
+// setup returns the session state that a statement needs on its connection.
+func (s *Session) setup(st *dbop.Statement) dbpool.Setup {
+	out := dbpool.Setup{Vars: s.vars}
+	if st.Kind == dbop.Execute {
+		out.Prepare = dbop.Statement{Kind: dbop.Prepare, Name: st.Name, Writes: st.Writes, Arg: s.preparedText(st.Name)}
+	}
+	return out
+}
+
 // setupStatements returns the statements that set the session's variables on a
 // connection and prepare the statement that st executes.
 func (s *Session) setupStatements(conn *dbpool.Conn, st *dbop.Statement) []dbop.Statement {
-	var out []dbop.Statement
-	vars, names := conn.Vars, conn.Prepared
-	for name := range vars {
-		if _, ok := s.vars[name]; !ok {
-			out = append(out, dbop.Statement{Kind: dbop.Reset})
-			vars, names = nil, nil
-			break
-		}
-	}
-	for name, value := range s.vars {
-		if have, ok := vars[name]; !ok || have != value {
-			out = append(out, dbop.Statement{Kind: dbop.Set, Name: name, Arg: value})
-		}
-	}
-	if st.Kind == dbop.Execute && !names[st.Name] {
-		out = append(out, dbop.Statement{Kind: dbop.Prepare, Name: st.Name, Writes: st.Writes, Arg: s.preparedText(st.Name)})
-	}
-	return out
+	setup := s.setup(st)
+	return setup.Statements(conn)
 }
 
 // preparedText returns the text of the prepared statement with the given name at
--- a/internal/peer/count.go
+++ b/internal/peer/count.go
@@ -91,6 +91,8 @@
 			return "Relay.open"
 		case *peerpb.RelayRequest_Run:
 			return "Relay.run"
+		case *peerpb.RelayRequest_Read:
+			return "Relay.read"
 		}
 		return "Relay.return"
 	case *peerpb.RelayReply:
@@ -99,6 +101,8 @@
 			return "Relay.opened"
 		case *peerpb.RelayReply_Ran:
 			return "Relay.ran"
+		case *peerpb.RelayReply_ReadDone:
+			return "Relay.read_done"
 		}
 		return "Relay.taken"
 	}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -60,6 +60,8 @@
 	cfg Config
 
 	avoid peer.AvoidList
+	// readers has the lenders that understand single reads.
+	readers addressSet
 
 	mu          sync.Mutex
 	idleStreams map[string][]*loan
@@ -152,6 +154,9 @@
 	}
 	r, err := l.receive(time.Now().Add(takenTimeout))
 	if err == nil && r.GetTaken() != nil {
+		if r.GetTaken().Reads {
+			c.readers.Add(address)
+		}
 		r, err = l.receive(deadline.Add(replyMargin))
 	}
 	if err != nil {
@@ -175,13 +180,7 @@
 // toLentConn returns a lent connection with the session state that the lender
 // reported.
 func toLentConn(l *loan, o *peerpb.RelayOpened) dbpool.LentConn {
-	out := dbpool.LentConn{Link: l, Return: l.giveBack, AnswerAge: time.Duration(o.QuietMs) * time.Millisecond}
-	for _, v := range o.Variables {
-		if out.Vars == nil {
-			out.Vars = map[string]string{}
-		}
-		out.Vars[string(v.Name)] = string(v.Value)
-	}
+	out := dbpool.LentConn{Link: l, Return: l.giveBack, Vars: fromVariables(o.Variables), AnswerAge: time.Duration(o.QuietMs) * time.Millisecond}
 	for _, name := range o.Names {
 		if out.Prepared == nil {
 			out.Prepared = map[string]bool{}
@@ -272,3 +271,19 @@
 	}
 	c.idleStreams[l.address] = append(c.idleStreams[l.address], l)
 }
+
+// addressSet is a set of addresses. The zero value is empty. It is safe for concurrent
+// use.
+type addressSet struct{ m sync.Map }
+
+// Add adds an address.
+func (s *addressSet) Add(address string) { s.m.LoadOrStore(address, true) }
+
+// Remove removes an address.
+func (s *addressSet) Remove(address string) { s.m.Delete(address) }
+
+// Has reports whether the set has an address.
+func (s *addressSet) Has(address string) bool {
+	_, ok := s.m.Load(address)
+	return ok
+}
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -27,12 +27,35 @@
 func toStatements(sts []dbop.Statement) []*peerpb.RelayStatement {
 	out := make([]*peerpb.RelayStatement, len(sts))
 	for i := range sts {
-		st := &sts[i]
-		out[i] = &peerpb.RelayStatement{
-			Id: []byte(st.ID), Kind: uint32(st.Kind), Text: []byte(st.Text), Name: []byte(st.Name), Arg: []byte(st.Arg),
-			Writes: st.Writes, AfterTerm: uint64(st.Floor.Term), AfterIndex: st.Floor.Index,
-			Class: string(st.Scheduling.Class), Weight: st.Scheduling.Weight, WaitMs: uint32(st.Scheduling.MaxWait.Milliseconds()),
+		out[i] = toStatement(&sts[i])
+	}
+	return out
+}
+
+func toStatement(st *dbop.Statement) *peerpb.RelayStatement {
+	return &peerpb.RelayStatement{
+		Id: []byte(st.ID), Kind: uint32(st.Kind), Text: []byte(st.Text), Name: []byte(st.Name), Arg: []byte(st.Arg),
+		Writes: st.Writes, AfterTerm: uint64(st.Floor.Term), AfterIndex: st.Floor.Index,
+		Class: string(st.Scheduling.Class), Weight: st.Scheduling.Weight, WaitMs: uint32(st.Scheduling.MaxWait.Milliseconds()),
+	}
+}
+
+func toVariables(vars map[string]string) []*peerpb.RelayVariable {
+	var out []*peerpb.RelayVariable
+	for name, value := range vars {
+		out = append(out, &peerpb.RelayVariable{Name: []byte(name), Value: []byte(value)})
+	}
+	return out
+}
+
+// fromVariables returns nil when there are none.
+func fromVariables(in []*peerpb.RelayVariable) map[string]string {
+	var out map[string]string
+	for _, v := range in {
+		if out == nil {
+			out = make(map[string]string, len(in))
 		}
+		out[string(v.Name)] = string(v.Value)
 	}
 	return out
 }
@@ -57,30 +80,37 @@
 func toAnswers(in []dbop.Answer) []*peerpb.RelayAnswer {
 	out := make([]*peerpb.RelayAnswer, len(in))
 	for i := range in {
-		a := &in[i]
-		b := &peerpb.RelayAnswer{
-			Signature: []byte(a.Signature), Code: uint32(a.Code), Text: []byte(a.Text), State: uint32(a.State),
-			Term: uint64(a.Position.Term), Index: a.Position.Index,
-		}
-		for _, r := range a.Rows {
-			b.Rows = append(b.Rows, []byte(r))
-		}
-		out[i] = b
+		out[i] = toAnswer(&in[i])
+	}
+	return out
+}
+
+func toAnswer(a *dbop.Answer) *peerpb.RelayAnswer {
+	out := &peerpb.RelayAnswer{
+		Signature: []byte(a.Signature), Code: uint32(a.Code), Text: []byte(a.Text), State: uint32(a.State),
+		Term: uint64(a.Position.Term), Index: a.Position.Index,
+	}
+	for _, r := range a.Rows {
+		out.Rows = append(out.Rows, []byte(r))
 	}
 	return out
 }
 
 func fromAnswers(in []*peerpb.RelayAnswer) []dbop.Answer {
 	out := make([]dbop.Answer, len(in))
-	for i, b := range in {
-		a := dbop.Answer{
-			Signature: string(b.Signature), Code: dbop.Code(b.Code), Text: string(b.Text), State: dbop.State(b.State),
-			Position: ident.Position{Term: ident.Term(b.Term), Index: b.Index},
-		}
-		for _, r := range b.Rows {
-			a.Rows = append(a.Rows, string(r))
-		}
-		out[i] = a
+	for i := range in {
+		out[i] = fromAnswer(in[i])
 	}
 	return out
 }
+
+func fromAnswer(in *peerpb.RelayAnswer) dbop.Answer {
+	a := dbop.Answer{
+		Signature: string(in.Signature), Code: dbop.Code(in.Code), Text: string(in.Text), State: dbop.State(in.State),
+		Position: ident.Position{Term: ident.Term(in.Term), Index: in.Index},
+	}
+	for _, r := range in.Rows {
+		a.Rows = append(a.Rows, string(r))
+	}
+	return a
+}
--- /dev/null
+++ b/internal/relay/read_client.go
@@ -0,0 +1,97 @@
+package relay
+
+import (
+	"time"
+
+	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/internal/proto/peerpb"
+	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/roster"
+)
+
+// Read implements dbpool.Reader. A lender that fails is skipped for some time, and the
+// read is sent to the next one, since a read may run twice.
+func (c *Client) Read(m *roster.Member, ws ident.Workspace, owner dbpool.Owner, r *dbpool.Read) (res dbpool.ReadResult, ok bool) {
+	for _, address := range c.cfg.Lenders(m, ws) {
+		if c.avoid.Has(address) || c.avoid.Has(atTarget(address, m.ID)) {
+			continue
+		}
+		if !c.readers.Has(address) {
+			return res, false
+		}
+		got, err := c.readAt(address, m, ws, owner, r)
+		res.MayHaveRun = res.MayHaveRun || got.MayHaveRun
+		if err == nil {
+			got.MayHaveRun = res.MayHaveRun
+			return got, true
+		}
+		c.avoidAfter(address, m.ID, err)
+		if err.Kind != dbpool.KindLenderFailed && err.Kind != dbpool.KindClosed {
+			got.Err, got.MayHaveRun = err, res.MayHaveRun
+			return got, true
+		}
+	}
+	return res, false
+}
+
+// readAt runs a read at one lender. The error tells why there was no connection.
+func (c *Client) readAt(address string, m *roster.Member, ws ident.Workspace, owner dbpool.Owner, r *dbpool.Read) (res dbpool.ReadResult, failure *dbpool.Error) {
+	failed := func(err error) (dbpool.ReadResult, *dbpool.Error) {
+		c.readers.Remove(address) // it may be another version after a restart
+		return res, &dbpool.Error{Op: "read", Kind: dbpool.KindLenderFailed, Target: m.ID, Err: err}
+	}
+	l, err := c.getStream(address)
+	if err != nil {
+		return failed(err)
+	}
+	c.addLoans(m.ID, 1)
+	defer c.addLoans(m.ID, -1)
+	if err := l.send(&peerpb.RelayRequest{Step: &peerpb.RelayRequest_Read{Read: toRead(m, ws, owner, r)}}); err != nil {
+		return failed(err)
+	}
+	res.MayHaveRun = true
+	reply, err := l.receive(time.Now().Add(takenTimeout))
+	if err == nil && reply.GetTaken() != nil {
+		reply, err = l.receive(r.Deadline.Add(replyMargin))
+	}
+	if err != nil {
+		return failed(err)
+	}
+	done := reply.GetReadDone()
+	if done == nil || done.Opened == nil {
+		l.abort()
+		return failed(errProtocol)
+	}
+	res.MayHaveRun = false
+	c.recordLoad(m.ID, done.Opened)
+	c.keepStream(l)
+	if kind := done.Opened.Failure; kind != 0 {
+		return res, &dbpool.Error{Op: "read", Kind: dbpool.Kind(kind), Target: m.ID, Code: dbop.Code(done.Opened.Code)}
+	}
+	return toReadResult(done), nil
+}
+
+func toRead(m *roster.Member, ws ident.Workspace, owner dbpool.Owner, r *dbpool.Read) *peerpb.RelayRead {
+	open := toOpen(m, ws, owner)
+	open.WaitMs = uint32(max(0, time.Until(r.ConnDeadline).Milliseconds()))
+	out := &peerpb.RelayRead{
+		Open: open, Variables: toVariables(r.Setup.Vars), Statement: toStatement(&r.Statement),
+		LimitMs: uint32(max(0, r.Limit.Milliseconds())), TotalMs: uint32(max(0, time.Until(r.Deadline).Milliseconds())),
+	}
+	if r.Setup.Prepare.Kind == dbop.Prepare {
+		out.Prepare = toStatement(&r.Setup.Prepare)
+	}
+	return out
+}
+
+func toReadResult(done *peerpb.RelayReadDone) dbpool.ReadResult {
+	res := dbpool.ReadResult{Setup: dbop.Code(done.Setup)}
+	switch {
+	case done.Answer != nil:
+		res.Answered, res.Answer = true, fromAnswer(done.Answer)
+	case res.Setup == dbop.OK:
+		res.MayHaveRun = true
+	}
+	return res
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -40,6 +40,12 @@
 		if err != nil {
 			return nil // the borrower has closed the stream
 		}
+		if read := r.GetRead(); read != nil {
+			if err := s.read(st, read); err != nil {
+				return err
+			}
+			continue
+		}
 		o := r.GetOpen()
 		if o == nil {
 			continue // left over from a loan that was refused
@@ -82,7 +88,7 @@
 	s.lent.Add(1)
 	defer s.loans.Done()
 	defer s.lent.Add(-1)
-	if err := st.Send(&peerpb.RelayReply{Step: &peerpb.RelayReply_Taken{Taken: &peerpb.RelayTaken{}}}); err != nil {
+	if err := st.Send(takenReply()); err != nil {
 		return err
 	}
 	m := fromOpen(o)
@@ -99,26 +105,38 @@
 	return s.run(st, m, conn)
 }
 
+func takenReply() *peerpb.RelayReply {
+	return &peerpb.RelayReply{Step: &peerpb.RelayReply_Taken{Taken: &peerpb.RelayTaken{Reads: true}}}
+}
+
 func openedReply(o *peerpb.RelayOpened) *peerpb.RelayReply {
 	return &peerpb.RelayReply{Step: &peerpb.RelayReply_Opened{Opened: o}}
 }
 
+// loadReply returns the load of a database for a borrower.
+func (s *Server) loadReply(m *roster.Member) *peerpb.RelayOpened {
+	load, queue := s.Pools.LocalLoad(m, ""), s.queueOf(m.ID)
+	return &peerpb.RelayOpened{Busy: uint32(queue.runningCount()), Waiting: uint32(load.Waiting + queue.waitingCount()), Faults: float32(load.FailureRate)}
+}
+
+// setFailure records why there is no connection.
+func setFailure(o *peerpb.RelayOpened, err error) {
+	var e *dbpool.Error
+	o.Failure = uint32(dbpool.KindUnreachable)
+	if errors.As(err, &e) {
+		o.Failure, o.Code = uint32(e.Kind), uint32(e.Code)
+	}
+}
+
 // openResult returns the session state of a lent connection, or why there is no
 // connection, together with the load of the database.
 func (s *Server) openResult(m *roster.Member, conn *dbpool.Conn, err error) *peerpb.RelayOpened {
-	load, queue := s.Pools.LocalLoad(m, ""), s.queueOf(m.ID)
-	out := &peerpb.RelayOpened{Busy: uint32(queue.runningCount()), Waiting: uint32(load.Waiting + queue.waitingCount()), Faults: float32(load.FailureRate)}
+	out := s.loadReply(m)
 	if err != nil {
-		var e *dbpool.Error
-		out.Failure = uint32(dbpool.KindUnreachable)
-		if errors.As(err, &e) {
-			out.Failure, out.Code = uint32(e.Kind), uint32(e.Code)
-		}
+		setFailure(out, err)
 		return out
 	}
-	for name, value := range conn.Vars {
-		out.Variables = append(out.Variables, &peerpb.RelayVariable{Name: []byte(name), Value: []byte(value)})
-	}
+	out.Variables = toVariables(conn.Vars)
 	for name := range conn.Prepared {
 		out.Names = append(out.Names, []byte(name))
 	}
