Learn the speed of databases from their answers

Cause: the choice of database counts a statement in progress as 25 ms everywhere, and a lender runs as many reads as the database has slots, though servers differ in speed and some slow down before their slots are in use.

Change: pkg/speed learns for each database a service time by class, the concurrency up to which throughput grows and a failure rate. The failure estimate moves there from internal/dbpool. The time is measured around the exchange with the database; answers during which this VM did not run are not used. Nothing uses the figures yet.

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -7,6 +7,7 @@
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
+	"chervilspan.example/pkg/speed"
 )
 
 // Status is the state that a database reports of itself.
@@ -68,6 +69,7 @@
 type Conn struct {
 	// pool is nil for a borrowed connection, which giveBack returns to the lender.
 	pool      *pool
+	lentBy    *Pools
 	giveBack  func(keep bool)
 	link      Link
 	Target    ident.Target
@@ -91,6 +93,8 @@
 	broken   bool
 	// owner is the last user of the connection.
 	owner Owner
+	// class is that of the last statement that had one.
+	class speed.Class
 }
 
 // State returns the transaction state after the last answer.
@@ -107,7 +111,7 @@
 // answers is unknown.
 func (c *Conn) Do(deadline time.Time, sts ...dbop.Statement) ([]dbop.Answer, error) {
 	c.sentAt = time.Now()
-	answers, err := c.link.Exchange(deadline, sts...)
+	answers, inProgress, err := c.exchange(deadline, sts)
 	failed := err != nil
 	for i := range answers {
 		c.recordAnswer(&sts[i], &answers[i])
@@ -116,6 +120,7 @@
 	if c.pool != nil {
 		c.pool.recordResult(c, err == nil, failed)
 	}
+	c.recordSpeed(sts, answers, inProgress, failed, err)
 	if err != nil {
 		c.broken = true
 		return answers, &Error{Op: "run", Kind: KindBroken, Target: c.Target, Err: err}
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -4,11 +4,13 @@
 	"errors"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
+	"chervilspan.example/pkg/speed"
 )
 
 const (
@@ -44,7 +46,10 @@
 	// refusedAt is when the database last refused a connection because it had too
 	// many.
 	refusedAt time.Time
-	failures  failureStats
+	// speed is what has been learned from the answers.
+	speed speed.Model
+	// running is the number of statements of a class that are in progress.
+	running atomic.Int32
 }
 
 // openCount returns the number of connections that are open or being opened. The
@@ -60,7 +65,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	p.failures.record(failed, now)
+	p.speed.Failures.Record(failed, now)
 	if answered {
 		c.heardAt = now
 	}
--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -27,9 +27,14 @@
 	// one is used.
 	Lender Lender
 
+	// Learns, unless nil, reports whether the learned speed of a database is used.
+	Learns func(*roster.Member) bool
+
 	// Dials counts the attempts to open a connection.
 	Dials atomic.Uint64
 
+	learned learned
+
 	mu    sync.Mutex
 	pools map[poolKey]*pool
 }
@@ -74,7 +79,7 @@
 	}
 	s.Roster.RecordAnswer(m.Group, m.ID)
 	return &Conn{
-		giveBack: l.Return, link: l.Link, Target: m.ID, Group: m.Group, Workspace: ws,
+		lentBy: s, giveBack: l.Return, link: l.Link, Target: m.ID, Group: m.Group, Workspace: ws,
 		Vars: l.Vars, Prepared: l.Prepared, answeredAt: time.Now().Add(-l.AnswerAge), owner: owner,
 	}, nil
 }
@@ -128,6 +133,8 @@
 	Full bool
 	// FailureRate is the fraction of recent statements that failed, from 0 to 1.
 	FailureRate float64
+	// Age is the age of Busy and Waiting, 0 if they are this VM's own.
+	Age time.Duration
 }
 
 // Load returns the load of a database for a request of the workspace.
@@ -146,7 +153,7 @@
 	limit := s.ConnLimit(m)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := Load{Busy: p.busyCount(), Waiting: len(p.waiters), Full: p.openCount() >= limit && len(p.idle) == 0, FailureRate: p.failures.rate(time.Now())}
+	l := Load{Busy: p.busyCount(), Waiting: len(p.waiters), Full: p.openCount() >= limit && len(p.idle) == 0, FailureRate: p.speed.Failures.Rate(time.Now())}
 	for _, c := range p.idle {
 		l.HasIdle = l.HasIdle || c.Workspace == ws
 	}
--- a/internal/dbpool/failures.go
+++ b/pkg/speed/failures.go
@@ -1,4 +1,4 @@
-package dbpool
+package speed
 
 import (
 	"math"
@@ -14,15 +14,16 @@
 	priorSuccesses = 3
 )
 
-// failureStats estimates the fraction of statements that fail at a database, with
+// Failures estimates the fraction of statements that fail at a database, with
 // exponentially decaying weights. It exists because a database that reports a
 // good status may still fail many statements. The zero value has no failures.
-type failureStats struct {
+type Failures struct {
 	total, failed float64
 	updatedAt     time.Time
 }
 
-func (f *failureStats) record(failed bool, now time.Time) {
+// Record counts a result.
+func (f *Failures) Record(failed bool, now time.Time) {
 	f.decay(now)
 	f.total++
 	if failed {
@@ -31,7 +32,7 @@
 }
 
 // decay reduces the weights of the results to those at now.
-func (f *failureStats) decay(now time.Time) {
+func (f *Failures) decay(now time.Time) {
 	w := math.Exp(-float64(now.Sub(f.updatedAt)) / float64(failureTimeConstant))
 	if f.updatedAt.IsZero() {
 		w = 0
@@ -39,8 +40,8 @@
 	f.total, f.failed, f.updatedAt = f.total*w, f.failed*w, now
 }
 
-// rate returns the estimated failure rate, from 0 to 1.
-func (f *failureStats) rate(now time.Time) float64 {
+// Rate returns the estimated failure rate, from 0 to 1.
+func (f *Failures) Rate(now time.Time) float64 {
 	f.decay(now)
 	return f.failed / (f.total + priorSuccesses)
 }
