Let reads follow the learned speed of databases

Cause: reads stayed at slow databases as long as few statements were in progress there, and VMs that saw the same old load all chose the same database.

Change: readCost scales the load of a database by its learned factor and limit and adds the learned time of the class; of the two best databases the second is chosen with a probability that grows with the age of the loads. Lenders report what they learned in RelayOpened (fields 20 to 23) and run reads up to the learned limit. Setting learn_speed.

--- a/internal/engine/cost_test.go
+++ b/internal/engine/cost_test.go
@@ -9,6 +9,7 @@
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
+	"chervilspan.example/pkg/speed"
 )
 
 // TestReadCost guards against cost terms that send reads to another region or to
@@ -25,7 +26,8 @@
 	}}
 	in := func(z ident.Zone) *roster.Member { return &roster.Member{Entry: roster.Entry{Zone: z}} }
 	cost := func(m *roster.Member, l dbpool.Load, isPrimary bool) time.Duration {
-		return readCost(m, at, l, isPrimary, now)
+		total, _ := readCost(m, at, l, speed.Estimate{}, isPrimary, now)
+		return total
 	}
 	idle := dbpool.Load{HasIdle: true}
 	is.True(cost(in("z1"), idle, false) < cost(in("z2"), idle, false))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -120,9 +120,9 @@
 	}
 	n := &Node{settings: s, adapters: a, log: log, roster: &roster.Table{}, metrics: metr.New(), startedAt: time.Now(), firstReady: make(chan struct{})}
 	n.gracePeriod.Store(int64(s.Grace()))
-	n.pools = &dbpool.Pools{Dialer: a.Dialer, Roster: n.roster, ConnLimit: n.connLimit, DialLimit: n.dialLimit}
+	n.pools = &dbpool.Pools{Dialer: a.Dialer, Roster: n.roster, ConnLimit: n.connLimit, DialLimit: n.dialLimit, Learns: n.learnsSpeed}
 	n.peers = peer.NewCache(peer.CacheConfig{AllowPlaintext: true, Scope: n.metrics.Scope, Usage: a.Usage, ZoneOf: n.zoneOfAddress})
-	n.borrower = relay.NewClient(relay.Config{Lenders: n.lenderAddresses, Peers: n.peers, Log: log})
+	n.borrower = relay.NewClient(relay.Config{Lenders: n.lenderAddresses, Peers: n.peers, RecordSpeed: n.pools.RecordSpeed, Log: log})
 	n.pools.Lender = n.borrower
 	n.lender = &relay.Server{Pools: n.pools}
 	n.lists = lists.New(lists.Config{Store: a.Store, Peers: n.peers, Readers: n.readerAddresses, Clock: uptime.Now, Log: log})
@@ -200,7 +200,7 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){n.follower.Run, n.fleet.Run, n.limiter.Run, n.monitor.Run, n.disco.Run, n.housekeep, n.awaitReady, n.reportRestorations} {
+	for _, f := range []func(context.Context){n.follower.Run, n.fleet.Run, n.limiter.Run, n.monitor.Run, n.disco.Run, n.housekeep, n.awaitReady, n.reportRestorations, n.watchStalls} {
 		wg.Go(func() { f(work) })
 	}
 	server := peer.NewServer(peer.ServerConfig{AllowPlaintext: true, Log: n.log}, peer.Handlers{Catalogue: n.follower, Lender: n.limiter, Watcher: suspectHandler{n}, Relay: n.lender, ListReader: n.lists})
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -39,6 +39,9 @@
 	FencedPromotions bool `json:"fenced_promotions,omitempty"`
 	// RateExcess is how far workspaces may exceed their rates.
 	RateExcess RateExcess `json:"rate_excess,omitzero"`
+	// LearnSpeed is whether the choice of databases follows their learned speed. When
+	// it is not set, it does where VMs lend each other connections.
+	LearnSpeed *bool `json:"learn_speed,omitempty"`
 	// MemoryMB is the VM's memory in MiB; 0 means no memory limit.
 	MemoryMB int `json:"memory_mb,omitempty"`
 	// GraceS is the longest time of a planned stop in seconds; 0 means 6.
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -16,6 +16,7 @@
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
+	"chervilspan.example/pkg/speed"
 )
 
 const (
@@ -51,7 +52,9 @@
 	// this VM uses local connections.
 	Lenders func(*roster.Member, ident.Workspace) []string
 	Peers   Peers
-	Log     zerolog.Logger
+	// RecordSpeed, unless nil, takes what lenders report about the speed of databases.
+	RecordSpeed func(ident.Target, speed.Report)
+	Log         zerolog.Logger
 }
 
 // Client borrows connections; it implements dbpool.Lender. Its methods are safe
@@ -131,6 +134,7 @@
 	if time.Since(l.reportedAt) > maxLoadAge {
 		l.Load = dbpool.Load{}
 	}
+	l.Age = min(time.Since(l.reportedAt), maxLoadAge)
 	l.Busy = max(l.Busy, l.ownLoans)
 	l.HasIdle = true
 	return l.Load, true
@@ -163,6 +167,7 @@
 		return failed(errProtocol)
 	}
 	c.recordLoad(m.ID, o)
+	c.recordSpeed(m, o)
 	if o.Failure != 0 {
 		c.keepStream(l)
 		return dbpool.LentConn{}, &dbpool.Error{Op: "borrow", Kind: dbpool.Kind(o.Failure), Target: m.ID, Code: dbop.Code(o.Code)}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -116,6 +116,7 @@
 		}
 		return out
 	}
+	s.addSpeed(out, m, conn)
 	for name, value := range conn.Vars {
 		out.Variables = append(out.Variables, &peerpb.RelayVariable{Name: []byte(name), Value: []byte(value)})
 	}
@@ -175,7 +176,7 @@
 	}
 	sched := sts[i].Scheduling
 	queue := s.queueOf(m.ID)
-	if !queue.acquire(m.SlotCount(), sched, conn.Workspace) {
+	if !queue.acquire(s.Pools.SlotLimit(m), sched, conn.Workspace) {
 		out := make([]dbop.Answer, len(sts))
 		for i := range out {
 			out[i] = dbop.Answer{Code: dbop.Crowded, State: conn.State(), Text: "too many statements wait for the database"}
