--- a/internal/dbpool/read.go
+++ b/internal/dbpool/read.go
@@ -74,6 +74,17 @@
 	Read(m *roster.Member, ws ident.Workspace, owner Owner, r *Read) (res ReadResult, ok bool)
 }
 
+// recordRemoteRead learns from the result of a read that had a connection.
+func (s *Pools) recordRemoteRead(m *roster.Member, r *ReadResult) {
+	if s.Learns == nil || r.Setup != dbop.OK {
+		return
+	}
+	failed := !r.Answered || r.Answer.Code == dbop.Failed || r.Answer.Code == dbop.Timeout
+	s.learned.mu.Lock()
+	defer s.learned.mu.Unlock()
+	s.learned.view.RecordResult(m.ID, failed, time.Now())
+}
+
 // ReadRemotely runs a read at a VM that lends its connections, in one round trip. ok is
 // false when a connection is needed instead.
 func (s *Pools) ReadRemotely(m *roster.Member, ws ident.Workspace, owner Owner, r *Read) (res ReadResult, ok bool) {
@@ -90,6 +101,7 @@
 		s.Roster.RecordFailure(m.Group, m.ID, time.Now())
 	case res.Err == nil:
 		s.Roster.RecordAnswer(m.Group, m.ID)
+		s.recordRemoteRead(m, &res)
 	}
 	return res, true
 }
--- a/internal/relay/read_client.go
+++ b/internal/relay/read_client.go
@@ -65,6 +65,7 @@
 	}
 	res.MayHaveRun = false
 	c.recordLoad(m.ID, done.Opened)
+	c.recordSpeed(m, done.Opened)
 	c.keepStream(l)
 	if kind := done.Opened.Failure; kind != 0 {
 		return res, &dbpool.Error{Op: "read", Kind: dbpool.Kind(kind), Target: m.ID, Code: dbop.Code(done.Opened.Code)}
--- a/internal/relay/read_server.go
+++ b/internal/relay/read_server.go
@@ -114,6 +114,7 @@
 	if len(answers) > 0 {
 		done.Answer = toAnswer(&answers[0])
 	}
+	s.addSpeed(done.Opened, m, conn)
 	conn.Release(err == nil)
 	return done, nil
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -136,6 +136,7 @@
 		setFailure(out, err)
 		return out
 	}
+	s.addSpeed(out, m, conn)
 	out.Variables = toVariables(conn.Vars)
 	for name := range conn.Prepared {
 		out.Names = append(out.Names, []byte(name))
@@ -193,7 +194,7 @@
 	}
 	sched := sts[i].Scheduling
 	queue := s.queueOf(m.ID)
-	if !queue.acquire(m.SlotCount(), sched, conn.Workspace) {
+	if !queue.acquire(s.Pools.SlotLimit(m), sched, conn.Workspace) {
 		out := make([]dbop.Answer, len(sts))
 		for i := range out {
 			out[i] = dbop.Answer{Code: dbop.Crowded, State: conn.State(), Text: "too many statements wait for the database"}
