Wait for rate tokens for up to a quarter of the objective

Cause: with few holders of slices, a request waits for tokens of other zones more often, and 120 ms is one round trip between regions and a retry. Change: the wait is a quarter of the objective, from 150 to 300 ms.

--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -20,8 +20,11 @@
 const (
 	// defaultTimeout is the timeout of statements on routes that set none.
 	defaultTimeout = 5 * time.Second
-	// admitTimeout bounds one wait for the workspace's rate limit.
-	admitTimeout = 150 * time.Millisecond
+	// minAdmitTimeout and maxAdmitTimeout bound one wait for the workspace's rate limit,
+	// which is a quarter of the latency objective where one is stated: a refusal after
+	// that comes late for the caller, and tokens of another region take a round trip.
+	minAdmitTimeout = 150 * time.Millisecond
+	maxAdmitTimeout = 300 * time.Millisecond
 	// warmupAdmitTimeout bounds all waits of a statement for the rate limit
 	// during warmupPeriod after the start, while the VMs that this one borrows
 	// from may still be claiming their slices.
@@ -349,8 +352,13 @@
 	return &dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("the rate of the workspace is used up; retry after %d ms", rateRetryAfter.Milliseconds())}
 }
 
+// admitTimeout returns how long a statement waits for the rate limit.
+func (s *Session) admitTimeout() time.Duration {
+	return min(max(s.auth.LatencyObjective/4, minAdmitTimeout), maxAdmitTimeout)
+}
+
 func (s *Session) admitOnce(c *call) error {
-	ctx, cancel := context.WithTimeout(context.Background(), min(admitTimeout, c.remaining()))
+	ctx, cancel := context.WithTimeout(context.Background(), min(s.admitTimeout(), c.remaining()))
 	defer cancel()
 	return s.e.cfg.Limiter.Admit(ctx, s.auth.Workspace)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,8 +62,9 @@
 	// sliceLeaseTTL is the lifetime of the lease on rate slices. The slices of a dead
 	// VM stay unused for as long; a store outage no longer than this costs no rate.
 	sliceLeaseTTL = 30 * time.Second
-	// maxRateWait is how long a request waits for tokens of its workspace's rate.
-	maxRateWait = 120 * time.Millisecond
+	// maxRateWait is how long a request waits for tokens of its workspace's rate at most;
+	// the engine waits less where the latency objective is short.
+	maxRateWait = 300 * time.Millisecond
 	// grantLifetime is how long borrowed tokens may be used, and how long a slice
 	// taken over from another VM stays unused.
 	grantLifetime = 400 * time.Millisecond
--- a/pkg/quota/fleet_test.go
+++ b/pkg/quota/fleet_test.go
@@ -202,3 +202,34 @@
 	}
 	return refused
 }
+
+// TestPeaksInTurn guards against refusals of a workspace that uses six tenths of its rate
+// while the demand of the zones peaks in turn, so that most tokens come from zones that
+// have little demand at the time, and against a request that takes many messages.
+func TestPeaksInTurn(t *testing.T) {
+	const (
+		zones, perZone = 6, 4
+		step           = 2 * time.Millisecond
+		period         = 15 // seconds
+		load, swing    = 0.6, 0.55
+	)
+	s := newSim(zones*perZone, zones, 36, Limit{Rate: 20, Burst: 20})
+	for _, v := range s.vms {
+		v.account.cfg.MaxWait = 250 * time.Millisecond
+	}
+	rng := rand.New(rand.NewPCG(1, 0))
+	s.admitted, s.refused, s.messages = nil, 0, 0
+	for start := s.now; s.now.Sub(start) < 60*time.Second; s.step(step) {
+		at := s.now.Sub(start).Seconds() / period
+		for z := range zones {
+			rate := load * s.limit.Rate / zones * (1 + swing*math.Sin(2*math.Pi*(at+float64(z)/zones)))
+			if rng.Float64() < rate*step.Seconds() {
+				s.arrive(s.vms[z+zones*rng.IntN(perZone)])
+			}
+		}
+	}
+	all := len(s.admitted) + s.refused
+	if s.refused*100 > all || s.messages > 4*all {
+		t.Fatalf("%d refused of %d, %d borrow requests", s.refused, all, s.messages)
+	}
+}
