Compare concurrencies with a slow mean, and bound the learned limit

Change: times are compared with a mean of 64 answers, which is set to the short one when the two differ by a factor of three. A limit is at least half of the slots, since two lenders run statements without knowing of each other.

--- a/internal/engine/patterns_test.go
+++ b/internal/engine/patterns_test.go
@@ -19,7 +19,7 @@
 // bound is what callers need in a period: the fraction that meets the objective is at
 // least met, and the fraction at the database d1 is between the two others.
 type bound struct {
-	class            ident.Class
+	which            string
 	from, to         time.Duration
 	met, least, most float64
 }
@@ -74,7 +74,7 @@
 		}, []bound{{"", 4 * time.Second, 6 * time.Second, 0.95, 0, 0.15}, {"", 9 * time.Second, end, 0.95, 0.2, 0.45}}},
 		{"failures for one zone", 100, func(s *sim) {
 			s.dbs[1].fail = func(_ time.Duration, z ident.Zone) bool { return z == "z1" && s.rnd.Float64() < 0.5 }
-		}, []bound{{"", time.Second, end, 0.95, 0.15, 0.4}}},
+		}, []bound{{"z1", time.Second, end, 0.95, 0, 0.1}, {"z0", time.Second, end, 0.95, 0.2, 0.45}}},
 		{"cold for four seconds", 100, slower(4, 0, 4*time.Second), []bound{
 			{"", time.Second, 4 * time.Second, 0.95, 0, 0.15},
 			{"", 7 * time.Second, end, 0.95, 0.2, 0.45},
@@ -102,12 +102,12 @@
 				}
 				s.run(end + 3*time.Second)
 				for i, b := range p.bounds {
-					m, d := s.measure(b.class, b.from, b.to)
+					m, d := s.measure(b.which, b.from, b.to)
 					met[i], atD1[i] = met[i]+m/seeds, atD1[i]+d/seeds
 				}
 			}
 			for i, b := range p.bounds {
-				t.Logf("%v to %v: %.3f meet the objective, %.2f at d1", b.from, b.to, met[i], atD1[i])
+				t.Logf("%s %v to %v: %.3f meet the objective, %.2f at d1", b.which, b.from, b.to, met[i], atD1[i])
 				is.True(met[i] >= b.met)
 				is.True(atD1[i] >= b.least && atD1[i] <= b.most)
 			}
--- a/internal/engine/sim_test.go
+++ b/internal/engine/sim_test.go
@@ -68,6 +68,7 @@
 // sample is one statement.
 type sample struct {
 	class    ident.Class
+	zone     ident.Zone
 	at, took time.Duration
 	target   ident.Target
 	failed   bool
@@ -184,7 +185,7 @@
 func (s *sim) read(vm *simVM, class ident.Class, service time.Duration, tried map[ident.Target]bool, began time.Duration) {
 	db := s.choose(vm, class, tried)
 	if db == nil {
-		s.samples = append(s.samples, sample{class, began, s.now - began, "", true})
+		s.samples = append(s.samples, sample{class, vm.zone, began, s.now - began, "", true})
 		return
 	}
 	tried[db.m.ID] = true
@@ -196,7 +197,7 @@
 			s.read(vm, class, service, tried, began)
 			return
 		}
-		s.samples = append(s.samples, sample{class, began, s.now - began, db.m.ID, false})
+		s.samples = append(s.samples, sample{class, vm.zone, began, s.now - began, db.m.ID, false})
 	}
 	s.after(time.Millisecond, func() {
 		now := simStart.Add(s.now)
@@ -283,11 +284,12 @@
 }
 
 // measure returns the fraction of the statements of a class that began in a period and
-// met the objective, and the fraction that ran at the database d1. Class "" is any.
-func (s *sim) measure(class ident.Class, from, to time.Duration) (met, atD1 float64) {
+// met the objective, and the fraction that ran at the database d1. which is a class, the
+// zone of the callers, or "" for all.
+func (s *sim) measure(which string, from, to time.Duration) (met, atD1 float64) {
 	all := 0
 	for _, x := range s.samples {
-		if x.at < from || x.at >= to || class != "" && x.class != class {
+		if x.at < from || x.at >= to || which != "" && string(x.class) != which && string(x.zone) != which {
 			continue
 		}
 		all++
--- a/internal/relay/speed.go
+++ b/internal/relay/speed.go
@@ -13,12 +13,14 @@
 // borrower. The lender does not know the class of the statement to come, so it
 // reports the class of the connection's last one.
 func (s *Server) addSpeed(out *peerpb.RelayOpened, m *roster.Member, conn *dbpool.Conn) {
-	r, ok := s.Pools.SpeedReport(m, conn)
-	if !ok {
-		return
+	if r, ok := s.Pools.SpeedReport(m, conn); ok {
+		setSpeed(out, r, m.SlotCount())
 	}
+}
+
+func setSpeed(out *peerpb.RelayOpened, r speed.Report, slots int) {
 	out.SpeedClass, out.ServiceUs = uint32(r.Class), uint32(r.Time.Microseconds())
-	out.LimitTenths, out.SpeedAgeMs = uint32(10*r.Limit*float64(m.SlotCount())+0.5), uint32(r.Age.Milliseconds())
+	out.LimitTenths, out.SpeedAgeMs = uint32(10*r.Limit*float64(slots)+0.5), uint32(r.Age.Milliseconds())
 }
 
 // recordSpeed passes on what a lender reported about the speed of a database.
--- a/pkg/speed/levels.go
+++ b/pkg/speed/levels.go
@@ -102,9 +102,11 @@
 }
 
 // best returns the least level above which no known level has more throughput, or
-// all slots.
+// all slots. It is at least half of the slots: two VMs run statements at a database
+// without knowing of each other, and when load rises at both, the times at one seem
+// to depend on its own concurrency. Half of the slots each still use all of them.
 func (l *levels) best(slots int, now time.Time) int {
-	for n := 1; n < slots && n <= maxLevel; n++ {
+	for n := (slots + 1) / 2; n < slots && n <= maxLevel; n++ {
 		if !l.byCount[n].known(now) {
 			continue
 		}
--- a/pkg/speed/model.go
+++ b/pkg/speed/model.go
@@ -13,6 +13,12 @@
 	// timeDivisor is the inverse of the weight of a new time. With 20 answers a
 	// second, 93% of a change is followed within a second.
 	timeDivisor = 8
+	// referenceDivisor is the same for the reference of concurrencies.
+	referenceDivisor = 64
+	// shiftRatio is the ratio of the two means from which times have changed at all
+	// concurrencies. The reference then follows at once; older and newer times could
+	// not be compared otherwise.
+	shiftRatio = 3
 	// maxTimeRatio and minTimeRatio limit a time relative to the estimate. A tail of
 	// seven times the mean at 3% of the statements then raises the estimate by less
 	// than 5%.
@@ -72,8 +78,11 @@
 type classTime struct {
 	class Class
 	mean  float64
-	count int
-	at    time.Time
+	// reference is a mean over more answers, with which the times at different
+	// concurrencies are compared. The other mean would follow each of them.
+	reference float64
+	count     int
+	at        time.Time
 }
 
 // Model is what the holder of connections to one database has learned about it.
@@ -110,12 +119,16 @@
 	c := m.classOf(a.Class)
 	took := float64(a.Took)
 	if c.count >= minReports {
-		m.levels.record(a.InProgress, took/c.mean, now)
+		m.levels.record(a.InProgress, took/c.reference, now)
 		took = min(max(took, c.mean*minTimeRatio), c.mean*maxTimeRatio)
 	}
-	c.count = min(c.count+1, timeDivisor)
-	c.mean += (took - c.mean) / float64(c.count)
+	c.count = min(c.count+1, referenceDivisor)
+	c.mean += (took - c.mean) / float64(min(c.count, timeDivisor))
+	c.reference += (took - c.reference) / float64(c.count)
 	c.at = now
+	if r := c.mean / c.reference; r > shiftRatio || r < 1.0/shiftRatio {
+		c.reference, c.count = c.mean, timeDivisor
+	}
 }
 
 // classOf returns the entry of a class. A new class replaces the one not seen for
