Report the learned speed of databases

Cause: nothing showed what a VM has learned about the speed of a database.

Change: metrics speed_service_seconds, speed_limit, speed_failure_rate and speed_age_seconds for each database to which the VM holds connections, with a bounded number of label values; event 305 speed_changed when the time or the limit changes by a factor of two or more. Figures of databases that are gone are dropped when pools are swept.

--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -188,6 +188,9 @@
 	for _, p := range stay {
 		p.sweep()
 	}
+	s.learned.mu.Lock()
+	s.learned.view.Sweep(time.Now())
+	s.learned.mu.Unlock()
 }
 
 // Close closes all pools.
--- a/internal/dbpool/speed.go
+++ b/internal/dbpool/speed.go
@@ -1,6 +1,8 @@
 package dbpool
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -68,6 +70,53 @@
 	return c.pool.speed.Report(c.class, m.SlotCount(), time.Now())
 }
 
+// Speed is what this VM has learned about a database to which it holds connections.
+type Speed struct {
+	Target ident.Target
+	// Time is the service time of a typical statement, Limit the number of reads that
+	// are run at a time, of Slots. Age is the age of both.
+	Time         time.Duration
+	Limit, Slots int
+	Age          time.Duration
+	FailureRate  float64
+}
+
+// Speeds returns what has been learned from this VM's own connections where the
+// learned speed is used. Of two processes of one database it has the one that answered
+// last.
+func (s *Pools) Speeds() []Speed {
+	s.mu.Lock()
+	pools := slices.Collect(maps.Values(s.pools))
+	s.mu.Unlock()
+	now := time.Now()
+	var out []Speed
+	for _, p := range pools {
+		if !s.learns(&p.member) {
+			continue
+		}
+		v := Speed{Target: p.member.ID, Slots: p.member.SlotCount()}
+		p.mu.Lock()
+		age, ok := p.speed.Age(now)
+		v.Age, v.Limit, v.FailureRate = age, p.speed.Limit(v.Slots, now), p.speed.Failures.Rate(now)
+		p.mu.Unlock()
+		if !ok {
+			continue
+		}
+		s.learned.mu.Lock()
+		e := s.learned.view.Estimate(v.Target, 0, now)
+		s.learned.mu.Unlock()
+		v.Time = time.Duration(float64(e.Typical) * e.Factor)
+		i := slices.IndexFunc(out, func(o Speed) bool { return o.Target == v.Target })
+		switch {
+		case i < 0:
+			out = append(out, v)
+		case v.Age < out[i].Age:
+			out[i] = v
+		}
+	}
+	return out
+}
+
 // exchange runs statements. inProgress is the number of statements with a class that
 // this VM had sent to the database and that were not answered, including these.
 func (c *Conn) exchange(deadline time.Time, sts []dbop.Statement) (answers []dbop.Answer, inProgress int, err error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,8 +104,9 @@
 
 	stopping  atomic.Bool
 	startedAt time.Time
-	// countsLoggedAt is used by housekeep only.
+	// countsLoggedAt and speedReport are used by housekeep only.
 	countsLoggedAt time.Time
+	speedReport    speedReport
 	// firstReady is closed when the VM is ready for the first time.
 	firstReady chan struct{}
 	// gracePeriod is the longest time of a planned stop, in nanoseconds. A reload may
@@ -340,6 +341,7 @@
 	if s, ok := n.adapters.Store.(store.Restorable); ok {
 		n.metrics.Scope.Gauge("store_epoch").Update(float64(s.Epoch()))
 	}
+	n.reportSpeeds()
 	n.reportCounts(time.Since(n.countsLoggedAt) >= countsLogInterval)
 }
 
--- a/pkg/speed/model.go
+++ b/pkg/speed/model.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// maxClasses is the number of classes that a Model or View keeps. Further ones
-	// replace the one not seen for longest.
+	// maxClasses is the number of classes that a Model or View keeps. A further one
+	// replaces the one not seen for longest in a Model, and all in a View.
 	maxClasses = 8
 	// timeDivisor is the inverse of the weight of a new time. With 20 answers a
 	// second, 93% of a change is followed within a second.
@@ -159,6 +159,18 @@
 	return 0, 0, false
 }
 
+// Age returns the time since the last answer from which a time was learned. ok is
+// false while there is none.
+func (m *Model) Age(now time.Time) (age time.Duration, ok bool) {
+	var at time.Time
+	for i := range m.classes {
+		if m.classes[i].at.After(at) {
+			at = m.classes[i].at
+		}
+	}
+	return now.Sub(at), !at.IsZero()
+}
+
 // Limit returns how many statements the database handles well at a time: at least
 // one, and at most its slots.
 func (m *Model) Limit(slots int, now time.Time) int {
--- a/pkg/speed/view.go
+++ b/pkg/speed/view.go
@@ -94,7 +94,7 @@
 	class, ok := v.classes[r.Class]
 	if !ok {
 		if len(v.classes) >= maxClasses {
-			return
+			clear(v.classes) // some may be of a former configuration
 		}
 		class.logTime = logTime - v.factor(t, now)
 	}
