--- a/pkg/speed/model_test.go
+++ b/pkg/speed/model_test.go
@@ -169,6 +169,28 @@
 	is.Equal(v.Estimate("c", 3, now).Factor, 1.0)
 }
 
+// TestTwoLenders guards against a lender that reports wrong times for a database when
+// another one reports right ones, and against an older report that replaces a newer one.
+func TestTwoLenders(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	var v speed.View
+	report := func(d, age time.Duration) {
+		v.Record("a", speed.Report{Class: 1, Time: d, Age: age, Limit: 1}, now)
+	}
+	for range 20 {
+		now = now.Add(20 * time.Millisecond)
+		v.Record("b", speed.Report{Class: 1, Time: 20 * time.Millisecond, Limit: 1}, now)
+		report(80*time.Millisecond, 100*time.Millisecond)
+		report(20*time.Millisecond, 0)
+	}
+	is.True(v.Estimate("a", 1, now).Factor < 1.5)
+	now = now.Add(100 * time.Millisecond)
+	report(20*time.Millisecond, 0)
+	report(80*time.Millisecond, time.Second) // from a lender that has no new answers
+	is.Equal(v.Estimate("a", 1, now).Factor, 1.0)
+}
+
 // TestStalls guards against times that include a pause of the VM, also when the ticker
 // runs after who asks.
 func TestStalls(t *testing.T) {
