Give lenders' connections by priority, before they are taken

Cause: a lender has about 35 connections to a database. In overload, statements wait for one of these in order of arrival, and statements that queue at the database's slots hold theirs meanwhile.

Change: where routes with objectives differ in priority and connections are lent, the first statement of each loan (read, strict read, write, first statement of a transaction) waits in pkg/sched for a turn before it gets a connection, also on the lender itself. Open transactions need no turn. A turn ends with the answer, at the latest 120 ms after the statement was sent, as a write may wait for a replica without a slot. The number of turns follows the time between turn and statement, so that slots don't stand idle meanwhile. Requests of borrowers whose stream has ended leave the queue. RelayOpen carries the class and the time spent; the statements of the loan leave their class and weight out in exchange.

The gate behind the connections still uses pkg/fairq: at most a few statements wait there.

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -91,6 +91,9 @@
 	broken   bool
 	// owner is the last user of the connection.
 	owner Owner
+	// turn is that of the first statement of the connection's user; nil when it has
+	// ended or there is none.
+	turn Turn
 }
 
 // State returns the transaction state after the last answer.
@@ -106,6 +109,9 @@
 // kind KindBroken means that the outcome of the statements after the returned
 // answers is unknown.
 func (c *Conn) Do(deadline time.Time, sts ...dbop.Statement) ([]dbop.Answer, error) {
+	if c.startTurn(sts) {
+		defer c.endTurn()
+	}
 	c.sentAt = time.Now()
 	answers, err := c.link.Exchange(deadline, sts...)
 	failed := err != nil
@@ -165,6 +171,7 @@
 // Release gives the connection back. It is closed unless healthy is set, no
 // answer is outstanding and no transaction is open.
 func (c *Conn) Release(healthy bool) {
+	c.endTurn()
 	keep := healthy && !c.broken && c.state == dbop.Idle
 	if c.pool == nil {
 		c.giveBack(keep)
--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -26,6 +26,8 @@
 	// Lender, unless nil, is asked for a connection of another VM before a local
 	// one is used.
 	Lender Lender
+	// Turns, unless nil, orders the requests for local connections by priority.
+	Turns Turns
 
 	// Dials counts the attempts to open a connection.
 	Dials atomic.Uint64
@@ -47,7 +49,7 @@
 	// Borrow returns a connection that another VM holds. ok is false when this
 	// VM must use a local connection. The error is an *Error; no statement was
 	// run then.
-	Borrow(deadline time.Time, m *roster.Member, ws ident.Workspace, owner Owner) (l LentConn, ok bool, err error)
+	Borrow(deadline time.Time, m *roster.Member, ws ident.Workspace, owner Owner, sched dbop.Scheduling) (l LentConn, ok bool, err error)
 	// Load returns the known load of a database to which this VM borrows
 	// connections. ok is false when this VM uses local connections.
 	Load(m *roster.Member, ws ident.Workspace) (l Load, ok bool)
@@ -58,12 +60,19 @@
 // Get returns an *Error when no connection is available by the deadline; no
 // statement was run then.
 func (s *Pools) Get(deadline time.Time, m *roster.Member, ws ident.Workspace, owner Owner) (*Conn, error) {
+	return s.GetScheduled(deadline, m, ws, owner, dbop.Scheduling{})
+}
+
+// GetScheduled is like Get for the first statement of the connection's user, which
+// waits for its turn if sched.Ranked is set. An error of kind KindRefused and code
+// Crowded means that the turn is not expected to come in time.
+func (s *Pools) GetScheduled(deadline time.Time, m *roster.Member, ws ident.Workspace, owner Owner, sched dbop.Scheduling) (*Conn, error) {
 	if s.Lender == nil {
-		return s.GetLocal(deadline, m, ws, owner)
+		return s.getInTurn(deadline, m, ws, owner, sched)
 	}
-	l, ok, err := s.Lender.Borrow(deadline, m, ws, owner)
+	l, ok, err := s.Lender.Borrow(deadline, m, ws, owner, sched)
 	if !ok {
-		return s.GetLocal(deadline, m, ws, owner)
+		return s.getInTurn(deadline, m, ws, owner, sched)
 	}
 	if err != nil {
 		var e *Error
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -50,6 +50,9 @@
 	if c.mayHaveRun {
 		return dbop.Answer{Code: dbop.Timeout, Text: "the database did not answer in time"}
 	}
+	if c.lastCode == dbop.Crowded {
+		return c.crowdedRefusal()
+	}
 	return dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("not run: no database could serve in time (%s); retry after %d ms", c.lastCode, busyRetryAfter.Milliseconds())}
 }
 
@@ -78,6 +81,9 @@
 			return conn, true
 		}
 		s.recordFailure(c, m.ID, why)
+		if why == dbop.Crowded {
+			return nil, false // only the primary could run it
+		}
 		b.wait(c)
 	}
 	return nil, false
@@ -86,7 +92,7 @@
 // beginAt returns a connection to a database on which the session's settings are
 // applied and a transaction is open, or nil and the reason for the failure.
 func (s *Session) beginAt(c *call, m *roster.Member, begin dbop.Statement) (*dbpool.Conn, dbop.Code) {
-	conn, err := s.e.cfg.Pools.Get(c.deadline, m, s.auth.Workspace, s.owner)
+	conn, err := s.getConn(c, c.deadline, m)
 	if err != nil {
 		return nil, s.handleGetError(m, err)
 	}
@@ -277,7 +283,7 @@
 // readAt runs a read at one database. done is false when another one may be
 // tried.
 func (s *Session) readAt(c *call, m *roster.Member, floor ident.Position) (a dbop.Answer, done bool) {
-	conn, err := s.e.cfg.Pools.Get(s.connDeadline(c), m, s.auth.Workspace, s.owner)
+	conn, err := s.getConn(c, s.connDeadline(c), m)
 	if err != nil {
 		s.recordFailure(c, m.ID, s.handleGetError(m, err))
 		return a, false
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -235,7 +235,7 @@
 // timeout: it waits for at most half of its timeout, and for at most half of the
 // latency objective, so that the caller's operation can still meet it.
 func (s *Session) scheduling(timeout time.Duration) dbop.Scheduling {
-	t := dbop.Scheduling{Class: s.auth.Class, Weight: s.auth.Weight, MaxWait: timeout / 2}
+	t := dbop.Scheduling{Class: s.auth.Class, Weight: s.auth.Weight, MaxWait: timeout / 2, Ranked: s.index.Ranked && s.auth.LatencyObjective > 0}
 	if o := s.auth.LatencyObjective; o > 0 {
 		t.MaxWait = min(t.MaxWait, o/2)
 	}
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -22,6 +22,9 @@
 		if done {
 			return a
 		}
+		if c.lastCode == dbop.Crowded {
+			return c.crowdedRefusal()
+		}
 		b.wait(c)
 	}
 	return c.refusal()
@@ -30,7 +33,7 @@
 // writeAt sends a write to one database. done is false when it was not run and may
 // be sent again.
 func (s *Session) writeAt(c *call, m *roster.Member) (a dbop.Answer, done bool) {
-	conn, err := s.e.cfg.Pools.Get(c.deadline, m, s.auth.Workspace, s.owner)
+	conn, err := s.getConn(c, c.deadline, m)
 	if err != nil {
 		s.recordFailure(c, m.ID, s.handleGetError(m, err))
 		return a, false
--- a/internal/node/lend.go
+++ b/internal/node/lend.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/member"
 	"chervilspan.example/pkg/rendez"
@@ -124,6 +125,14 @@
 	return c != nil && connsScarce(int(c.Groups[g].Connections), len(n.fleet.Live()), len(c.Workspaces))
 }
 
+// classOf returns a class of the catalogue in force.
+func (n *Node) classOf(name ident.Class) catal.Class {
+	if c := n.follower.Catalogue(); c != nil {
+		return c.Classes[name]
+	}
+	return catal.Class{}
+}
+
 // connsScarce reports whether each VM's share of a database's connections is less
 // than minConnsPerWorkspace for each workspace.
 func connsScarce(connections, vms, workspaces int) bool {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,7 +124,8 @@
 	n.peers = peer.NewCache(peer.CacheConfig{AllowPlaintext: true, Scope: n.metrics.Scope, Usage: a.Usage, ZoneOf: n.zoneOfAddress})
 	n.borrower = relay.NewClient(relay.Config{Lenders: n.lenderAddresses, Peers: n.peers, Log: log})
 	n.pools.Lender = n.borrower
-	n.lender = &relay.Server{Pools: n.pools}
+	n.lender = &relay.Server{Pools: n.pools, ClassOf: n.classOf, Lends: n.isLent}
+	n.pools.Turns = n.lender
 	n.lists = lists.New(lists.Config{Store: a.Store, Peers: n.peers, Readers: n.readerAddresses, Clock: uptime.Now, Log: log})
 	epochs := epoch.New(epoch.Config{Store: a.Store, Lifetimes: []time.Duration{lead.ClaimTTL, sliceLeaseTTL}, Log: log})
 	self := member.Info{VM: s.VM, Zone: s.Zone, Region: s.Region, Address: s.Peers}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -81,12 +81,12 @@
 
 // Borrow implements dbpool.Lender. A lender that fails is skipped for some time.
 // When no lender remains, this VM uses local connections.
-func (c *Client) Borrow(deadline time.Time, m *roster.Member, ws ident.Workspace, owner dbpool.Owner) (dbpool.LentConn, bool, error) {
+func (c *Client) Borrow(deadline time.Time, m *roster.Member, ws ident.Workspace, owner dbpool.Owner, sched dbop.Scheduling) (dbpool.LentConn, bool, error) {
 	for _, address := range c.cfg.Lenders(m, ws) {
 		if c.avoid.Has(address) || c.avoid.Has(atTarget(address, m.ID)) {
 			continue
 		}
-		lent, err := c.borrow(deadline, address, m, ws, owner)
+		lent, err := c.borrow(deadline, address, m, ws, owner, sched)
 		if err == nil {
 			return lent, true, nil
 		}
@@ -137,7 +137,7 @@
 }
 
 // borrow requests a connection from one lender.
-func (c *Client) borrow(deadline time.Time, address string, m *roster.Member, ws ident.Workspace, owner dbpool.Owner) (dbpool.LentConn, *dbpool.Error) {
+func (c *Client) borrow(deadline time.Time, address string, m *roster.Member, ws ident.Workspace, owner dbpool.Owner, sched dbop.Scheduling) (dbpool.LentConn, *dbpool.Error) {
 	failed := func(err error) (dbpool.LentConn, *dbpool.Error) {
 		return dbpool.LentConn{}, &dbpool.Error{Op: "borrow", Kind: dbpool.KindLenderFailed, Target: m.ID, Err: err}
 	}
@@ -146,6 +146,8 @@
 		return failed(err)
 	}
 	open := toOpen(m, ws, owner)
+	l.class = rankedClass(sched)
+	open.Class, open.Spent = string(l.class), uint32(sched.Spent/spentUnit)
 	open.WaitMs = uint32(max(0, time.Until(deadline).Milliseconds()))
 	if err := l.send(&peerpb.RelayRequest{Step: &peerpb.RelayRequest_Open{Open: open}}); err != nil {
 		return failed(err)
--- a/internal/relay/loan.go
+++ b/internal/relay/loan.go
@@ -21,6 +21,8 @@
 	stream  grpc.BidiStreamingClient[peerpb.RelayRequest, peerpb.RelayReply]
 	cancel  context.CancelFunc
 	usedAt  time.Time
+	// class is that of RelayOpen.
+	class ident.Class
 	// failed reports that the stream must not be used again.
 	failed bool
 }
@@ -61,7 +63,7 @@
 // Exchange implements dbpool.Link.
 func (l *loan) Exchange(deadline time.Time, sts ...dbop.Statement) ([]dbop.Answer, error) {
 	limit := max(0, time.Until(deadline).Milliseconds())
-	run := &peerpb.RelayRun{Statements: toStatements(sts), LimitMs: uint32(limit)}
+	run := &peerpb.RelayRun{Statements: withoutClass(toStatements(sts), l.class), LimitMs: uint32(limit)}
 	if err := l.send(&peerpb.RelayRequest{Step: &peerpb.RelayRequest_Run{Run: run}}); err != nil {
 		return nil, err
 	}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -11,6 +11,7 @@
 
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/internal/proto/peerpb"
+	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
@@ -20,9 +21,15 @@
 // first use.
 type Server struct {
 	Pools *dbpool.Pools
+	// ClassOf returns the objective and deadline of a class. Lends reports whether
+	// connections to the databases of a group are lent. Requests have no order unless
+	// both are set.
+	ClassOf func(ident.Class) catal.Class
+	Lends   func(ident.Group) bool
 
 	mu     sync.Mutex
 	queues map[ident.Target]*readQueue
+	turns  map[ident.Target]*turnQueue
 
 	stopping atomic.Bool
 	loans    sync.WaitGroup
@@ -87,7 +94,12 @@
 	}
 	m := fromOpen(o)
 	deadline := time.Now().Add(time.Duration(o.WaitMs) * time.Millisecond)
-	conn, err := s.Pools.GetLocal(deadline, m, ident.Workspace(o.Workspace), dbpool.Owner(o.Owner))
+	sched := openScheduling(o)
+	turn, err := s.Await(st.Context(), deadline, m, ident.Workspace(o.Workspace), sched)
+	var conn *dbpool.Conn
+	if err == nil {
+		conn, err = s.Pools.GetWithTurn(deadline, m, ident.Workspace(o.Workspace), dbpool.Owner(o.Owner), turn)
+	}
 	reply := s.openResult(m, conn, err)
 	if conn == nil {
 		return st.Send(openedReply(reply))
@@ -96,7 +108,7 @@
 		conn.Release(true)
 		return err
 	}
-	return s.run(st, m, conn)
+	return s.run(st, m, conn, s.classWeight(sched))
 }
 
 func openedReply(o *peerpb.RelayOpened) *peerpb.RelayReply {
@@ -128,7 +140,7 @@
 
 // run executes the borrower's statements until the connection is returned. When
 // the stream ends before that, a connection that has been used is closed.
-func (s *Server) run(st serverStream, m *roster.Member, conn *dbpool.Conn) error {
+func (s *Server) run(st serverStream, m *roster.Member, conn *dbpool.Conn, sched dbop.Scheduling) error {
 	used := false
 	for {
 		r, err := st.Recv()
@@ -142,7 +154,7 @@
 			return nil
 		case *peerpb.RelayRequest_Run:
 			used = true
-			if err := st.Send(s.runStatements(m, conn, step.Run)); err != nil {
+			if err := st.Send(s.runStatements(m, conn, step.Run, sched)); err != nil {
 				conn.Release(false)
 				return err
 			}
@@ -153,10 +165,11 @@
 	}
 }
 
-func (s *Server) runStatements(m *roster.Member, conn *dbpool.Conn, r *peerpb.RelayRun) *peerpb.RelayReply {
+func (s *Server) runStatements(m *roster.Member, conn *dbpool.Conn, r *peerpb.RelayRun, sched dbop.Scheduling) *peerpb.RelayReply {
 	ran := &peerpb.RelayRan{Broken: true}
 	deadline := time.Now().Add(time.Duration(r.LimitMs) * time.Millisecond)
 	if sts, ok := fromStatements(r.Statements); ok {
+		setClass(sts, sched)
 		answers, err := s.runInTurn(m, conn, deadline, sts)
 		ran.Answers, ran.Broken = toAnswers(answers), err != nil
 	}
--- a/pkg/access/index.go
+++ b/pkg/access/index.go
@@ -16,6 +16,8 @@
 	Catalogue *catal.Catalogue
 	// keys maps the hexadecimal SHA-256 of a key to its owner.
 	keys map[string]keyOwner
+	// Ranked is Catalogue.RanksRoutes.
+	Ranked bool
 }
 
 // keyOwner is the workspace that has a key, with the id of the key.
@@ -27,7 +29,7 @@
 // NewKeyIndex returns the index of the keys in c that are usable now. It does not
 // follow the time: a key that becomes valid or expires later needs a new index.
 func NewKeyIndex(c *catal.Catalogue) *KeyIndex {
-	x := &KeyIndex{Catalogue: c, keys: map[string]keyOwner{}}
+	x := &KeyIndex{Catalogue: c, keys: map[string]keyOwner{}, Ranked: c.RanksRoutes()}
 	for ws, w := range c.Workspaces {
 		for id, k := range w.Keys {
 			if k.Usable(time.Now()) {
--- a/pkg/dbop/dbop.go
+++ b/pkg/dbop/dbop.go
@@ -72,6 +72,11 @@
 	// MaxWait is the longest time that the statement may queue; with 0 it runs
 	// without queueing.
 	MaxWait time.Duration
+	// Ranked is set where routes differ in priority: the request then waits for its
+	// turn, by priority and objective, before it gets a connection.
+	Ranked bool
+	// Spent is how long the statement has been served for.
+	Spent time.Duration
 }
 
 // Code is the result of a statement.
