Bound the statements that wait for a new primary

Cause: while a group had no primary, every statement for it waited until its deadline, so that a burst met the new primary all at once, in any order. In TestBurstWithoutPrimary all 40 statements waited, as many least as most urgent.

Change: where routes differ in priority, at most as many statements of a VM wait as its part of the primary's capacity serves within the shortest objective, the most urgent first. The others are refused at once. The refusal states when the primary is expected, from the absences seen before, plus a random time from a window that is shorter for more urgent statements.

--- a/internal/engine/config.go
+++ b/internal/engine/config.go
@@ -99,7 +99,7 @@
 	RegionOf func(ident.Zone) ident.Region
 }
 
-// Config configures an Engine. All fields but Ready, Clock, Meter and Log are
+// Config configures an Engine. All fields but Ready, VMs, Clock, Meter and Log are
 // required.
 type Config struct {
 	Access    Access
@@ -111,6 +111,8 @@
 	// Ready, unless nil, is closed when the VM is ready to serve. Logins wait
 	// for it for up to readyTimeout.
 	Ready <-chan struct{}
+	// VMs, unless nil, returns the number of VMs that share the databases.
+	VMs func() int
 	// Clock returns the time by which the age of data is measured; nil means
 	// time.Now. Machines that can be suspended need a clock that includes the
 	// time of suspension.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -26,7 +26,8 @@
 	cfg   Config
 	phase atomic.Int32
 	// started is when New was called.
-	started time.Time
+	started  time.Time
+	absences absences
 
 	mu       sync.Mutex
 	sessions map[*Session]bool
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -50,7 +50,10 @@
 	if c.mayHaveRun {
 		return dbop.Answer{Code: dbop.Timeout, Text: "the database did not answer in time"}
 	}
-	if c.lastCode == dbop.Crowded {
+	switch {
+	case c.primaryExpected > 0:
+		return c.noPrimaryRefusal()
+	case c.lastCode == dbop.Crowded:
 		return c.crowdedRefusal()
 	}
 	return dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("not run: no database could serve in time (%s); retry after %d ms", c.lastCode, busyRetryAfter.Milliseconds())}
@@ -60,7 +63,7 @@
 // database would not come in time.
 func (c *call) crowdedRefusal() dbop.Answer {
 	if c.mayHaveRun {
-		return c.refusal()
+		return dbop.Answer{Code: dbop.Timeout, Text: "the database did not answer in time"}
 	}
 	return dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("not run: too many statements wait for the database; retry after %d ms", busyRetryAfter.Milliseconds())}
 }
@@ -71,7 +74,7 @@
 func (s *Session) beginAtPrimary(c *call) (conn *dbpool.Conn, ok bool) {
 	var b backoff
 	for c.canAttempt() {
-		m, found := s.e.cfg.Primaries.Await(c.deadline, s.auth.Group)
+		m, found := s.awaitPrimary(c)
 		if !found {
 			c.lastCode = dbop.ReadOnly
 			return nil, false
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -13,7 +13,7 @@
 func (s *Session) write(c *call) dbop.Answer {
 	var b backoff
 	for c.canAttempt() {
-		m, ok := s.e.cfg.Primaries.Await(c.deadline, s.auth.Group)
+		m, ok := s.awaitPrimary(c)
 		if !ok {
 			c.lastCode = dbop.ReadOnly
 			break
@@ -54,6 +54,9 @@
 	a = answers[0]
 	conn.Release(true)
 	if a.Code == dbop.OK {
+		if c.scheduling.Ranked {
+			s.e.absences.recordService(m.Group, s.e.cfg.Clock().Sub(sent))
+		}
 		s.recordCommit(m.Group, m.ID, a.Position, sent)
 		return a, true
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,7 +150,7 @@
 	})
 	n.engine = engine.New(engine.Config{
 		Access: n.follower, Limiter: n.limiter, Primaries: n.monitor, Pools: n.pools, Roster: n.roster,
-		Ready: n.firstReady,
+		Ready: n.firstReady, VMs: func() int { return len(n.fleet.Live()) },
 		Place: engine.Place{Zone: s.Zone, Region: s.Region, RegionOf: n.regionOf},
 		Clock: uptime.Now,
 		Meter: newMeter(n.metrics.Scope), Log: log,
--- a/pkg/access/index.go
+++ b/pkg/access/index.go
@@ -18,6 +18,8 @@
 	keys map[string]keyOwner
 	// Ranked is Catalogue.RanksRoutes.
 	Ranked bool
+	// ShortestObjective is Catalogue.ShortestObjective.
+	ShortestObjective time.Duration
 }
 
 // keyOwner is the workspace that has a key, with the id of the key.
@@ -29,7 +31,7 @@
 // NewKeyIndex returns the index of the keys in c that are usable now. It does not
 // follow the time: a key that becomes valid or expires later needs a new index.
 func NewKeyIndex(c *catal.Catalogue) *KeyIndex {
-	x := &KeyIndex{Catalogue: c, keys: map[string]keyOwner{}, Ranked: c.RanksRoutes()}
+	x := &KeyIndex{Catalogue: c, keys: map[string]keyOwner{}, Ranked: c.RanksRoutes(), ShortestObjective: c.ShortestObjective()}
 	for ws, w := range c.Workspaces {
 		for id, k := range w.Keys {
 			if k.Usable(time.Now()) {
--- a/pkg/sched/sched.go
+++ b/pkg/sched/sched.go
@@ -218,15 +218,15 @@
 }
 
 // displaceable returns the index of the statement of c that Displace removes, or -1.
-// Unless any is set, its workspace must have more than own waiting statements.
-func (c *class) displaceable(own int, any bool, now time.Time) int {
+// Unless anyFlow is set, its workspace must have more than own waiting statements.
+func (c *class) displaceable(own int, anyFlow bool, now time.Time) int {
 	best := -1
 	for i := len(c.entries) - 1; i >= 0; i-- {
 		e := &c.entries[i]
 		if best >= 0 && !isEarly(e, now) {
 			break
 		}
-		if (any || e.flow.waiting > own) && (best < 0 || e.flow.waiting > c.entries[best].flow.waiting) {
+		if (anyFlow || e.flow.waiting > own) && (best < 0 || e.flow.waiting > c.entries[best].flow.waiting) {
 			best = i
 		}
 	}
