Refuse early what a lender's queue can't answer in time

Cause: nothing outside the lender knew its queue: a statement without a chance crossed zones, and waited or was refused there.

Change: while statements wait, RelayOpened has the expected delay by weight. The entry VM adds it to the cost of a database, and refuses a statement when the delay, reported within the last second, is beyond its deadline at every database that could run it. One in ten is sent all the same. Refusals state a random time that is shorter for more urgent statements, and the log line has the delay, its age and its source.

A statement that would be late but within its deadline is still sent, since a late answer is worth more than a refusal.

--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -53,6 +53,8 @@
 	// Load returns the known load of a database to which this VM borrows
 	// connections. ok is false when this VM uses local connections.
 	Load(m *roster.Member, ws ident.Workspace) (l Load, ok bool)
+	// Pressure returns what is known of the queue of the lender that would be asked.
+	Pressure(m *roster.Member, ws ident.Workspace) Pressure
 }
 
 // Get returns a connection of a workspace to a database; ws "" accepts a
--- a/internal/engine/absence_test.go
+++ b/internal/engine/absence_test.go
@@ -25,6 +25,7 @@
 		for _, name := range []ident.Route{"urgent", "least"} {
 			c.Routes[name] = catal.Route{Group: "g", Class: ident.Class(name), Reads: catal.ConsistencyPrimary}
 		}
+		c.Routes["stale"] = catal.Route{Group: "g", Class: "least", Reads: catal.ConsistencyBounded, MaxAgeMS: 1500}
 		f.index = access.NewKeyIndex(c)
 	})
 }
--- a/internal/engine/cost.go
+++ b/internal/engine/cost.go
@@ -76,7 +76,7 @@
 			continue
 		}
 		load := s.e.cfg.Pools.Load(m, s.auth.Workspace)
-		if cost := readCost(m, s.e.cfg.Place, load, m.ID == primary, now); best < 0 || cost < bestCost {
+		if cost := readCost(m, s.e.cfg.Place, load, m.ID == primary, now) + s.queueDelay(m, now); best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -25,7 +25,7 @@
 	if a.Code == dbop.Unknown || a.Code == dbop.Timeout {
 		ev = evlog.RequestUnanswered
 	}
-	evlog.At(e.cfg.Log, ev).Str("request", c.st.ID).Str("route", string(s.login.Route)).
+	c.logPressure(evlog.At(e.cfg.Log, ev)).Str("request", c.st.ID).Str("route", string(s.login.Route)).
 		Str("workspace", string(s.auth.Workspace)).Str("code", a.Code.String()).Str("why", a.Text).
 		Str("last", c.lastCode.String()).Bool("offered", c.offered).Dur("took", took).
 		Uint64("version", uint64(s.catalogueVersion())).Send()
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -1,16 +1,83 @@
 package engine
 
 import (
+	"math/rand/v2"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/roster"
 )
 
+const (
+	// probeShare is the inverse of the share of statements that are sent although the
+	// reported delay is too long, so that the end of the overload is noticed.
+	probeShare = 10
+	// minRetryAfter and maxRetryAfter bound the time that refusals by queue delay state.
+	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+)
+
+// pressed is the reported delay for which a statement was refused.
+type pressed struct {
+	delay, age time.Duration
+	source     string
+}
+
 // getConn returns a connection to a database for a statement. Where routes differ in
-// priority, the statement waits for its turn first.
+// priority, the statement waits for its turn first. It is refused at once if the delay
+// that the lender has reported leaves no time to answer it before its deadline.
 func (s *Session) getConn(c *call, deadline time.Time, m *roster.Member) (*dbpool.Conn, error) {
 	sched := c.scheduling
+	if !sched.Ranked {
+		return s.e.cfg.Pools.Get(deadline, m, s.auth.Workspace, s.owner)
+	}
+	if s.isPressed(c, m) {
+		return nil, &dbpool.Error{Op: "get", Kind: dbpool.KindRefused, Target: m.ID, Code: dbop.Crowded}
+	}
 	sched.Spent = time.Since(c.start)
 	return s.e.cfg.Pools.GetScheduled(deadline, m, s.auth.Workspace, s.owner, sched)
 }
+
+// isPressed reports whether the queue for a database is too long for a statement. One
+// statement in probeShare is sent all the same.
+func (s *Session) isPressed(c *call, m *roster.Member) bool {
+	now := time.Now()
+	p := s.e.cfg.Pools.Pressure(m, s.auth.Workspace)
+	delay := p.Delay(s.auth.Weight, now)
+	if delay <= c.remaining() || rand.N(probeShare) == 0 {
+		return false
+	}
+	c.pressed = pressed{delay, now.Sub(p.At), p.Source}
+	return true
+}
+
+// queueDelay returns the reported delay of a ranked statement at a database.
+func (s *Session) queueDelay(m *roster.Member, now time.Time) time.Duration {
+	if !s.index.Ranked {
+		return 0
+	}
+	p := s.e.cfg.Pools.Pressure(m, s.auth.Workspace)
+	return p.Delay(s.auth.Weight, now)
+}
+
+// retryAfter returns the retry time of a refusal by queue delay. Where routes differ in
+// priority it is random, so that retries don't come together, and shorter for more
+// urgent statements.
+func (c *call) retryAfter() time.Duration {
+	if !c.scheduling.Ranked {
+		return busyRetryAfter
+	}
+	window := min(max(c.pressed.delay, 2*busyRetryAfter), maxRetryAfter)
+	return minRetryAfter + rand.N(window/time.Duration(max(c.scheduling.Weight, 1)))
+}
+
+// logPressure adds the reported delay for which a statement was refused.
+func (c *call) logPressure(ev *zerolog.Event) *zerolog.Event {
+	if c.pressed.delay == 0 {
+		return ev
+	}
+	return ev.Dur("pressure", c.pressed.delay).Dur("pressure_age", c.pressed.age).Str("pressure_source", c.pressed.source)
+}
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -65,7 +65,7 @@
 	if c.mayHaveRun {
 		return dbop.Answer{Code: dbop.Timeout, Text: "the database did not answer in time"}
 	}
-	return dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("not run: too many statements wait for the database; retry after %d ms", busyRetryAfter.Milliseconds())}
+	return dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("not run: too many statements wait for the database; retry after %d ms", c.retryAfter().Milliseconds())}
 }
 
 // beginAtPrimary returns a connection to the primary on which the engine opened a
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -80,6 +80,7 @@
 	mayHaveRun bool
 	// scheduling holds the queueing parameters of the statement at a database.
 	scheduling dbop.Scheduling
+	pressed    pressed
 	// primaryExpected, unless 0, is when to retry a statement that was refused because
 	// the group has no primary.
 	primaryExpected time.Duration
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -64,6 +64,7 @@
 	mu          sync.Mutex
 	idleStreams map[string][]*loan
 	loads       map[ident.Target]reportedLoad
+	pressure    map[pressureKey]dbpool.Pressure
 }
 
 // reportedLoad is the load of a database as last reported by a lender, with the
@@ -165,6 +166,7 @@
 		return failed(errProtocol)
 	}
 	c.recordLoad(m.ID, o)
+	c.recordPressure(pressureKey{m.ID, address}, o.Delays)
 	if o.Failure != 0 {
 		c.keepStream(l)
 		return dbpool.LentConn{}, &dbpool.Error{Op: "borrow", Kind: dbpool.Kind(o.Failure), Target: m.ID, Code: dbop.Code(o.Code)}
@@ -258,6 +260,7 @@
 			delete(c.idleStreams, address)
 		}
 	}
+	maps.DeleteFunc(c.pressure, func(_ pressureKey, p dbpool.Pressure) bool { return !p.IsFresh(now) })
 	maps.DeleteFunc(c.loads, func(_ ident.Target, l reportedLoad) bool {
 		return l.ownLoans == 0 && now.Sub(l.reportedAt) > streamIdleTimeout
 	})
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -120,6 +120,7 @@
 func (s *Server) openResult(m *roster.Member, conn *dbpool.Conn, err error) *peerpb.RelayOpened {
 	load, queue := s.Pools.LocalLoad(m, ""), s.queueOf(m.ID)
 	out := &peerpb.RelayOpened{Busy: uint32(queue.runningCount()), Waiting: uint32(load.Waiting + queue.waitingCount()), Faults: float32(load.FailureRate)}
+	out.Delays = s.turnsOf(m.ID).delays()
 	if err != nil {
 		var e *dbpool.Error
 		out.Failure = uint32(dbpool.KindUnreachable)
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -269,6 +269,13 @@
 	return q.queue.Len()
 }
 
+// delays returns the pairs for RelayOpened.delays.
+func (q *turnQueue) delays() []uint32 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.queue.AppendDelays(nil, time.Now())
+}
+
 // item returns the request of a statement in the queue.
 func item(s dbop.Scheduling, ws ident.Workspace, objective, timeout time.Duration, deadline, now time.Time) sched.Item {
 	it := sched.Item{Workspace: ws, Class: s.Class, Weight: s.Weight, Deadline: deadline}
--- a/pkg/sched/estimate.go
+++ b/pkg/sched/estimate.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	"chervilspan.example/pkg/ident"
@@ -15,6 +16,27 @@
 	return q.wait(q.classOf(name, weight), "", now)
 }
 
+// AppendDelays appends a pair for each weight: the weight, and the time in ms until a new
+// statement of a class with this weight is expected to be served. If it can't meet its
+// objective, that is the time until the backlog has been served, since statements in
+// time come before late ones. It appends nothing while no statement waits.
+func (q *Queue) AppendDelays(to []uint32, now time.Time) []uint32 {
+	if q.length == 0 {
+		return to
+	}
+	for i, c := range q.classes {
+		if slices.IndexFunc(q.classes, func(o *class) bool { return o.weight == c.weight }) < i {
+			continue // another class of the weight stands for this one
+		}
+		d := q.wait(c, "", now)
+		if c.objective > 0 && d > c.objective-tailFactor*c.expectedWork() {
+			d = max(d, q.totalWait())
+		}
+		to = append(to, c.weight, uint32(d.Milliseconds()))
+	}
+	return to
+}
+
 // wait is like waitInOrder, but in a standing queue the newest statement of the class
 // is served first.
 func (q *Queue) wait(c *class, ws ident.Workspace, now time.Time) time.Duration {
