Drop waiting statements whose caller has disconnected

Cause: a statement waited for its connection and took a slot although its caller had closed the connection, since a session reads from the caller only between statements.

Nothing is checked while no statement is known to wait.

--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -20,6 +20,10 @@
 	maxRetryAfter = 2 * time.Second
 )
 
+// leaver is implemented by a Caller that knows whether the caller has closed its
+// connection.
+type leaver interface{ Gone() bool }
+
 // pressed is the reported delay for which a statement was refused.
 type pressed struct {
 	delay, age time.Duration
@@ -28,13 +32,14 @@
 
 // getConn returns a connection to a database for a statement. Where routes differ in
 // priority, the statement waits for its turn first. It is refused at once if the delay
-// that the lender has reported leaves no time to answer it before its deadline.
+// that the lender has reported leaves no time to answer it before its deadline, and not
+// sent again when the caller has closed its connection.
 func (s *Session) getConn(c *call, deadline time.Time, m *roster.Member) (*dbpool.Conn, error) {
 	sched := c.scheduling
 	if !sched.Ranked {
 		return s.e.cfg.Pools.Get(deadline, m, s.auth.Workspace, s.owner)
 	}
-	if s.isPressed(c, m) {
+	if c.lastCode != dbop.OK && s.gone != nil && s.gone() || s.isPressed(c, m) {
 		return nil, &dbpool.Error{Op: "get", Kind: dbpool.KindRefused, Target: m.ID, Code: dbop.Crowded}
 	}
 	sched.Spent = time.Since(c.start)
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -45,7 +45,9 @@
 type Session struct {
 	e      *Engine
 	caller Caller
-	login  Login
+	// gone is the caller's Gone, nil if it has none.
+	gone  func() bool
+	login Login
 	// owner identifies the session to the connection pools.
 	owner dbpool.Owner
 	// index is the key index against which the key was last checked, authIndex
@@ -239,7 +241,7 @@
 // timeout: it waits for at most half of its timeout, and for at most half of the
 // latency objective, so that the caller's operation can still meet it.
 func (s *Session) scheduling(timeout time.Duration) dbop.Scheduling {
-	t := dbop.Scheduling{Class: s.auth.Class, Weight: s.auth.Weight, MaxWait: timeout / 2, Ranked: s.index.Ranked && s.auth.LatencyObjective > 0}
+	t := dbop.Scheduling{Class: s.auth.Class, Weight: s.auth.Weight, MaxWait: timeout / 2, Gone: s.gone, Ranked: s.index.Ranked && s.auth.LatencyObjective > 0}
 	if o := s.auth.LatencyObjective; o > 0 {
 		t.MaxWait = min(t.MaxWait, o/2)
 	}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -155,7 +155,12 @@
 	}
 	r, err := l.receive(time.Now().Add(takenTimeout))
 	if err == nil && r.GetTaken() != nil {
+		stop := c.watchCaller(l, pressureKey{m.ID, address}, sched)
 		r, err = l.receive(deadline.Add(replyMargin))
+		if stop != nil && !stop() {
+			l.abort()
+			return dbpool.LentConn{}, &dbpool.Error{Op: "borrow", Kind: dbpool.KindRefused, Target: m.ID, Code: dbop.Crowded, Err: errCallerGone}
+		}
 	}
 	if err != nil {
 		return failed(err)
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -48,6 +48,8 @@
 
 type waitingTurn struct {
 	item sched.Item
+	// gone is Scheduling.Gone.
+	gone func() bool
 	// granted receives the turn, or nil when the request is refused.
 	granted chan *turn
 }
@@ -68,7 +70,7 @@
 
 // await returns the turn of a request, or nil when it is not expected in time or ctx
 // has ended.
-func (q *turnQueue) await(ctx context.Context, slots int, it sched.Item) *turn {
+func (q *turnQueue) await(ctx context.Context, slots int, it sched.Item, gone func() bool) *turn {
 	q.mu.Lock()
 	now := time.Now()
 	q.slots = max(slots, 1)
@@ -78,7 +80,7 @@
 		q.mu.Unlock()
 		return t
 	}
-	w, ok := q.enqueue(it, now)
+	w, ok := q.enqueue(it, gone, now)
 	if !ok {
 		q.mu.Unlock()
 		return nil
@@ -116,7 +118,7 @@
 }
 
 // enqueue adds a request to the queue, if necessary in place of a less valuable one.
-func (q *turnQueue) enqueue(it sched.Item, now time.Time) (waitingTurn, bool) {
+func (q *turnQueue) enqueue(it sched.Item, gone func() bool, now time.Time) (waitingTurn, bool) {
 	q.last++
 	it.Ticket = q.last
 	err := q.queue.Push(it, q.limit(), now)
@@ -130,7 +132,7 @@
 	if err != nil {
 		return waitingTurn{}, false
 	}
-	w := waitingTurn{item: it, granted: make(chan *turn, 1)}
+	w := waitingTurn{item: it, gone: gone, granted: make(chan *turn, 1)}
 	if q.waiters == nil {
 		q.waiters = map[sched.Ticket]waitingTurn{}
 	}
@@ -192,6 +194,15 @@
 	})
 }
 
+// dropGone refuses the waiting requests whose callers have closed their connections.
+func (q *turnQueue) dropGone() {
+	for t, w := range q.waiters {
+		if w.gone != nil && w.gone() && q.queue.Remove(t) {
+			q.answer(t, nil)
+		}
+	}
+}
+
 // dispatch gives turns to waiting requests, and refuses those that can't be answered in
 // time any more.
 func (q *turnQueue) dispatch(now time.Time) {
@@ -220,6 +231,7 @@
 		q.checking = false
 		now := time.Now()
 		q.dropOverdue(now)
+		q.dropGone()
 		q.dispatch(now)
 		q.scheduleCheck()
 	})
--- a/internal/relay/turn_test.go
+++ b/internal/relay/turn_test.go
@@ -26,7 +26,7 @@
 // objective.
 func (db *turnDatabase) run(ctx context.Context, it sched.Item, work time.Duration) bool {
 	if db.turns != nil {
-		t := db.turns.await(ctx, cap(db.slots), it)
+		t := db.turns.await(ctx, cap(db.slots), it, nil)
 		if t == nil {
 			return false
 		}
@@ -84,20 +84,21 @@
 			return sched.Item{Class: "c", Workspace: "w", Objective: time.Now().Add(time.Second), Deadline: time.Now().Add(5 * time.Second)}
 		}
 		for range 2 {
-			is.True(q.await(context.Background(), 1, it()) != nil) // never used
+			is.True(q.await(context.Background(), 1, it(), nil) != nil) // never used
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		gone := make(chan *turn)
-		go func() { gone <- q.await(ctx, 1, it()) }()
+		go func() { gone <- q.await(ctx, 1, it(), nil) }()
 		time.Sleep(time.Millisecond)
 		cancel()
 		is.True(<-gone == nil)
 		is.Equal(q.waiting(), 0)
+		is.True(q.await(context.Background(), 1, it(), func() bool { return true }) == nil)
 		start := time.Now()
-		is.True(q.await(context.Background(), 1, it()) != nil)
+		is.True(q.await(context.Background(), 1, it(), nil) != nil)
 		is.True(time.Since(start) <= maxTurnTransit+turnCheckInterval)
 		for range 20 {
-			go q.await(context.Background(), 1, it())
+			go q.await(context.Background(), 1, it(), nil)
 		}
 		time.Sleep(10 * time.Second) // all requests are served or expire
 		is.Equal(q.waiting(), 0)
@@ -113,7 +114,7 @@
 	ctx := context.Background()
 	b.ReportAllocs()
 	for b.Loop() {
-		t := q.await(ctx, 5, it)
+		t := q.await(ctx, 5, it, nil)
 		t.Start()
 		t.End()
 	}
--- a/internal/relay/turns.go
+++ b/internal/relay/turns.go
@@ -64,7 +64,7 @@
 	sched.Weight = class.FairWeight()
 	objective := time.Duration(class.ObjectiveMS) * time.Millisecond
 	it := item(sched, ws, objective, class.RequestTimeout(), deadline, time.Now())
-	t := s.turnsOf(m.ID).await(ctx, m.SlotCount(), it)
+	t := s.turnsOf(m.ID).await(ctx, m.SlotCount(), it, sched.Gone)
 	if t == nil {
 		return nil, &dbpool.Error{Op: "wait for a turn", Kind: dbpool.KindRefused, Target: m.ID, Code: dbop.Crowded, Err: errCrowded}
 	}
--- a/pkg/dbop/dbop.go
+++ b/pkg/dbop/dbop.go
@@ -77,6 +77,10 @@
 	Ranked bool
 	// Spent is how long the statement has been served for.
 	Spent time.Duration
+	// Gone, unless nil, reports whether the caller has closed its connection, so that
+	// the statement need not run. It may be called from any goroutine while the
+	// statement is served.
+	Gone func() bool
 }
 
 // Code is the result of a statement.
