Log and count overload

Cause: operators could not see how long the queue for a database is, nor why a statement was refused because of overload.

Change: the events overload_began and overload_ended on lenders, the gauges statements_waiting and queue_delay_ms by database and weight, and the counter statements_shed by class and cause.

--- a/internal/engine/config.go
+++ b/internal/engine/config.go
@@ -89,6 +89,8 @@
 type Meter interface {
 	CountAnswer(auth *access.Authorization, kind dbop.Kind, code dbop.Code, took time.Duration)
 	CountRetry(reason dbop.Code)
+	// CountShed counts a statement that was refused because of overload.
+	CountShed(auth *access.Authorization, cause ShedCause)
 }
 
 // Place is the location of the VM.
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -12,6 +12,7 @@
 type noMeter struct{}
 
 func (noMeter) CountAnswer(*access.Authorization, dbop.Kind, dbop.Code, time.Duration) {}
+func (noMeter) CountShed(*access.Authorization, ShedCause)                             {}
 func (noMeter) CountRetry(dbop.Code)                                                   {}
 
 // recordAnswer records an answer in the metrics and logs it unless it is a success.
@@ -21,6 +22,9 @@
 	if a.Code == dbop.OK {
 		return
 	}
+	if cause := c.shedCause(); cause != "" && a.Code == dbop.Busy {
+		e.cfg.Meter.CountShed(&s.auth, cause)
+	}
 	ev := evlog.RequestRefused
 	if a.Code == dbop.Unknown || a.Code == dbop.Timeout {
 		ev = evlog.RequestUnanswered
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -79,6 +79,32 @@
 	return minRetryAfter + rand.N(window/time.Duration(max(c.scheduling.Weight, 1)))
 }
 
+// ShedCause says why a statement was refused because of overload.
+type ShedCause string
+
+// Causes of refusals because of overload.
+const (
+	// ShedNoPrimary means that too many statements wait for a new primary.
+	ShedNoPrimary ShedCause = "no_primary"
+	// ShedPressure means that the delay that a lender has reported is too long.
+	ShedPressure ShedCause = "pressure"
+	// ShedQueue means that the lender has refused the statement.
+	ShedQueue ShedCause = "queue"
+)
+
+// shedCause returns why overload was the cause of the last failed attempt, or "".
+func (c *call) shedCause() ShedCause {
+	switch {
+	case c.primaryExpected > 0:
+		return ShedNoPrimary
+	case c.lastCode != dbop.Crowded:
+		return ""
+	case c.pressed.delay > 0:
+		return ShedPressure
+	}
+	return ShedQueue
+}
+
 // logPressure adds the reported delay for which a statement was refused.
 func (c *call) logPressure(ev *zerolog.Event) *zerolog.Event {
 	if c.pressed.delay == 0 {
--- a/internal/evlog/session.go
+++ b/internal/evlog/session.go
@@ -11,5 +11,7 @@
 	RequestRefused    = register(Event{210, "request_refused", zerolog.InfoLevel, "A caller's statement failed; the fields say which one, why, and whether it was sent to a database.", "See the fields `why` and `last`, and OPERATIONS.md."})
 	RequestUnanswered = register(Event{211, "request_unanswered", zerolog.WarnLevel, "A database did not answer a statement before the deadline, so it is unknown whether the statement took effect.", "Look for events of the group's primary at that time; see OPERATIONS.md."})
 	RequestRetried    = register(Event{212, "request_retried", zerolog.InfoLevel, "An attempt to run a statement failed without effect and may be followed by another one.", "Nothing, unless it recurs for one target: then check that target."})
+	OverloadBegan     = register(Event{214, "overload_began", zerolog.WarnLevel, "Statements wait for a database through this VM for so long that the newest are served first; `waiting` is their number, `delays` has pairs of a weight and the expected delay in ms, `turns` is the number of statements served at a time.", "See overload.md, if it lasts."})
+	OverloadEnded     = register(Event{215, "overload_ended", zerolog.InfoLevel, "No statement waits for the database through this VM any more.", "Nothing."})
 	LinesDropped      = register(Event{220, "lines_dropped", zerolog.WarnLevel, "Log lines were dropped to limit their number; the field `dropped` has the count since the last such line.", "Nothing; the metrics are not affected."})
 )
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -6,6 +6,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"chervilspan.example/internal/engine"
 	"chervilspan.example/internal/metr"
 	"chervilspan.example/pkg/access"
 	"chervilspan.example/pkg/dbop"
@@ -20,6 +21,12 @@
 	mu      sync.Mutex
 	answers map[answerKey]answerMetrics
 	retries map[dbop.Code]tally.Counter
+	shed    map[shedKey]tally.Counter
+}
+
+type shedKey struct {
+	class string
+	cause engine.ShedCause
 }
 
 type answerKey struct {
@@ -39,7 +46,7 @@
 }
 
 func newMeter(scope tally.Scope) *meter {
-	return &meter{scope: scope, answers: map[answerKey]answerMetrics{}, retries: map[dbop.Code]tally.Counter{}}
+	return &meter{scope: scope, answers: map[answerKey]answerMetrics{}, retries: map[dbop.Code]tally.Counter{}, shed: map[shedKey]tally.Counter{}}
 }
 
 // CountAnswer implements engine.Meter.
@@ -57,6 +64,19 @@
 	a.latency.RecordDuration(took)
 }
 
+// CountShed implements engine.Meter.
+func (m *meter) CountShed(auth *access.Authorization, cause engine.ShedCause) {
+	k := shedKey{string(auth.Class), cause}
+	m.mu.Lock()
+	c, ok := m.shed[k]
+	if !ok {
+		c = m.scope.Tagged(map[string]string{"class": k.class, "cause": string(cause)}).Counter("statements_shed")
+		m.shed[k] = c
+	}
+	m.mu.Unlock()
+	c.Inc(1)
+}
+
 // CountRetry implements engine.Meter.
 func (m *meter) CountRetry(reason dbop.Code) {
 	m.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,7 +124,7 @@
 	n.peers = peer.NewCache(peer.CacheConfig{AllowPlaintext: true, Scope: n.metrics.Scope, Usage: a.Usage, ZoneOf: n.zoneOfAddress})
 	n.borrower = relay.NewClient(relay.Config{Lenders: n.lenderAddresses, Peers: n.peers, Log: log})
 	n.pools.Lender = n.borrower
-	n.lender = &relay.Server{Pools: n.pools, ClassOf: n.classOf, Lends: n.isLent}
+	n.lender = &relay.Server{Pools: n.pools, ClassOf: n.classOf, Lends: n.isLent, Log: log}
 	n.pools.Turns = n.lender
 	n.lists = lists.New(lists.Config{Store: a.Store, Peers: n.peers, Readers: n.readerAddresses, Clock: uptime.Now, Log: log})
 	epochs := epoch.New(epoch.Config{Store: a.Store, Lifetimes: []time.Duration{lead.ClaimTTL, sliceLeaseTTL}, Log: log})
@@ -336,6 +336,7 @@
 	n.metrics.Scope.Gauge("target_dials").Update(float64(n.pools.Dials.Load()))
 	n.metrics.Scope.Gauge("vms").Update(float64(len(n.fleet.Live())))
 	n.metrics.Scope.Gauge("lent_connections").Update(float64(n.lender.LentCount()))
+	n.updateQueueGauges()
 	n.metrics.Scope.Gauge("panics").Update(float64(guard.Count()))
 	n.metrics.Scope.Gauge("sessions").Update(float64(n.engine.Sessions()))
 	if s, ok := n.adapters.Store.(store.Restorable); ok {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 
 	"chervilspan.example/internal/dbpool"
@@ -26,6 +27,7 @@
 	// both are set.
 	ClassOf func(ident.Class) catal.Class
 	Lends   func(ident.Group) bool
+	Log     zerolog.Logger
 
 	mu     sync.Mutex
 	queues map[ident.Target]*readQueue
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/sched"
@@ -42,6 +44,11 @@
 	// transit is the mean time from a turn to the arrival of its statement, service
 	// the mean time from there to the answer.
 	transit, service time.Duration
+	// target and log are for reportOverload; overloadedSince is zero while there is no
+	// overload.
+	target          ident.Target
+	log             zerolog.Logger
+	overloadedSince time.Time
 	// checking is set while a check is scheduled.
 	checking bool
 }
@@ -233,6 +240,7 @@
 		q.dropOverdue(now)
 		q.dropGone()
 		q.dispatch(now)
+		q.reportOverload(now)
 		q.scheduleCheck()
 	})
 }
--- a/internal/relay/turns.go
+++ b/internal/relay/turns.go
@@ -80,7 +80,7 @@
 		if s.turns == nil {
 			s.turns = map[ident.Target]*turnQueue{}
 		}
-		q = &turnQueue{}
+		q = &turnQueue{target: id, log: s.Log}
 		s.turns[id] = q
 	}
 	return q
--- a/pkg/sched/sched.go
+++ b/pkg/sched/sched.go
@@ -304,5 +304,10 @@
 	q.classes = slices.DeleteFunc(q.classes, func(c *class) bool { return len(c.entries) == 0 && !keep(c.name) })
 }
 
+// Standing reports whether a class has a standing queue.
+func (q *Queue) Standing() bool {
+	return slices.ContainsFunc(q.classes, func(c *class) bool { return c.standing })
+}
+
 // Len returns the number of waiting statements.
 func (q *Queue) Len() int { return q.length }
