Let all statements wait for the first moment without a primary

Cause: a VM that has just started, or learned that the primary is another database, refused all but a few statements for some 2 s, although it finds the primary within a round trip.

Change: the bound applies only when the absence has lasted for an eighth of the shortest objective. Which statements keep their place is decided by weight and order of arrival, each time a waiting one looks for the primary.

--- a/internal/engine/absence.go
+++ b/internal/engine/absence.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 	// absencePollInterval is how often a waiting statement checks whether a more urgent
 	// one has taken its place.
 	absencePollInterval = 50 * time.Millisecond
+	// absenceGap is how long no statement may have waited within one absence.
+	absenceGap = time.Second
 	// serviceSmoothing is the inverse of the weight of a new figure in moving averages.
 	serviceSmoothing = 8
 )
@@ -46,18 +49,21 @@
 type absence struct {
 	waiters []*absenceWaiter
 	// since is when the first statement waited; zero while the group has a primary.
-	since time.Time
+	// leftAt is when the last one ended its wait.
+	since, leftAt time.Time
 	// expected is the mean length of the absences seen, 0 if there were none.
 	expected time.Duration
 	// service is the mean time of statements at the primary, 0 while unknown.
 	service time.Duration
 }
 
-type absenceWaiter struct {
-	weight uint32
-	since  time.Time
-	// displaced is set when a more urgent statement has taken the place.
-	displaced bool
+type absenceWaiter struct{ weight uint32 }
+
+// absenceRules says which statements may wait: all during the grace period, and
+// afterwards as many as capacity returns for the time that a statement takes.
+type absenceRules struct {
+	grace    time.Duration
+	capacity func(time.Duration) int
 }
 
 // groupOf returns the absence of a group. The caller holds a.mu.
@@ -73,69 +79,66 @@
 	return ab
 }
 
-// enter adds a waiting statement, in place of the newest of the least urgent ones if
-// there are already limit and it is more urgent. It returns nil and when to retry if
-// there is no place.
-func (a *absences) enter(g ident.Group, weight uint32, capacity func(time.Duration) int, now time.Time) (*absenceWaiter, time.Duration) {
+// enter adds a waiting statement, or returns nil and when to retry if limit others go
+// before it.
+func (a *absences) enter(g ident.Group, weight uint32, rules absenceRules, now time.Time) (*absenceWaiter, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	ab := a.groupOf(g)
-	if ab.since.IsZero() {
+	if ab.since.IsZero() || len(ab.waiters) == 0 && now.Sub(ab.leftAt) > absenceGap {
 		ab.since = now
 	}
+	w := &absenceWaiter{weight: weight}
+	ab.waiters = append(ab.waiters, w)
+	if ab.hasPlace(w, rules, now) {
+		return w, 0
+	}
+	ab.waiters = ab.waiters[:len(ab.waiters)-1]
+	return nil, ab.retryAfter(weight, now)
+}
+
+// hasPlace reports whether a waiting statement may go on waiting: while the absence is
+// new, or when fewer than the limit are more urgent, or as urgent and were there before.
+func (ab *absence) hasPlace(w *absenceWaiter, rules absenceRules, now time.Time) bool {
+	if now.Sub(ab.since) < rules.grace {
+		return true
+	}
 	service := ab.service
 	if service == 0 {
 		service = assumedService
 	}
-	w := &absenceWaiter{weight: weight, since: now}
-	if len(ab.waiters) < max(capacity(service), minAbsenceWaiters) {
-		ab.waiters = append(ab.waiters, w)
-		return w, 0
-	}
-	least := -1
-	for i, o := range ab.waiters {
-		if o.weight < weight && (least < 0 || o.weight <= ab.waiters[least].weight) {
-			least = i
+	before, seen := 0, false
+	for _, o := range ab.waiters {
+		seen = seen || o == w
+		if o.weight > w.weight || o.weight == w.weight && !seen {
+			before++
 		}
 	}
-	if least < 0 {
-		return nil, ab.retryAfter(weight, now)
-	}
-	ab.waiters[least].displaced = true
-	ab.waiters[least] = w
-	return w, 0
+	return before < max(rules.capacity(service), minAbsenceWaiters)
 }
 
-// leave ends the wait of a statement. found tells that the group has a primary again.
-// displaced tells that the statement has lost its place, and retry when to come back.
-func (a *absences) leave(g ident.Group, w *absenceWaiter, found bool, now time.Time) (displaced bool, retry time.Duration) {
+// leave ends the wait of a statement and returns when to retry it. found tells that the
+// group has a primary again.
+func (a *absences) leave(g ident.Group, w *absenceWaiter, found bool, now time.Time) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	ab := a.groupOf(g)
-	for i, o := range ab.waiters {
-		if o == w {
-			ab.waiters = append(ab.waiters[:i], ab.waiters[i+1:]...)
-			break
-		}
-	}
+	ab.waiters = slices.DeleteFunc(ab.waiters, func(o *absenceWaiter) bool { return o == w })
+	ab.leftAt = now
 	if found && !ab.since.IsZero() {
 		if d := now.Sub(ab.since); d > absencePollInterval {
 			ab.expected = smooth(ab.expected, d)
 		}
 		ab.since = time.Time{}
 	}
-	retry = ab.retryAfter(w.weight, now)
-	if len(ab.waiters) == 0 && !found {
-		ab.since = time.Time{} // nobody would notice the end of the absence
-	}
-	return w.displaced && !found, retry
+	return ab.retryAfter(w.weight, now)
 }
 
-// isDisplaced reports whether a waiting statement has lost its place.
-func (a *absences) isDisplaced(w *absenceWaiter) bool {
+// keepsPlace is hasPlace for a statement that waits.
+func (a *absences) keepsPlace(g ident.Group, w *absenceWaiter, rules absenceRules, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return w.displaced
+	return a.groupOf(g).hasPlace(w, rules, now)
 }
 
 // retryAfter returns when a refused statement should be sent again: when the primary is
@@ -179,12 +182,17 @@
 	if m, ok := await(time.Now(), g); ok {
 		return m, true
 	}
-	w, retry := s.e.absences.enter(g, s.auth.Weight, s.absenceCapacity, time.Now())
+	// An eighth of the objective is enough for a VM that has just started, or learned that
+	// the primary is another database, to find the primary, and leaves time to refuse
+	// within a quarter.
+	const graceFraction = 8
+	rules := absenceRules{grace: s.index.ShortestObjective / graceFraction, capacity: s.absenceCapacity}
+	w, retry := s.e.absences.enter(g, s.auth.Weight, rules, time.Now())
 	if w == nil {
 		c.primaryExpected = retry
 		return roster.Member{}, false
 	}
-	for c.canAttempt() && !s.e.absences.isDisplaced(w) {
+	for c.canAttempt() && s.e.absences.keepsPlace(g, w, rules, time.Now()) {
 		deadline := time.Now().Add(absencePollInterval)
 		if c.deadline.Before(deadline) {
 			deadline = c.deadline
@@ -194,7 +202,7 @@
 			return m, true
 		}
 	}
-	_, c.primaryExpected = s.e.absences.leave(g, w, false, time.Now())
+	c.primaryExpected = s.e.absences.leave(g, w, false, time.Now())
 	return roster.Member{}, false
 }
 
--- a/internal/engine/absence_test.go
+++ b/internal/engine/absence_test.go
@@ -78,3 +78,28 @@
 		is.True(len(texts) > 20)
 	})
 }
+
+// TestBriefAbsence guards against statements refused by a VM that has not found the
+// primary yet, as after its start.
+func TestBriefAbsence(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		is := is.New(t)
+		rank(f)
+		f.c.Update("a", func(d *linktest.DB) { d.Primary = false })
+		f.c.Roster().DeposePrimary("g", "a", time.Now())
+		var wg sync.WaitGroup
+		codes := make([]dbop.Code, 40)
+		for i := range codes {
+			s := f.open(t, "least")
+			defer s.end()
+			wg.Go(func() { codes[i] = s.run(dbop.Write).Code })
+		}
+		time.Sleep(10 * time.Millisecond)
+		f.c.Promote("b")
+		f.c.Roster().ConfirmPrimary("g", "b")
+		wg.Wait()
+		for _, code := range codes {
+			is.Equal(code, dbop.OK)
+		}
+	})
+}
