--- a/internal/engine/fixture_test.go
+++ b/internal/engine/fixture_test.go
@@ -66,11 +66,12 @@
 
 // fixture is an engine in front of a cluster of three databases.
 type fixture struct {
-	c     *linktest.Cluster
-	e     *engine.Engine
-	pools *dbpool.Pools
-	mu    sync.Mutex
-	index *access.KeyIndex
+	c *linktest.Cluster
+	e *engine.Engine
+	// lender reports delays and lends nothing.
+	lender *pressedLender
+	mu     sync.Mutex
+	index  *access.KeyIndex
 	// overRate makes the limiter refuse all operations.
 	overRate bool
 	admitted int
@@ -173,7 +174,8 @@
 		fx := &fixture{c: linktest.New("g", "a", "b", "c"), index: access.NewKeyIndex(catalogue(1, "key"))}
 		pools := &dbpool.Pools{Dialer: fx.c, Roster: fx.c.Roster(), ConnLimit: func(*roster.Member) int { return 4 }}
 		monitor := lead.New(lead.Config{Roster: fx.c.Roster(), Pools: pools, Store: downStore(), Promoter: &linktest.Promoter{Cluster: fx.c}, Unfenced: unfenced})
-		fx.pools = pools
+		fx.lender = &pressedLender{}
+		pools.Lender = fx.lender
 		fx.c.SetFormerGoesOn(unfenced)
 		ctx, cancel := context.WithCancel(t.Context())
 		monitor.Watch([]ident.Group{"g"})
--- a/internal/engine/overload_test.go
+++ b/internal/engine/overload_test.go
@@ -3,6 +3,7 @@
 import (
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,10 +17,19 @@
 
 // pressedLender reports a delay at databases and lends no connections.
 type pressedLender struct {
-	dbpool.Lender
+	mu       sync.Mutex
 	pressure map[ident.Target]dbpool.Pressure
 }
 
+func (l *pressedLender) set(id ident.Target, p dbpool.Pressure) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.pressure == nil {
+		l.pressure = map[ident.Target]dbpool.Pressure{}
+	}
+	l.pressure[id] = p
+}
+
 func (l *pressedLender) Borrow(time.Time, *roster.Member, ident.Workspace, dbpool.Owner, dbop.Scheduling) (c dbpool.LentConn, ok bool, err error) {
 	return c, false, nil
 }
@@ -29,6 +39,8 @@
 }
 
 func (l *pressedLender) Pressure(m *roster.Member, _ ident.Workspace) dbpool.Pressure {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	return l.pressure[m.ID]
 }
 
@@ -42,15 +54,14 @@
 		report := func(age time.Duration) dbpool.Pressure {
 			return dbpool.Pressure{Delays: []uint32{4, 9000, 1, 9000}, At: time.Now().Add(-age), Source: "lender"}
 		}
-		l := &pressedLender{pressure: map[ident.Target]dbpool.Pressure{"a": report(0)}}
-		f.pools.Lender = l
+		l := f.lender
 		longest := map[ident.Route]int{}
 		for _, route := range []ident.Route{"urgent", "least"} {
 			s := f.open(t, route)
 			defer s.end()
 			sent, texts := 0, map[string]bool{}
 			for range 300 {
-				l.pressure["a"] = report(0)
+				l.set("a", report(0))
 				start := time.Now()
 				a := s.run(dbop.Read)
 				if a.Code == dbop.OK {
@@ -67,7 +78,7 @@
 			}
 			is.True(sent > 10 && sent < 60) // one in ten
 			is.True(len(texts) > 100)
-			l.pressure["a"] = report(1100 * time.Millisecond)
+			l.set("a", report(1100*time.Millisecond))
 			for range 20 {
 				is.Equal(s.run(dbop.Read).Code, dbop.OK)
 			}
@@ -76,7 +87,7 @@
 		b := f.open(t, "stale")
 		defer b.end()
 		for range 20 { // the replicas have room
-			l.pressure["a"] = report(0)
+			l.set("a", report(0))
 			is.Equal(b.run(dbop.Read).Code, dbop.OK)
 		}
 	})
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -49,6 +49,9 @@
 	target          ident.Target
 	log             zerolog.Logger
 	overloadedSince time.Time
+	// reported has the delays as of reportedAt.
+	reported   []uint32
+	reportedAt time.Time
 	// checking is set while a check is scheduled.
 	checking bool
 }
@@ -289,11 +292,19 @@
 	return q.queue.Len()
 }
 
-// delays returns the pairs for RelayOpened.delays.
+// delays returns the pairs for RelayOpened.delays. They are computed anew at most once
+// in turnCheckInterval, and must not be modified.
 func (q *turnQueue) delays() []uint32 {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.queue.AppendDelays(nil, time.Now())
+	now := time.Now()
+	if q.queue.Len() == 0 {
+		return nil
+	}
+	if now.Sub(q.reportedAt) > turnCheckInterval {
+		q.reported, q.reportedAt = q.queue.AppendDelays(nil, now), now
+	}
+	return q.reported
 }
 
 // item returns the request of a statement in the queue.
