End the turn of a write when it may be waiting for a replica

With slow replicas, slots stayed unused while statements waited.

Change: the turn of a write or commit counts for the mean time of reads at most, and only reads change that mean.

--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -42,7 +42,7 @@
 	current, free []*turn
 	slots         int
 	// transit is the mean time from a turn to the arrival of its statement, service
-	// the mean time from there to the answer.
+	// the mean time from there to the answer of a read.
 	transit, service time.Duration
 	// target and log are for reportOverload; overloadedSince is zero while there is no
 	// overload.
@@ -73,6 +73,8 @@
 	start      time.Time
 	isStarted  bool
 	isCounting bool
+	// writes is set for a statement that may wait for a replica without a slot.
+	writes bool
 }
 
 // errCrowded means that a turn is not expected in time.
@@ -196,7 +198,7 @@
 func (q *turnQueue) dropOverdue(now time.Time) {
 	q.current = slices.DeleteFunc(q.current, func(t *turn) bool {
 		if t.isStarted {
-			t.isCounting = now.Sub(t.start) < maxSlotHold
+			t.isCounting = now.Sub(t.start) < q.maxHold(t)
 		} else {
 			t.isCounting = now.Sub(t.since) < maxTurnTransit
 		}
@@ -204,6 +206,16 @@
 	})
 }
 
+// maxHold returns how long a turn counts at most after its statement was sent. For a
+// write that is the mean time of reads, since the rest is likely to be the wait for a
+// replica.
+func (q *turnQueue) maxHold(t *turn) time.Duration {
+	if t.writes && q.service > 0 {
+		return min(q.service, maxSlotHold)
+	}
+	return maxSlotHold
+}
+
 // dropGone refuses the waiting requests whose callers have closed their connections.
 func (q *turnQueue) dropGone() {
 	for t, w := range q.waiters {
@@ -249,11 +261,11 @@
 }
 
 // Start implements dbpool.Turn.
-func (t *turn) Start() {
+func (t *turn) Start(writes bool) {
 	q, now := t.q, time.Now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	t.isStarted, t.start = true, now
+	t.isStarted, t.start, t.writes = true, now, writes
 	q.transit = smooth(q.transit, now.Sub(t.since))
 }
 
@@ -263,8 +275,10 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if t.isStarted {
-		service := min(now.Sub(t.start), maxSlotHold)
-		q.service = smooth(q.service, service)
+		service := min(now.Sub(t.start), q.maxHold(t))
+		if !t.writes {
+			q.service = smooth(q.service, service)
+		}
 		q.queue.RecordWork(t.class, t.weight, t.start.Sub(t.since)+service)
 	}
 	if t.isCounting {
--- a/internal/relay/turn_test.go
+++ b/internal/relay/turn_test.go
@@ -31,7 +31,7 @@
 			return false
 		}
 		defer t.End()
-		t.Start()
+		t.Start(false)
 	}
 	db.conns <- struct{}{}
 	time.Sleep(2 * time.Millisecond) // the way to the borrower and back
@@ -106,6 +106,28 @@
 	})
 }
 
+// TestWritesWaitForReplica guards against slots that stay unused while writes wait for a
+// replica that does not answer.
+func TestWritesWaitForReplica(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := &turnQueue{}
+		take := func() *turn {
+			now := time.Now()
+			return q.await(context.Background(), 1, sched.Item{Class: "c", Workspace: "w", Objective: now.Add(time.Second), Deadline: now.Add(5 * time.Second)}, nil)
+		}
+		read := take()
+		read.Start(false)
+		time.Sleep(10 * time.Millisecond)
+		read.End()
+		for range 8 {
+			start := time.Now()
+			take().Start(true) // no answer
+			is.True(time.Since(start) <= 2*turnCheckInterval)
+		}
+	})
+}
+
 // BenchmarkTurn measures a turn while no request waits. It must not allocate.
 func BenchmarkTurn(b *testing.B) {
 	q := &turnQueue{}
@@ -115,7 +137,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		t := q.await(ctx, 5, it, nil)
-		t.Start()
+		t.Start(false)
 		t.End()
 	}
 }
