Test a lender killed while statements wait, remove unused estimates

Cause: no test covered the loss of a lender with waiting statements, and pkg/sched had three methods without a caller.

Change: TestLenderKilledWhileWaiting; Work, EstimateWait and Prune are removed.

--- a/internal/relay/ranked_test.go
+++ b/internal/relay/ranked_test.go
@@ -56,3 +56,40 @@
 	}
 	is.Equal(len(c.Executions("a", dbop.Read)), 2)
 }
+
+// TestLenderKilledWhileWaiting guards against a statement that is lost, or waits until its
+// deadline, when the lender in whose queue it waits is killed.
+func TestLenderKilledWhileWaiting(t *testing.T) {
+	is := is.New(t)
+	c := linktest.New("g", "a")
+	first, second := newLender(t, c, 8), newLender(t, c, 8)
+	for _, l := range []*lenderVM{first, second} {
+		l.server.ClassOf = func(ident.Class) catal.Class {
+			return catal.Class{ObjectiveMS: 10_000, DeadlineMS: 20_000}
+		}
+		l.server.Lends = func(ident.Group) bool { return true }
+	}
+	p := borrower(t, c, first, second)
+	m := member(c)
+	m.Slots = 1
+	type result struct {
+		conn *dbpool.Conn
+		err  error
+	}
+	results := make(chan result, 6)
+	for range cap(results) {
+		go func() {
+			conn, err := p.GetScheduled(in(10*time.Second), m, "w", 0, dbop.Scheduling{Class: "c", MaxWait: time.Second, Ranked: true})
+			results <- result{conn, err}
+		}()
+	}
+	for len(first.server.QueueStates()) == 0 || first.server.QueueStates()[0].Waiting < 4 {
+		time.Sleep(time.Millisecond)
+	}
+	first.stop()
+	for range cap(results) {
+		r := <-results
+		is.NoErr(r.err)
+		r.conn.Release(true)
+	}
+}
--- a/pkg/sched/doc.go
+++ b/pkg/sched/doc.go
@@ -28,6 +28,6 @@
 //	}
 //	if t, ok := q.Pop(now); ok {
 //		// run statement t, then record its service time
-//		q.RecordWork("c", took)
+//		q.RecordWork("c", 4, took)
 //	}
 package sched
--- a/pkg/sched/estimate.go
+++ b/pkg/sched/estimate.go
@@ -7,15 +7,6 @@
 	"chervilspan.example/pkg/ident"
 )
 
-// EstimateWait returns how long a new statement of a class that can meet its objective
-// is expected to wait.
-func (q *Queue) EstimateWait(name ident.Class, weight uint32, now time.Time) time.Duration {
-	if q.length == 0 {
-		return 0
-	}
-	return q.wait(q.classOf(name, weight), "", now)
-}
-
 // AppendDelays appends a pair for each weight: the weight, and the time in ms until a new
 // statement of a class with this weight is expected to be served. If it can't meet its
 // objective, that is the time until the backlog has been served, since statements in
--- a/pkg/sched/sched.go
+++ b/pkg/sched/sched.go
@@ -289,21 +289,6 @@
 	c.work += (took - c.work) / c.recorded
 }
 
-// Work returns the mean service time of a class, 0 while none is known.
-func (q *Queue) Work(name ident.Class) time.Duration {
-	for _, c := range q.classes {
-		if c.name == name {
-			return c.work
-		}
-	}
-	return 0
-}
-
-// Prune forgets the classes without waiting statements for which keep returns false.
-func (q *Queue) Prune(keep func(ident.Class) bool) {
-	q.classes = slices.DeleteFunc(q.classes, func(c *class) bool { return len(c.entries) == 0 && !keep(c.name) })
-}
-
 // Standing reports whether a class has a standing queue.
 func (q *Queue) Standing() bool {
 	return slices.ContainsFunc(q.classes, func(c *class) bool { return c.standing })
