--- a/internal/engine/config.go
+++ b/internal/engine/config.go
@@ -89,6 +89,8 @@
 type Meter interface {
 	CountAnswer(auth *access.Authorization, kind dbop.Kind, code dbop.Code, took time.Duration)
 	CountRetry(reason dbop.Code)
+	// CountShed counts a statement that was refused because of overload.
+	CountShed(auth *access.Authorization, cause ShedCause)
 }
 
 // Place is the location of the VM.
@@ -99,7 +101,7 @@
 	RegionOf func(ident.Zone) ident.Region
 }
 
-// Config configures an Engine. All fields but Ready, Clock, Meter and Log are
+// Config configures an Engine. All fields but Ready, VMs, Clock, Meter and Log are
 // required.
 type Config struct {
 	Access    Access
@@ -111,6 +113,8 @@
 	// Ready, unless nil, is closed when the VM is ready to serve. Logins wait
 	// for it for up to readyTimeout.
 	Ready <-chan struct{}
+	// VMs, unless nil, returns the number of VMs that share the databases.
+	VMs func() int
 	// Clock returns the time by which the age of data is measured; nil means
 	// time.Now. Machines that can be suspended need a clock that includes the
 	// time of suspension.
--- a/internal/engine/cost.go
+++ b/internal/engine/cost.go
@@ -147,6 +147,7 @@
 		e := s.e.cfg.Pools.Estimate(m, s.auth.Class)
 		c := readChoice{member: m}
 		c.total, c.load = readCost(m, s.e.cfg.Place, load, e, m.ID == primary, now)
+		c.total += s.queueDelay(m, now)
 		if e.Factor > 0 {
 			c.age = load.Age
 		}
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -12,6 +12,7 @@
 type noMeter struct{}
 
 func (noMeter) CountAnswer(*access.Authorization, dbop.Kind, dbop.Code, time.Duration) {}
+func (noMeter) CountShed(*access.Authorization, ShedCause)                             {}
 func (noMeter) CountRetry(dbop.Code)                                                   {}
 
 // recordAnswer records an answer in the metrics and logs it unless it is a success.
@@ -21,11 +22,14 @@
 	if a.Code == dbop.OK {
 		return
 	}
+	if cause := c.shedCause(); cause != "" && a.Code == dbop.Busy {
+		e.cfg.Meter.CountShed(&s.auth, cause)
+	}
 	ev := evlog.RequestRefused
 	if a.Code == dbop.Unknown || a.Code == dbop.Timeout {
 		ev = evlog.RequestUnanswered
 	}
-	evlog.At(e.cfg.Log, ev).Str("request", c.st.ID).Str("route", string(s.login.Route)).
+	c.logPressure(evlog.At(e.cfg.Log, ev)).Str("request", c.st.ID).Str("route", string(s.login.Route)).
 		Str("workspace", string(s.auth.Workspace)).Str("code", a.Code.String()).Str("why", a.Text).
 		Str("last", c.lastCode.String()).Bool("offered", c.offered).Dur("took", took).
 		Uint64("version", uint64(s.catalogueVersion())).Send()
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -49,6 +49,12 @@
 	if c.mayHaveRun {
 		return dbop.Answer{Code: dbop.Timeout, Text: "the database did not answer in time"}
 	}
+	switch {
+	case c.primaryExpected > 0:
+		return c.noPrimaryRefusal()
+	case c.lastCode == dbop.Crowded:
+		return c.crowdedRefusal()
+	}
 	return dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("not run: no database could serve in time (%s); retry after %d ms", c.lastCode, busyRetryAfter.Milliseconds())}
 }
 
@@ -56,9 +62,9 @@
 // database would not come in time.
 func (c *call) crowdedRefusal() dbop.Answer {
 	if c.mayHaveRun {
-		return c.refusal()
+		return dbop.Answer{Code: dbop.Timeout, Text: "the database did not answer in time"}
 	}
-	return dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("not run: too many statements wait for the database; retry after %d ms", busyRetryAfter.Milliseconds())}
+	return dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("not run: too many statements wait for the database; retry after %d ms", c.retryAfter().Milliseconds())}
 }
 
 // beginAtPrimary returns a connection to the primary on which the engine opened a
@@ -67,7 +73,7 @@
 func (s *Session) beginAtPrimary(c *call) (conn *dbpool.Conn, ok bool) {
 	var b backoff
 	for c.canAttempt() {
-		m, found := s.e.cfg.Primaries.Await(c.deadline, s.auth.Group)
+		m, found := s.awaitPrimary(c)
 		if !found {
 			c.lastCode = dbop.ReadOnly
 			return nil, false
@@ -77,6 +83,9 @@
 			return conn, true
 		}
 		s.recordFailure(c, m.ID, why)
+		if why == dbop.Crowded {
+			return nil, false // only the primary could run it
+		}
 		b.wait(c)
 	}
 	return nil, false
@@ -85,7 +94,7 @@
 // beginAt returns a connection to a database on which the session's settings are
 // applied and a transaction is open, or nil and the reason for the failure.
 func (s *Session) beginAt(c *call, m *roster.Member, begin dbop.Statement) (*dbpool.Conn, dbop.Code) {
-	conn, err := s.e.cfg.Pools.Get(c.deadline, m, s.auth.Workspace, s.owner)
+	conn, err := s.getConn(c, c.deadline, m)
 	if err != nil {
 		return nil, s.handleGetError(m, err)
 	}
@@ -284,7 +293,7 @@
 	if a, done, ok := s.readRemotely(c, m, floor); ok {
 		return a, done
 	}
-	conn, err := s.e.cfg.Pools.Get(s.connDeadline(c), m, s.auth.Workspace, s.owner)
+	conn, err := s.getConn(c, s.connDeadline(c), m)
 	if err != nil {
 		s.recordFailure(c, m.ID, s.handleGetError(m, err))
 		return a, false
@@ -319,8 +328,13 @@
 // readRemotely is readAt for a database whose connections another VM lends, which then
 // runs the read as a whole. ok is false when a connection has to be used.
 func (s *Session) readRemotely(c *call, m *roster.Member, floor ident.Position) (a dbop.Answer, done, ok bool) {
+	if err := s.checkOverload(c, m); err != nil {
+		s.recordFailure(c, m.ID, s.handleGetError(m, err))
+		return a, false, true
+	}
 	st := c.st
 	st.Floor, st.Scheduling = floor, c.scheduling
+	st.Scheduling.Spent = time.Since(c.start)
 	r := dbpool.Read{Setup: s.setup(&c.st), Statement: st, ConnDeadline: s.connDeadline(c), Limit: time.Until(s.attemptDeadline(c)), Deadline: c.deadline}
 	res, ok := s.e.cfg.Pools.ReadRemotely(m, s.auth.Workspace, s.owner, &r)
 	c.mayHaveRun = c.mayHaveRun || res.MayHaveRun
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -13,7 +13,7 @@
 func (s *Session) write(c *call) dbop.Answer {
 	var b backoff
 	for c.canAttempt() {
-		m, ok := s.e.cfg.Primaries.Await(c.deadline, s.auth.Group)
+		m, ok := s.awaitPrimary(c)
 		if !ok {
 			c.lastCode = dbop.ReadOnly
 			break
@@ -22,6 +22,9 @@
 		if done {
 			return a
 		}
+		if c.lastCode == dbop.Crowded {
+			return c.crowdedRefusal()
+		}
 		b.wait(c)
 	}
 	return c.refusal()
@@ -30,7 +33,7 @@
 // writeAt sends a write to one database. done is false when it was not run and may
 // be sent again.
 func (s *Session) writeAt(c *call, m *roster.Member) (a dbop.Answer, done bool) {
-	conn, err := s.e.cfg.Pools.Get(c.deadline, m, s.auth.Workspace, s.owner)
+	conn, err := s.getConn(c, c.deadline, m)
 	if err != nil {
 		s.recordFailure(c, m.ID, s.handleGetError(m, err))
 		return a, false
@@ -51,6 +54,9 @@
 	a = answers[0]
 	conn.Release(true)
 	if a.Code == dbop.OK {
+		if c.scheduling.Ranked {
+			s.e.absences.recordService(m.Group, s.e.cfg.Clock().Sub(sent))
+		}
 		s.recordCommit(m.Group, m.ID, a.Position, sent)
 		return a, true
 	}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -69,6 +69,7 @@
 	mu          sync.Mutex
 	idleStreams map[string][]*loan
 	loads       map[ident.Target]reportedLoad
+	pressure    map[pressureKey]dbpool.Pressure
 }
 
 // reportedLoad is the load of a database as last reported by a lender, with the
@@ -86,12 +87,12 @@
 
 // Borrow implements dbpool.Lender. A lender that fails is skipped for some time.
 // When no lender remains, this VM uses local connections.
-func (c *Client) Borrow(deadline time.Time, m *roster.Member, ws ident.Workspace, owner dbpool.Owner) (dbpool.LentConn, bool, error) {
+func (c *Client) Borrow(deadline time.Time, m *roster.Member, ws ident.Workspace, owner dbpool.Owner, sched dbop.Scheduling) (dbpool.LentConn, bool, error) {
 	for _, address := range c.cfg.Lenders(m, ws) {
 		if c.avoid.Has(address) || c.avoid.Has(atTarget(address, m.ID)) {
 			continue
 		}
-		lent, err := c.borrow(deadline, address, m, ws, owner)
+		lent, err := c.borrow(deadline, address, m, ws, owner, sched)
 		if err == nil {
 			return lent, true, nil
 		}
@@ -143,7 +144,7 @@
 }
 
 // borrow requests a connection from one lender.
-func (c *Client) borrow(deadline time.Time, address string, m *roster.Member, ws ident.Workspace, owner dbpool.Owner) (dbpool.LentConn, *dbpool.Error) {
+func (c *Client) borrow(deadline time.Time, address string, m *roster.Member, ws ident.Workspace, owner dbpool.Owner, sched dbop.Scheduling) (dbpool.LentConn, *dbpool.Error) {
 	failed := func(err error) (dbpool.LentConn, *dbpool.Error) {
 		return dbpool.LentConn{}, &dbpool.Error{Op: "borrow", Kind: dbpool.KindLenderFailed, Target: m.ID, Err: err}
 	}
@@ -152,6 +153,8 @@
 		return failed(err)
 	}
 	open := toOpen(m, ws, owner)
+	l.class = rankedClass(sched)
+	open.Class, open.Spent = string(l.class), uint32(sched.Spent/spentUnit)
 	open.WaitMs = uint32(max(0, time.Until(deadline).Milliseconds()))
 	if err := l.send(&peerpb.RelayRequest{Step: &peerpb.RelayRequest_Open{Open: open}}); err != nil {
 		return failed(err)
@@ -161,7 +164,12 @@
 		if r.GetTaken().Reads {
 			c.readers.Add(address)
 		}
+		stop := c.watchCaller(l, pressureKey{m.ID, address}, sched)
 		r, err = l.receive(deadline.Add(replyMargin))
+		if stop != nil && !stop() {
+			l.abort()
+			return dbpool.LentConn{}, &dbpool.Error{Op: "borrow", Kind: dbpool.KindRefused, Target: m.ID, Code: dbop.Crowded, Err: errCallerGone}
+		}
 	}
 	if err != nil {
 		return failed(err)
@@ -173,6 +181,7 @@
 	}
 	c.recordLoad(m.ID, o)
 	c.recordSpeed(m, o)
+	c.recordPressure(pressureKey{m.ID, address}, o.Delays)
 	if o.Failure != 0 {
 		c.keepStream(l)
 		return dbpool.LentConn{}, &dbpool.Error{Op: "borrow", Kind: dbpool.Kind(o.Failure), Target: m.ID, Code: dbop.Code(o.Code)}
@@ -260,6 +269,7 @@
 			delete(c.idleStreams, address)
 		}
 	}
+	maps.DeleteFunc(c.pressure, func(_ pressureKey, p dbpool.Pressure) bool { return !p.IsFresh(now) })
 	maps.DeleteFunc(c.loads, func(_ ident.Target, l reportedLoad) bool {
 		return l.ownLoans == 0 && now.Sub(l.reportedAt) > streamIdleTimeout
 	})
--- a/internal/relay/read_client.go
+++ b/internal/relay/read_client.go
@@ -52,8 +52,14 @@
 	}
 	res.MayHaveRun = true
 	reply, err := l.receive(time.Now().Add(takenTimeout))
+	key := pressureKey{m.ID, address}
 	if err == nil && reply.GetTaken() != nil {
+		stop := c.watchCaller(l, key, r.Statement.Scheduling)
 		reply, err = l.receive(r.Deadline.Add(replyMargin))
+		if stop != nil && !stop() {
+			l.abort()
+			return res, &dbpool.Error{Op: "read", Kind: dbpool.KindRefused, Target: m.ID, Code: dbop.Crowded, Err: errCallerGone}
+		}
 	}
 	if err != nil {
 		return failed(err)
@@ -66,6 +72,7 @@
 	res.MayHaveRun = false
 	c.recordLoad(m.ID, done.Opened)
 	c.recordSpeed(m, done.Opened)
+	c.recordPressure(key, done.Opened.Delays)
 	c.keepStream(l)
 	if kind := done.Opened.Failure; kind != 0 {
 		return res, &dbpool.Error{Op: "read", Kind: dbpool.Kind(kind), Target: m.ID, Code: dbop.Code(done.Opened.Code)}
@@ -75,9 +82,11 @@
 
 func toRead(m *roster.Member, ws ident.Workspace, owner dbpool.Owner, r *dbpool.Read) *peerpb.RelayRead {
 	open := toOpen(m, ws, owner)
+	class := rankedClass(r.Statement.Scheduling)
+	open.Class, open.Spent = string(class), uint32(r.Statement.Scheduling.Spent/spentUnit)
 	open.WaitMs = uint32(max(0, time.Until(r.ConnDeadline).Milliseconds()))
 	out := &peerpb.RelayRead{
-		Open: open, Variables: toVariables(r.Setup.Vars), Statement: toStatement(&r.Statement),
+		Open: open, Variables: toVariables(r.Setup.Vars), Statement: withoutClass([]*peerpb.RelayStatement{toStatement(&r.Statement)}, class)[0],
 		LimitMs: uint32(max(0, r.Limit.Milliseconds())), TotalMs: uint32(max(0, time.Until(r.Deadline).Milliseconds())),
 	}
 	if r.Setup.Prepare.Kind == dbop.Prepare {
--- a/internal/relay/read_server.go
+++ b/internal/relay/read_server.go
@@ -1,13 +1,13 @@
 package relay
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/dbop"
-	"chervilspan.example/pkg/ident"
 )
 
 // takenDelay is how long a read may take before the borrower is told that the lender
@@ -30,7 +30,7 @@
 	defer s.loans.Done()
 	defer s.lent.Add(-1)
 	taken := newTakenNotice(st)
-	done, err := s.runRead(r)
+	done, err := s.runRead(st.Context(), r)
 	if err != nil {
 		return err
 	}
@@ -79,7 +79,7 @@
 }
 
 // runRead gets a connection, sets it up and runs the read.
-func (s *Server) runRead(r *peerpb.RelayRead) (*peerpb.RelayReadDone, error) {
+func (s *Server) runRead(ctx context.Context, r *peerpb.RelayRead) (*peerpb.RelayReadDone, error) {
 	sts, ok := fromStatements([]*peerpb.RelayStatement{r.Statement})
 	if !ok || sts[0].Kind != dbop.Read && (sts[0].Kind != dbop.Execute || sts[0].Writes) {
 		return nil, errNotARead
@@ -92,8 +92,9 @@
 		}
 		setup.Prepare = prepare[0]
 	}
+	setClass(sts, s.classWeight(openScheduling(r.Open)))
 	m, start := fromOpen(r.Open), time.Now()
-	conn, err := s.Pools.GetLocal(start.Add(time.Duration(r.Open.WaitMs)*time.Millisecond), m, ident.Workspace(r.Open.Workspace), dbpool.Owner(r.Open.Owner))
+	conn, err := s.connInTurn(ctx, start.Add(time.Duration(r.Open.WaitMs)*time.Millisecond), m, r.Open)
 	done := &peerpb.RelayReadDone{Opened: s.loadReply(m)}
 	if conn == nil {
 		setFailure(done.Opened, err)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -1,16 +1,19 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/internal/proto/peerpb"
+	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
@@ -20,9 +23,16 @@
 // first use.
 type Server struct {
 	Pools *dbpool.Pools
+	// ClassOf returns the objective and deadline of a class. Lends reports whether
+	// connections to the databases of a group are lent. Requests have no order unless
+	// both are set.
+	ClassOf func(ident.Class) catal.Class
+	Lends   func(ident.Group) bool
+	Log     zerolog.Logger
 
 	mu     sync.Mutex
 	queues map[ident.Target]*readQueue
+	turns  map[ident.Target]*turnQueue
 
 	stopping atomic.Bool
 	loans    sync.WaitGroup
@@ -93,7 +103,8 @@
 	}
 	m := fromOpen(o)
 	deadline := time.Now().Add(time.Duration(o.WaitMs) * time.Millisecond)
-	conn, err := s.Pools.GetLocal(deadline, m, ident.Workspace(o.Workspace), dbpool.Owner(o.Owner))
+	sched := openScheduling(o)
+	conn, err := s.connInTurn(st.Context(), deadline, m, o)
 	reply := s.openResult(m, conn, err)
 	if conn == nil {
 		return st.Send(openedReply(reply))
@@ -102,7 +113,17 @@
 		conn.Release(true)
 		return err
 	}
-	return s.run(st, m, conn)
+	return s.run(st, m, conn, s.classWeight(sched))
+}
+
+// connInTurn returns a connection for a borrower once its request has its turn.
+func (s *Server) connInTurn(ctx context.Context, deadline time.Time, m *roster.Member, o *peerpb.RelayOpen) (*dbpool.Conn, error) {
+	ws := ident.Workspace(o.Workspace)
+	turn, err := s.Await(ctx, deadline, m, ws, openScheduling(o))
+	if err != nil {
+		return nil, err
+	}
+	return s.Pools.GetWithTurn(deadline, m, ws, dbpool.Owner(o.Owner), turn)
 }
 
 func takenReply() *peerpb.RelayReply {
@@ -116,7 +137,10 @@
 // loadReply returns the load of a database for a borrower.
 func (s *Server) loadReply(m *roster.Member) *peerpb.RelayOpened {
 	load, queue := s.Pools.LocalLoad(m, ""), s.queueOf(m.ID)
-	return &peerpb.RelayOpened{Busy: uint32(queue.runningCount()), Waiting: uint32(load.Waiting + queue.waitingCount()), Faults: float32(load.FailureRate)}
+	return &peerpb.RelayOpened{
+		Busy: uint32(queue.runningCount()), Waiting: uint32(load.Waiting + queue.waitingCount()), Faults: float32(load.FailureRate),
+		Delays: s.turnsOf(m.ID).delays(),
+	}
 }
 
 // setFailure records why there is no connection.
@@ -147,7 +171,7 @@
 
 // run executes the borrower's statements until the connection is returned. When
 // the stream ends before that, a connection that has been used is closed.
-func (s *Server) run(st serverStream, m *roster.Member, conn *dbpool.Conn) error {
+func (s *Server) run(st serverStream, m *roster.Member, conn *dbpool.Conn, sched dbop.Scheduling) error {
 	used := false
 	for {
 		r, err := st.Recv()
@@ -161,7 +185,7 @@
 			return nil
 		case *peerpb.RelayRequest_Run:
 			used = true
-			if err := st.Send(s.runStatements(m, conn, step.Run)); err != nil {
+			if err := st.Send(s.runStatements(m, conn, step.Run, sched)); err != nil {
 				conn.Release(false)
 				return err
 			}
@@ -172,10 +196,11 @@
 	}
 }
 
-func (s *Server) runStatements(m *roster.Member, conn *dbpool.Conn, r *peerpb.RelayRun) *peerpb.RelayReply {
+func (s *Server) runStatements(m *roster.Member, conn *dbpool.Conn, r *peerpb.RelayRun, sched dbop.Scheduling) *peerpb.RelayReply {
 	ran := &peerpb.RelayRan{Broken: true}
 	deadline := time.Now().Add(time.Duration(r.LimitMs) * time.Millisecond)
 	if sts, ok := fromStatements(r.Statements); ok {
+		setClass(sts, sched)
 		answers, err := s.runInTurn(m, conn, deadline, sts)
 		ran.Answers, ran.Broken = toAnswers(answers), err != nil
 	}
--- a/pkg/dbop/dbop.go
+++ b/pkg/dbop/dbop.go
@@ -72,6 +72,15 @@
 	// MaxWait is the longest time that the statement may queue; with 0 it runs
 	// without queueing.
 	MaxWait time.Duration
+	// Ranked is set where routes differ in priority: the request then waits for its
+	// turn, by priority and objective, before it gets a connection.
+	Ranked bool
+	// Spent is how long the statement has been served for.
+	Spent time.Duration
+	// Gone, unless nil, reports whether the caller has closed its connection, so that
+	// the statement need not run. It may be called from any goroutine while the
+	// statement is served.
+	Gone func() bool
 }
 
 // Code is the result of a statement.
