Start statements with less time left before the last moment

Cause: where urgent statements take longer, others have more value for each slot second.

Change: a class with less time left goes first whenever all statements of more value can still be in time after it.

--- a/pkg/sched/doc.go
+++ b/pkg/sched/doc.go
@@ -4,9 +4,8 @@
 // Statements that can still meet their objective are served before late ones. Among
 // them, the class with the most value for each second of slot time comes first,
 // where the weight stands for the value and the mean service time of the class for
-// the slot time. A less valuable class goes first when it would otherwise miss its
-// objective and the more valuable ones all still meet theirs after it. Each class
-// with waiting statements gets at least FloorShare of the slot time. Within a class,
+// the slot time. A class with less time left goes before them if all statements of more
+// value still meet their objective after it. Each class with waiting statements gets at least FloorShare of the slot time. Within a class,
 // workspaces get equal shares.
 //
 // In a standing queue, in which the oldest statement of a class has waited for more
--- a/pkg/sched/load_test.go
+++ b/pkg/sched/load_test.go
@@ -288,3 +288,18 @@
 	is.True(ours["middle"].met+ours["middle"].late >= ours["middle"].asked*99/100)
 	is.True(value(kinds, ours) > value(kinds, former))
 }
+
+// TestLongUrgent guards against urgent statements that take several times as long as the
+// others, so that these have more value for each slot second, and miss their objective in
+// a burst of the least valuable class because they are started at the last moment.
+func TestLongUrgent(t *testing.T) {
+	is := is.New(t)
+	kinds := threeKinds(1, 1, 2.6)
+	for i, k := range []struct{ work, rate float64 }{{40, 45}, {15, 70}, {8, 100}} {
+		kinds[i].work, kinds[i].rate = time.Duration(k.work)*time.Millisecond, burst(k.rate, []float64{1, 1, 2.6}[i])
+	}
+	ours, _, _, _ := compare(t, 14*time.Second, 9*time.Second, kinds...)
+	is.True(ours["urgent"].metShare() >= 0.99)
+	is.True(ours["middle"].metShare() >= 0.99)
+	is.True(ours["least"].metShare() >= 0.95)
+}
--- a/pkg/sched/order.go
+++ b/pkg/sched/order.go
@@ -103,11 +103,12 @@
 	return dense
 }
 
-// urgentClass returns a class that would miss its objective if dense were served
-// first, while every more valuable statement still meets its own after it.
+// urgentClass returns a class that has to start earlier than dense to meet its objective,
+// if every more valuable statement still meets its own after it. It is served before its
+// last moment, since service times vary.
 func (q *Queue) urgentClass(dense *class) *class {
 	for _, c := range q.classes {
-		if c == dense || c.inTime == 0 || c.slack > dense.expectedWork() {
+		if c == dense || c.inTime == 0 || c.slack > dense.slack {
 			continue
 		}
 		backlog, slack := c.expectedWork(), dense.slack
