Restrict routes and workspaces to regions

Cause: the configuration may list the regions whose databases may serve a route or a workspace (docs/load.md, part 1); the lists were ignored.

Change: pkg/place has the set of allowed regions, a comparable value that access.Authorization carries. The engine chooses databases within it, passes over lenders and backups that are neither in it nor in the entry VM's region, and refuses at once when no database remains or the primary is elsewhere. A refused statement has the primary probed at most once a second, since a VM that only refuses would not hear of another primary. A name that no zone has is logged once for each version. Documents of the product's own deployment are refused if they have such lists, because its daemon does not enforce them.

Result: deployments without lists are served as before. Safeguards removed in turn: the check of the primary's region, the filter of read targets and the check for an empty choice each fail TestAllowedRegions; the probe fails TestRegionsAfterMove; keeping the authorization of an open transaction fails TestRegionsInTransaction; the filter of lenders fails TestLendersInRegions. The expected list of a workspace's fields in TestReadProblems has the new field.

--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -8,6 +8,7 @@
 
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -47,10 +48,12 @@
 	// Borrow returns a connection that another VM holds. ok is false when this
 	// VM must use a local connection. The error is an *Error; no statement was
 	// run then.
-	Borrow(deadline time.Time, m *roster.Member, ws ident.Workspace, owner Owner) (l LentConn, ok bool, err error)
+	//
+	// Only VMs in the allowed regions, or in this VM's own, are asked.
+	Borrow(deadline time.Time, m *roster.Member, ws ident.Workspace, owner Owner, allowed place.Regions) (l LentConn, ok bool, err error)
 	// Load returns the known load of a database to which this VM borrows
 	// connections. ok is false when this VM uses local connections.
-	Load(m *roster.Member, ws ident.Workspace) (l Load, ok bool)
+	Load(m *roster.Member, ws ident.Workspace, allowed place.Regions) (l Load, ok bool)
 }
 
 // Get returns a connection of a workspace to a database; ws "" accepts a
@@ -58,10 +61,16 @@
 // Get returns an *Error when no connection is available by the deadline; no
 // statement was run then.
 func (s *Pools) Get(deadline time.Time, m *roster.Member, ws ident.Workspace, owner Owner) (*Conn, error) {
+	return s.GetWithin(deadline, m, ws, owner, place.Regions{})
+}
+
+// GetWithin is like Get for a request that may be sent only to VMs in the allowed
+// regions or in this VM's own.
+func (s *Pools) GetWithin(deadline time.Time, m *roster.Member, ws ident.Workspace, owner Owner, allowed place.Regions) (*Conn, error) {
 	if s.Lender == nil {
 		return s.GetLocal(deadline, m, ws, owner)
 	}
-	l, ok, err := s.Lender.Borrow(deadline, m, ws, owner)
+	l, ok, err := s.Lender.Borrow(deadline, m, ws, owner, allowed)
 	if !ok {
 		return s.GetLocal(deadline, m, ws, owner)
 	}
@@ -130,10 +139,11 @@
 	FailureRate float64
 }
 
-// Load returns the load of a database for a request of the workspace.
-func (s *Pools) Load(m *roster.Member, ws ident.Workspace) Load {
+// Load returns the load of a database for a request of the workspace that may be sent
+// only to VMs in the allowed regions or in this VM's own.
+func (s *Pools) Load(m *roster.Member, ws ident.Workspace, allowed place.Regions) Load {
 	if s.Lender != nil {
-		if l, ok := s.Lender.Load(m, ws); ok {
+		if l, ok := s.Lender.Load(m, ws, allowed); ok {
 			return l
 		}
 	}
--- a/internal/engine/cost.go
+++ b/internal/engine/cost.go
@@ -66,7 +66,7 @@
 // chooseReadTarget returns the database with the least estimated cost among those
 // not yet tried. ok is false if all were tried.
 func (s *Session) chooseReadTarget(tried map[ident.Target]bool) (*roster.Member, bool) {
-	members := s.e.cfg.Roster.UsableMembers(s.auth.Group)
+	members := s.placedMembers()
 	primary, _ := s.e.cfg.Roster.Primary(s.auth.Group)
 	now := time.Now()
 	best, bestCost := -1, time.Duration(0)
@@ -75,7 +75,7 @@
 		if tried[m.ID] {
 			continue
 		}
-		load := s.e.cfg.Pools.Load(m, s.auth.Workspace)
+		load := s.e.cfg.Pools.Load(m, s.auth.Workspace, s.auth.Regions)
 		if cost := readCost(m, s.e.cfg.Place, load, m.ID == primary, now); best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,7 @@
 
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
 )
 
 // stopPhase is the phase of a planned stop.
@@ -30,6 +31,8 @@
 
 	mu       sync.Mutex
 	sessions map[*Session]bool
+	// recheckedAt is when a group's primary was last asked about by recheckPrimary.
+	recheckedAt map[ident.Group]time.Time
 	// drained is created by Wait and closed when the last session ends.
 	drained chan struct{}
 }
@@ -42,7 +45,7 @@
 	if cfg.Meter == nil {
 		cfg.Meter = noMeter{}
 	}
-	return &Engine{cfg: cfg, started: time.Now(), sessions: map[*Session]bool{}}
+	return &Engine{cfg: cfg, started: time.Now(), sessions: map[*Session]bool{}, recheckedAt: map[ident.Group]time.Time{}}
 }
 
 // readyTimeout bounds how long a login waits for the VM to become ready. It is
--- a/internal/engine/fixture_test.go
+++ b/internal/engine/fixture_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -179,7 +180,7 @@
 		wg.Go(func() { monitor.Run(ctx) })
 		fx.e = engine.New(engine.Config{
 			Access: fx, Limiter: fx, Primaries: monitor, Pools: pools, Roster: fx.c.Roster(),
-			Place: engine.Place{Zone: "z", RegionOf: func(ident.Zone) ident.Region { return "" }},
+			Place: engine.Place{Zone: "z", RegionOf: func(z ident.Zone) ident.Region { return ident.Region(strings.TrimPrefix(string(z), "z")) }},
 		})
 		time.Sleep(2 * time.Second)
 		f(t, fx)
--- /dev/null
+++ b/internal/engine/place_test.go
@@ -0,0 +1,106 @@
+package engine_test
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilspan.example/internal/linktest"
+	"chervilspan.example/pkg/access"
+	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
+)
+
+// limit restricts the workspace of the fixture's key to regions in a new version, and
+// places the databases a, b and c in zones z1, z2 and z2 of regions 1 and 2.
+func (f *fixture) limit(version ident.Version, list ...ident.Region) {
+	for id, z := range map[ident.Target]ident.Zone{"a": "z1", "b": "z2", "c": "z2"} {
+		f.c.Update(id, func(d *linktest.DB) { d.Zone = z })
+	}
+	f.c.UpdateRoster()
+	c := catalogue(version, "key")
+	w := c.Workspaces["w"]
+	w.Regions = list
+	c.Workspaces["w"] = w
+	f.set(func(f *fixture) { f.index = access.NewKeyIndex(c) })
+}
+
+// bodies returns the number of reads and writes that a database has run.
+func (f *fixture) bodies(id ident.Target) int {
+	return len(f.c.Executions(id, dbop.Read)) + len(f.c.Executions(id, dbop.Write))
+}
+
+// refusedFor reports whether an answer is a refusal for a reason, sent at once.
+func refusedFor(a dbop.Answer, reason string, began time.Time) bool {
+	return a.Code == dbop.Busy && strings.HasPrefix(a.Text, "not run: "+reason) && time.Since(began) < 100*time.Millisecond
+}
+
+const outside = "no database in the allowed regions; retry after "
+
+// TestAllowedRegions guards against a statement that reaches a database outside the
+// allowed regions, and against a refusal that waits for a primary which is elsewhere.
+func TestAllowedRegions(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		is := is.New(t)
+		f.limit(2, "2")
+		bounded, primary := f.open(t, "bounded"), f.open(t, "primary")
+		for range 20 {
+			is.Equal(bounded.run(dbop.Read).Code, dbop.OK)
+		}
+		is.Equal(f.bodies("a"), 0)
+		for _, k := range []dbop.Kind{dbop.Read, dbop.Write} {
+			is.True(refusedFor(primary.run(k), outside, time.Now()))
+		}
+		is.Equal(primary.run(dbop.Begin).Code, dbop.OK)
+		is.True(refusedFor(primary.run(dbop.Read), outside, time.Now()))
+		is.Equal(primary.run(dbop.Rollback).Code, dbop.OK)
+		f.limit(3, "1")
+		is.Equal(primary.run(dbop.Write).Code, dbop.OK)
+		is.Equal(bounded.run(dbop.Read).Signature, "sig-a")
+		f.limit(4, "3")
+		began := time.Now()
+		for _, s := range []*session{bounded, primary} {
+			is.True(refusedFor(s.run(dbop.Read), outside, began))
+		}
+		is.Equal(f.bodies("b")+f.bodies("c"), 20)
+		bounded.end()
+		primary.end()
+	})
+}
+
+// TestRegionsInTransaction guards against a transaction that is moved or refused because
+// the lists change while it is open.
+func TestRegionsInTransaction(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		is := is.New(t)
+		f.limit(2, "1")
+		s := f.open(t, "primary")
+		is.Equal(s.run(dbop.Begin).Code, dbop.OK)
+		f.limit(3, "2")
+		is.Equal(s.run(dbop.Write).Code, dbop.OK)
+		is.Equal(s.run(dbop.Commit).Code, dbop.OK)
+		is.True(refusedFor(s.run(dbop.Begin), "", time.Now()) || refusedFor(s.run(dbop.Write), outside, time.Now()))
+		s.end()
+	})
+}
+
+// TestRegionsAfterMove guards against a VM that goes on refusing because it takes the
+// former primary, outside the allowed regions, for the present one.
+func TestRegionsAfterMove(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		is := is.New(t)
+		f.limit(2, "2")
+		s := f.open(t, "primary")
+		is.True(refusedFor(s.run(dbop.Write), outside, time.Now()))
+		time.Sleep(2 * time.Second)
+		f.c.Promote("b")
+		s.run(dbop.Write)
+		synctest.Wait()
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(s.run(dbop.Write).Signature, "sig-b")
+		s.end()
+	})
+}
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -50,6 +50,9 @@
 	if c.mayHaveRun {
 		return dbop.Answer{Code: dbop.Timeout, Text: "the database did not answer in time"}
 	}
+	if c.unplaced != "" {
+		return c.unplacedRefusal()
+	}
 	return dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("not run: no database could serve in time (%s); retry after %d ms", c.lastCode, busyRetryAfter.Milliseconds())}
 }
 
@@ -68,9 +71,8 @@
 func (s *Session) beginAtPrimary(c *call) (conn *dbpool.Conn, ok bool) {
 	var b backoff
 	for c.canAttempt() {
-		m, found := s.e.cfg.Primaries.Await(c.deadline, s.auth.Group)
+		m, found := s.awaitPrimary(c)
 		if !found {
-			c.lastCode = dbop.ReadOnly
 			return nil, false
 		}
 		conn, why := s.beginAt(c, &m, dbop.Statement{Kind: dbop.Begin})
@@ -86,7 +88,7 @@
 // beginAt returns a connection to a database on which the session's settings are
 // applied and a transaction is open, or nil and the reason for the failure.
 func (s *Session) beginAt(c *call, m *roster.Member, begin dbop.Statement) (*dbpool.Conn, dbop.Code) {
-	conn, err := s.e.cfg.Pools.Get(c.deadline, m, s.auth.Workspace, s.owner)
+	conn, err := s.getConn(c.deadline, m)
 	if err != nil {
 		return nil, s.handleGetError(m, err)
 	}
@@ -235,7 +237,7 @@
 func (s *Session) readAny(c *call) dbop.Answer {
 	var b backoff
 	tried := map[ident.Target]bool{}
-	for c.canAttempt() {
+	for c.canAttempt() && s.canPlace(c) {
 		floor, ok := s.floor(c)
 		if !ok {
 			// Without a confirmed position, only the primary is known to have the
@@ -277,7 +279,7 @@
 // readAt runs a read at one database. done is false when another one may be
 // tried.
 func (s *Session) readAt(c *call, m *roster.Member, floor ident.Position) (a dbop.Answer, done bool) {
-	conn, err := s.e.cfg.Pools.Get(s.connDeadline(c), m, s.auth.Workspace, s.owner)
+	conn, err := s.getConn(s.connDeadline(c), m)
 	if err != nil {
 		s.recordFailure(c, m.ID, s.handleGetError(m, err))
 		return a, false
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -80,6 +80,8 @@
 	mayHaveRun bool
 	// scheduling holds the queueing parameters of the statement at a database.
 	scheduling dbop.Scheduling
+	// unplaced, unless empty, is why no database may serve the statement.
+	unplaced string
 	// lastCode is the reason why the last attempt failed.
 	lastCode dbop.Code
 }
--- a/internal/engine/txn.go
+++ b/internal/engine/txn.go
@@ -263,7 +263,7 @@
 	}
 	var b backoff
 	tried := map[ident.Target]bool{}
-	for c.canAttempt() {
+	for c.canAttempt() && s.canPlace(c) {
 		floor, ok := s.floor(&call{receivedAt: tx.beganAt, deadline: c.deadline})
 		if !ok {
 			return s.startAtPrimary(c, tx)
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -13,9 +13,8 @@
 func (s *Session) write(c *call) dbop.Answer {
 	var b backoff
 	for c.canAttempt() {
-		m, ok := s.e.cfg.Primaries.Await(c.deadline, s.auth.Group)
+		m, ok := s.awaitPrimary(c)
 		if !ok {
-			c.lastCode = dbop.ReadOnly
 			break
 		}
 		a, done := s.writeAt(c, &m)
@@ -30,7 +29,7 @@
 // writeAt sends a write to one database. done is false when it was not run and may
 // be sent again.
 func (s *Session) writeAt(c *call, m *roster.Member) (a dbop.Answer, done bool) {
-	conn, err := s.e.cfg.Pools.Get(c.deadline, m, s.auth.Workspace, s.owner)
+	conn, err := s.getConn(c.deadline, m)
 	if err != nil {
 		s.recordFailure(c, m.ID, s.handleGetError(m, err))
 		return a, false
--- a/internal/linktest/linktest.go
+++ b/internal/linktest/linktest.go
@@ -11,6 +11,7 @@
 package linktest
 
 import (
+	"cmp"
 	"errors"
 	"maps"
 	"sync"
@@ -41,6 +42,8 @@
 type DB struct {
 	ID      ident.Target
 	Primary bool
+	// Zone is the availability zone in the roster; empty means "z".
+	Zone ident.Zone
 	// Index is that of the last log entry received and applied.
 	Index uint64
 	Term  ident.Term
@@ -108,7 +111,7 @@
 	var out []roster.Entry
 	for id, d := range c.dbs {
 		if !d.Removed && !d.Unlisted {
-			out = append(out, roster.Entry{ID: id, Group: c.Group, Address: string(id), Zone: "z", Slots: 4, Primary: d.Primary, ProcessStart: 1, Sequence: time.Now().UnixNano()})
+			out = append(out, roster.Entry{ID: id, Group: c.Group, Address: string(id), Zone: cmp.Or(d.Zone, "z"), Slots: 4, Primary: d.Primary, ProcessStart: 1, Sequence: time.Now().UnixNano()})
 		}
 	}
 	c.mu.Unlock()
--- a/internal/node/lend.go
+++ b/internal/node/lend.go
@@ -8,6 +8,7 @@
 
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/member"
+	"chervilspan.example/pkg/place"
 	"chervilspan.example/pkg/rendez"
 	"chervilspan.example/pkg/roster"
 )
@@ -40,6 +41,7 @@
 	byTarget map[ident.Target][]ident.VM
 	// addresses holds the peer service address of each VM in live.
 	addresses map[ident.VM]string
+	regions   map[ident.VM]ident.Region
 }
 
 // sameList reports whether two results of fleet.Live are the same list.
@@ -56,8 +58,9 @@
 	defer l.mu.Unlock()
 	if !sameList(l.live, live) {
 		l.live, l.byTarget, l.addresses = live, map[ident.Target][]ident.VM{}, make(map[ident.VM]string, len(live))
+		l.regions = make(map[ident.VM]ident.Region, len(live))
 		for _, i := range live {
-			l.addresses[i.VM] = i.Address
+			l.addresses[i.VM], l.regions[i.VM] = i.Address, i.Region
 		}
 	}
 	vms, ok := l.byTarget[m.ID]
@@ -78,32 +81,36 @@
 	return vms
 }
 
-// addressOf returns the address of a VM in the list last used.
-func (l *lenderTable) addressOf(vm ident.VM) string {
+// addressesOf returns the addresses of the lenders that precede a VM, in their order.
+// Lenders are left out that are neither in an allowed region nor in the VM's own.
+func (l *lenderTable) addressesOf(lenders []ident.VM, self ident.VM, own ident.Region, allowed place.Regions) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.addresses[vm]
-}
-
-// lenderAddresses returns the addresses of the VMs from which to borrow a
-// workspace's connections to a database, in the order in which they are tried. It
-// returns none when this VM uses its own connections.
-func (n *Node) lenderAddresses(m *roster.Member, ws ident.Workspace) []string {
-	if !n.isLent(m.Group) {
-		return nil
-	}
 	var out []string
-	for _, vm := range lenderOrder(ws, n.lenderTable.lendersOf(m, n.fleet.Live())) {
-		if vm == n.settings.VM {
+	for _, vm := range lenders {
+		if vm == self {
 			break
 		}
-		if a := n.lenderTable.addressOf(vm); a != "" {
+		r := l.regions[vm]
+		if a := l.addresses[vm]; a != "" && (r == own || allowed.Allows(r)) {
 			out = append(out, a)
 		}
 	}
 	return out
 }
 
+// lenderAddresses returns the addresses of the VMs from which to borrow a
+// workspace's connections to a database, in the order in which they are tried.
+// A request may be sent only to VMs in the allowed regions or in this VM's own. It
+// returns none when this VM uses its own connections.
+func (n *Node) lenderAddresses(m *roster.Member, ws ident.Workspace, allowed place.Regions) []string {
+	if !n.isLent(m.Group) {
+		return nil
+	}
+	lenders := lenderOrder(ws, n.lenderTable.lendersOf(m, n.fleet.Live()))
+	return n.lenderTable.addressesOf(lenders, n.settings.VM, n.settings.Region, allowed)
+}
+
 // lenderOrder returns the lenders in the order in which a workspace tries them.
 // The workspace's hash selects the first of the lenderCount lenders; the backups
 // come last.
--- a/internal/node/lend_test.go
+++ b/internal/node/lend_test.go
@@ -8,6 +8,7 @@
 
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/member"
+	"chervilspan.example/pkg/place"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -78,3 +79,30 @@
 	is.Equal(lenderOrder("w", nil), nil)
 	is.Equal(lenderOrder("w", lenders[:1]), lenders[:1])
 }
+
+// TestLendersInRegions guards against a request that is sent to a lender or backup
+// outside the allowed regions, as where a database's zone has too few VMs.
+func TestLendersInRegions(t *testing.T) {
+	is := is.New(t)
+	live := vms(80, "z1", "z2", "z3", "z4")
+	live = append(live, member.Info{VM: "vm-in", Zone: "z5"})
+	for i := range live {
+		live[i].Address = "at " + string(live[i].VM)
+		live[i].Region = map[ident.Zone]ident.Region{"z1": "r1", "z2": "r1", "z3": "r2", "z4": "r3", "z5": "r2"}[live[i].Zone]
+	}
+	regionAt := map[string]ident.Region{}
+	for _, m := range live {
+		regionAt[m.Address] = m.Region
+	}
+	var table lenderTable
+	all := 0
+	for i := range 30 {
+		m := &roster.Member{Entry: roster.Entry{ID: ident.Target(fmt.Sprint("db-", i)), Zone: "z5"}}
+		lenders := lenderOrder("w", table.lendersOf(m, live))
+		all += len(table.addressesOf(lenders, "vm-other", "r1", place.Regions{}))
+		for _, a := range table.addressesOf(lenders, "vm-other", "r1", place.RegionsOf([]ident.Region{"r2"})) {
+			is.True(regionAt[a] != "r3")
+		}
+	}
+	is.Equal(all, 30*(lenderCount+backupCount))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -104,6 +104,9 @@
 
 	stopping  atomic.Bool
 	startedAt time.Time
+	// regionsLogged is the version whose regions were last checked, used by housekeep
+	// only.
+	regionsLogged ident.Version
 	// countsLoggedAt is used by housekeep only.
 	countsLoggedAt time.Time
 	// firstReady is closed when the VM is ready for the first time.
@@ -299,6 +302,7 @@
 				groups = append(groups, g)
 			}
 			n.monitor.Watch(groups)
+			n.logUnknownRegions(c)
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -15,6 +15,7 @@
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -48,8 +49,9 @@
 type Config struct {
 	// Lenders returns the addresses of the VMs from which to borrow a connection
 	// of a workspace to a database, in order of preference. It returns none when
-	// this VM uses local connections.
-	Lenders func(*roster.Member, ident.Workspace) []string
+	// this VM uses local connections. Only VMs in the allowed regions, or in this VM's
+	// own, are returned.
+	Lenders func(m *roster.Member, ws ident.Workspace, allowed place.Regions) []string
 	Peers   Peers
 	Log     zerolog.Logger
 }
@@ -81,8 +83,8 @@
 
 // Borrow implements dbpool.Lender. A lender that fails is skipped for some time.
 // When no lender remains, this VM uses local connections.
-func (c *Client) Borrow(deadline time.Time, m *roster.Member, ws ident.Workspace, owner dbpool.Owner) (dbpool.LentConn, bool, error) {
-	for _, address := range c.cfg.Lenders(m, ws) {
+func (c *Client) Borrow(deadline time.Time, m *roster.Member, ws ident.Workspace, owner dbpool.Owner, allowed place.Regions) (dbpool.LentConn, bool, error) {
+	for _, address := range c.cfg.Lenders(m, ws, allowed) {
 		if c.avoid.Has(address) || c.avoid.Has(atTarget(address, m.ID)) {
 			continue
 		}
@@ -121,8 +123,8 @@
 func atTarget(address string, id ident.Target) string { return address + "/" + string(id) }
 
 // Load implements dbpool.Lender.
-func (c *Client) Load(m *roster.Member, ws ident.Workspace) (dbpool.Load, bool) {
-	if len(c.cfg.Lenders(m, ws)) == 0 {
+func (c *Client) Load(m *roster.Member, ws ident.Workspace, allowed place.Regions) (dbpool.Load, bool) {
+	if len(c.cfg.Lenders(m, ws, allowed)) == 0 {
 		return dbpool.Load{}, false
 	}
 	c.mu.Lock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,7 @@
 	"chervilspan.example/internal/relay"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -44,7 +45,7 @@
 	t.Cleanup(cache.Close)
 	return &dbpool.Pools{
 		Dialer: c, Roster: c.Roster(), ConnLimit: func(*roster.Member) int { return 1 },
-		Lender: relay.NewClient(relay.Config{Lenders: func(*roster.Member, ident.Workspace) []string { return addresses }, Peers: cache}),
+		Lender: relay.NewClient(relay.Config{Lenders: func(*roster.Member, ident.Workspace, place.Regions) []string { return addresses }, Peers: cache}),
 	}
 }
 
@@ -127,7 +128,7 @@
 	l := newLender(t, c, 4)
 	cache := peer.NewCache(peer.CacheConfig{AllowPlaintext: true})
 	p := &dbpool.Pools{Roster: c.Roster(), Lender: relay.NewClient(relay.Config{
-		Lenders: func(*roster.Member, ident.Workspace) []string { return []string{l.address} }, Peers: cache,
+		Lenders: func(*roster.Member, ident.Workspace, place.Regions) []string { return []string{l.address} }, Peers: cache,
 	})}
 	conn, err := p.Get(in(time.Second), member(c), "w", 0)
 	is.NoErr(err)
@@ -183,7 +184,7 @@
 	cache := peer.NewCache(peer.CacheConfig{AllowPlaintext: true, IdleTimeout: time.Millisecond})
 	t.Cleanup(cache.Close)
 	loans := relay.NewClient(relay.Config{
-		Lenders: func(*roster.Member, ident.Workspace) []string { return []string{l.address} }, Peers: cache,
+		Lenders: func(*roster.Member, ident.Workspace, place.Regions) []string { return []string{l.address} }, Peers: cache,
 	})
 	p := &dbpool.Pools{Roster: c.Roster(), Lender: loans}
 	conn, err := p.Get(in(time.Second), member(c), "w", 0)
--- a/pkg/access/access.go
+++ b/pkg/access/access.go
@@ -8,6 +8,7 @@
 
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 )
 
 // Authenticate checks the workspace, the route and the key that a caller gives
@@ -128,6 +129,7 @@
 		LatencyObjective: time.Duration(limits.ObjectiveMS) * time.Millisecond,
 		Weight:           limits.FairWeight(),
 		Class:            class,
+		Regions:          place.RegionsOf(r.Regions).Intersect(place.RegionsOf(w.Regions)),
 		Database:         r.Database,
 	}, nil
 }
--- a/pkg/access/types.go
+++ b/pkg/access/types.go
@@ -5,6 +5,7 @@
 
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 )
 
 // Authorization holds the permissions and limits of an authenticated session.
@@ -36,6 +37,8 @@
 	// Class is the class of the workspace, or of the route when the workspace
 	// has none.
 	Class ident.Class
+	// Regions are the regions that both the route and the workspace allow.
+	Regions place.Regions
 	// Database is the name of the database at the targets; empty means that the
 	// protocol adapter uses its default.
 	Database string
--- a/pkg/catal/read_test.go
+++ b/pkg/catal/read_test.go
@@ -51,7 +51,7 @@
 // messages without the path, the line or the allowed values.
 func TestReadProblems(t *testing.T) {
 	for _, test := range []struct{ name, old, new, want string }{
-		{"unknown field", `"burst": 10`, `"burst": 10, "speed": 1`, "line 12: /workspaces/w/speed: unknown field; allowed: owner, class, rate, burst, keys"},
+		{"unknown field", `"burst": 10`, `"burst": 10, "speed": 1`, "line 12: /workspaces/w/speed: unknown field; allowed: owner, class, rate, burst, regions, keys"},
 		{"wrong type", `"rate": 5`, `"rate": "5"`, `line 12: /workspaces/w/rate: has "5"; allowed: a number`},
 		{"negative", `"burst": 10`, `"burst": -1`, "line 12: /workspaces/w/burst: has -1; allowed: an integer from 0 to 4294967295"},
 		{"fraction", `"burst": 10`, `"burst": 1.5`, "line 12: /workspaces/w/burst: has 1.5; allowed: an integer from 0 to 4294967295"},
@@ -67,6 +67,7 @@
 		{"no majority", `"zone": "z1",`, `"leaving": true, "zone": "z1",`, "line 6: /groups/g/targets: 1 of 3 targets stay, no majority; allowed: at least 2 that are not leaving"},
 		{"few connections", `"connections": 30}}}`, `"connections": 2}}}`, "line 9: /groups/g/targets/c/connections: 2 is out of range; allowed: 3 to 100000"},
 		{"identifier", `"orders"`, `"Orders"`, `line 16: /routes/Orders: "Orders" is no identifier; allowed: 1 to 63 of a-z, 0-9, '-', '_', '.', the first a letter or digit`},
+		{"regions", `"workspaces": ["w"]`, `"regions": ["r1"]`, "line 16: /routes/orders/regions: lists of regions are not enforced in this deployment; allowed: no list"},
 		{"class", `"class": "gold"`, `"class": "tin"`, `line 6: /groups/g/class: class "tin" is not in the catalogue; allowed: gold`},
 		{"section", `"classes": {"gold": {"weight": 4}}`, `"classes": 7`, "line 4: /classes: has 7; allowed: an object\nline 6: /groups/g/class: class \"gold\" is not in the catalogue; allowed: none, the section is empty"},
 		{"cut short", "}\n  }\n}\n", "", "line 16: not JSON: the text ends too early; allowed: one JSON object"},
--- a/pkg/catal/types.go
+++ b/pkg/catal/types.go
@@ -88,6 +88,9 @@
 	// Burst is the capacity of the token bucket in statements, over all VMs
 	// together.
 	Burst uint32 `json:"burst"`
+	// Regions, unless empty, lists the regions whose databases may serve the workspace.
+	// It applies to targets that speak a line protocol.
+	Regions []ident.Region `json:"regions,omitempty"`
 	// Keys are the keys of the workspace by key id.
 	Keys map[string]Key `json:"keys,omitempty"`
 }
@@ -147,6 +150,9 @@
 	Workspaces []ident.Workspace `json:"workspaces,omitempty"`
 	// Database is the name of the database at the targets.
 	Database string `json:"database,omitempty"`
+	// Regions, unless empty, lists the regions whose databases may serve the route. It
+	// applies to targets that speak a line protocol.
+	Regions []ident.Region `json:"regions,omitempty"`
 }
 
 // Sessions holds limits for callers' sessions.
--- a/pkg/catal/validate.go
+++ b/pkg/catal/validate.go
@@ -195,6 +195,7 @@
 		v.add(path+"/rate", strconv.FormatFloat(w.Rate, 'g', -1, 64)+" is out of range", fmt.Sprintf("above 0 to %d statements a second", MaxRate))
 	}
 	v.checkRange(path+"/burst", uint64(w.Burst), 1, MaxBurst)
+	v.checkRegions(path, w.Regions)
 	for kid, k := range sortedByKey(w.Keys) {
 		v.checkKey(path+entryPath("keys", kid), kid, k)
 	}
@@ -215,6 +216,14 @@
 	}
 }
 
+// checkRegions refuses lists of regions: daemons that read validated documents do not
+// enforce them.
+func (v *validator) checkRegions(path string, list []ident.Region) {
+	if len(list) > 0 {
+		v.add(path+"/regions", "lists of regions are not enforced in this deployment", "no list")
+	}
+}
+
 func (v *validator) checkRoute(path, id string, r Route) {
 	v.checkID(path, id)
 	v.checkOwner(path, r.Owner)
@@ -229,6 +238,7 @@
 	if len(r.Database) > ident.MaxLen || strings.ContainsRune(r.Database, 0) {
 		v.add(path+"/database", "the database name is too long or has a zero byte", fmt.Sprintf("at most %d bytes", ident.MaxLen))
 	}
+	v.checkRegions(path, r.Regions)
 	for i, w := range r.Workspaces {
 		if _, ok := v.c.Workspaces[w]; !ok {
 			v.add(path+"/workspaces/"+strconv.Itoa(i), fmt.Sprintf("workspace %q is not in the catalogue", w), listIDs(v.c.Workspaces))
