Prefer allowed regions for a new primary

Cause: a primary in a region that few routes of its group allow makes the others refuse writes.

Change: of the candidates that lose no commit, the one in the region allowed by most routes is promoted; routes without a list count for every region. Where all candidates have the required log, as in a planned change, this comes before the position; elsewhere only among equal positions.

Result: nothing changes without lists, where all regions have equally many routes.

--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -201,7 +201,7 @@
 	if err != nil {
 		return best, err
 	}
-	best, _ = mostAdvanced(append(candidates, fenced...), f.mon.cfg.RegionOf, f.mon.cfg.HomeRegion)
+	best, _ = mostAdvanced(append(candidates, fenced...), f.mon.placement(f.st.id))
 	return best, nil
 }
 
@@ -224,7 +224,7 @@
 	if err != nil {
 		return best, err
 	}
-	best, ok := mostAdvanced(replies, f.mon.cfg.RegionOf, f.mon.cfg.HomeRegion)
+	best, ok := mostAdvanced(replies, f.mon.placement(f.st.id))
 	if !ok {
 		return best, f.error("fence", KindNoAnswer, "")
 	}
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -154,11 +154,16 @@
 }
 
 // mostAdvanced returns the fenced replica with the highest position. Among equals
-// it prefers one that is neither leaving nor missing, then one in the home region.
-func mostAdvanced(replies []reply, region func(ident.Zone) ident.Region, home ident.Region) (roster.Member, bool) {
+// it prefers one that is neither leaving nor missing, then the best placed one.
+func mostAdvanced(replies []reply, p placement) (roster.Member, bool) {
+	return bestOf(replies, func(a, b *reply) bool { return preferred(a, b, p) })
+}
+
+// bestOf returns the database that is preferred to all others.
+func bestOf(replies []reply, preferred func(a, b *reply) bool) (roster.Member, bool) {
 	best := -1
 	for i := range replies {
-		if best < 0 || preferred(&replies[i], &replies[best], region, home) {
+		if best < 0 || preferred(&replies[i], &replies[best]) {
 			best = i
 		}
 	}
@@ -169,7 +174,7 @@
 }
 
 // preferred reports whether a is a better choice for promotion than b.
-func preferred(a, b *reply, region func(ident.Zone) ident.Region, home ident.Region) bool {
+func preferred(a, b *reply, p placement) bool {
 	if a.status.Received != b.status.Received {
 		return b.status.Received.Less(a.status.Received)
 	}
@@ -177,5 +182,8 @@
 	if staysInService(a) != staysInService(b) {
 		return staysInService(a)
 	}
-	return region(a.member.Zone) == home && region(b.member.Zone) != home
+	if c := p.compare(a.member.Zone, b.member.Zone); c != 0 {
+		return c > 0
+	}
+	return p.isHome(a.member.Zone) && !p.isHome(b.member.Zone)
 }
--- a/internal/lead/replies_test.go
+++ b/internal/lead/replies_test.go
@@ -61,22 +61,22 @@
 		}
 		return "far"
 	}
-	m, ok := mostAdvanced([]reply{answeredReply("a", 7, false), answeredReply("b", 9, false), answeredReply("c", 8, false)}, region, "home")
+	m, ok := mostAdvanced([]reply{answeredReply("a", 7, false), answeredReply("b", 9, false), answeredReply("c", 8, false)}, placement{region: region, home: "home"})
 	is.True(ok)
 	is.Equal(m.ID, ident.Target("b"))
-	m, _ = mostAdvanced([]reply{answeredReply("a", 9, false), answeredReply("b", 9, false), answeredReply("c", 9, false)}, region, "home")
+	m, _ = mostAdvanced([]reply{answeredReply("a", 9, false), answeredReply("b", 9, false), answeredReply("c", 9, false)}, placement{region: region, home: "home"})
 	is.Equal(m.ID, ident.Target("c"))
 	leaving := answeredReply("c", 9, false)
 	leaving.member.Leaving = true
-	m, _ = mostAdvanced([]reply{leaving, answeredReply("b", 9, false)}, region, "home")
+	m, _ = mostAdvanced([]reply{leaving, answeredReply("b", 9, false)}, placement{region: region, home: "home"})
 	is.Equal(m.ID, ident.Target("b"))
-	m, _ = mostAdvanced([]reply{leaving, answeredReply("b", 8, false)}, region, "home")
+	m, _ = mostAdvanced([]reply{leaving, answeredReply("b", 8, false)}, placement{region: region, home: "home"})
 	is.Equal(m.ID, ident.Target("c"))
 	older := answeredReply("b", 50, false)
 	older.status.Received.Term = 2
-	m, _ = mostAdvanced([]reply{older, answeredReply("a", 9, false)}, region, "home")
+	m, _ = mostAdvanced([]reply{older, answeredReply("a", 9, false)}, placement{region: region, home: "home"})
 	is.Equal(m.ID, ident.Target("a"))
-	_, ok = mostAdvanced(nil, region, "home")
+	_, ok = mostAdvanced(nil, placement{region: region, home: "home"})
 	is.True(!ok)
 }
 
--- a/internal/lead/transfer.go
+++ b/internal/lead/transfer.go
@@ -74,7 +74,7 @@
 				current = append(current, r)
 			}
 		}
-		if best, ok = mostAdvanced(current, f.mon.cfg.RegionOf, f.mon.cfg.HomeRegion); ok {
+		if best, ok = bestPlaced(current, f.mon.placement(f.st.id)); ok {
 			return best, true
 		}
 		if !time.Now().Before(end) || !wait.For(ctx, pollInterval) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -147,7 +147,7 @@
 	n.monitor = lead.New(lead.Config{
 		VM: s.VM, Roster: n.roster, Pools: n.pools, Store: a.Store, Epochs: epochs, Promoter: a.Promoter, Peers: vmPeers{n}, RefreshList: n.disco.Refresh,
 		Rank:     func(g ident.Group) int { return n.fleet.Rank(rankName(g), s.homeRegion()) },
-		RegionOf: n.regionOf, HomeRegion: s.homeRegion(), Clock: uptime.Now, Log: log,
+		RegionOf: n.regionOf, HomeRegion: s.homeRegion(), Votes: n.votes, Clock: uptime.Now, Log: log,
 		Unfenced: !s.FencedPromotions, SyncReplicas: n.syncReplicas,
 	})
 	n.engine = engine.New(engine.Config{
--- a/internal/node/place.go
+++ b/internal/node/place.go
@@ -3,9 +3,19 @@
 import (
 	"chervilspan.example/internal/evlog"
 	"chervilspan.example/pkg/catal"
+	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/place"
 )
 
+// votes implements lead.Config.Votes.
+func (n *Node) votes(g ident.Group, z ident.Zone) int {
+	c := n.follower.Catalogue()
+	if c == nil {
+		return 0
+	}
+	return place.Votes(c, g, n.regionOf(z))
+}
+
 // logUnknownRegions logs, once for each version, the allowed regions that no zone has.
 func (n *Node) logUnknownRegions(c *catal.Catalogue) {
 	if c.Version == n.regionsLogged {
