Follow the evacuation of availability zones

Cause: operators evacuate a zone with a key in the store (docs/load.md, part 1), which no VM read.

After a pause of a quarter of the allowed time, a VM reads the orders before it sends a statement. Without Config.EvacuateWithin nothing is read or sent.

Result: nothing uses the state yet. Safeguards removed in turn: sending the end of an evacuation that the VM itself never saw fails TestMerge; the bound by the last confirmation fails TestClosing; the wait after a pause fails TestEvacuationAfterPause; the field of the comparisons fails TestEvacuationSpreads.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -81,6 +81,13 @@
 	// Key is the key of the catalogue in the store, Decode decodes its value.
 	Key    string
 	Decode func([]byte) (*catal.Catalogue, error)
+	// EvacuateWithin is the time within which the evacuation of a zone must be in force;
+	// 0 means that evacuations are not followed. EvacuatePrefix is the prefix of the keys
+	// that order one, each followed by the zone. KnowsZone, unless nil, reports whether a
+	// zone exists.
+	EvacuateWithin time.Duration
+	EvacuatePrefix string
+	KnowsZone      func(ident.Zone) bool
 	VM     ident.VM
 	Fleet  Fleet
 	Peers  Peers
@@ -120,6 +127,9 @@
 	olderLogged ident.Version
 	// newVersion is signalled to start a round of gossip at once.
 	newVersion chan struct{}
+	// started is when New was called, by Config.Clock.
+	started    time.Time
+	evacuation evacuation
 }
 
 // New returns a Follower without a catalogue.
@@ -130,7 +140,9 @@
 	if cfg.Readers == nil {
 		cfg.Readers = func() ([]string, bool) { return nil, true }
 	}
-	return &Follower{cfg: cfg, changed: make(chan struct{}), newVersion: make(chan struct{}, 1)}
+	f := &Follower{cfg: cfg, changed: make(chan struct{}), newVersion: make(chan struct{}, 1), started: cfg.Clock()}
+	f.evacuation.state.Within, f.evacuation.resumed = cfg.EvacuateWithin, make(chan struct{})
+	return f
 }
 
 // Index returns the catalogue in force with its key index, nil if there is none.
@@ -193,5 +205,8 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { f.followStore(ctx) })
 	wg.Go(func() { f.gossip(ctx) })
+	if f.evacuates() {
+		wg.Go(func() { f.checkPauses(ctx) })
+	}
 	wg.Wait()
 }
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -79,10 +79,11 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	asked := f.cfg.Clock()
-	r, err := c.PushCatalogue(ctx, &peerpb.PushCatalogueRequest{Version: uint64(f.Version()), Vm: string(f.cfg.VM)})
+	r, err := c.PushCatalogue(ctx, &peerpb.PushCatalogueRequest{Version: uint64(f.Version()), Vm: string(f.cfg.VM), Evacuation: f.evacuationMessage()})
 	if err != nil {
 		return false
 	}
+	zones := f.receiveEvacuation(r.GetEvacuation()) // before a version by which the VM may start to serve
 	if ident.Version(r.GetVersion()) > f.Version() {
 		f.pull(ctx, c)
 	}
@@ -90,7 +91,9 @@
 	f.compared = true
 	f.mu.Unlock()
 	if age := r.GetConfirmedAgeMs(); age > 0 {
-		f.confirm(ident.Version(r.GetVersion()), asked.Add(-time.Duration(age)*time.Millisecond))
+		at := asked.Add(-time.Duration(age) * time.Millisecond)
+		f.confirm(ident.Version(r.GetVersion()), at)
+		f.confirmEvacuation(zones, at)
 	}
 	return true
 }
@@ -133,13 +136,14 @@
 		default:
 		}
 	}
-	reply := &peerpb.PushCatalogueReply{}
+	f.receiveEvacuation(r.GetEvacuation())
+	reply := &peerpb.PushCatalogueReply{Evacuation: f.evacuationMessage()}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// Read under the lock, since the confirmation refers to this version.
 	reply.Version = uint64(f.Version())
-	if !f.confirmedAt.IsZero() {
-		reply.ConfirmedAgeMs = uint64(f.cfg.Clock().Sub(f.confirmedAt).Milliseconds()) + 1
+	if at := f.oldestConfirmation(f.confirmedAt); !at.IsZero() {
+		reply.ConfirmedAgeMs = uint64(f.cfg.Clock().Sub(at).Milliseconds()) + 1
 	}
 	return reply, nil
 }
--- a/internal/follow/reader_test.go
+++ b/internal/follow/reader_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +27,8 @@
 	stores []*linktest.Store
 	vms    []*Follower
 	net    network
+	// paused is how far the VMs' clocks are ahead of the bubble's.
+	paused atomic.Int64
 }
 
 func runChain(t *testing.T, n int, f func(*is.I, *chain)) {
@@ -48,7 +51,9 @@
 			}
 			v := New(Config{
 				Store: s, Key: "catalogue", Decode: decode, VM: ident.VM(all[i]), Fleet: all, Peers: c.net,
-				Readers: func() ([]string, bool) { return readers, true },
+				Readers:        func() ([]string, bool) { return readers, true },
+				EvacuateWithin: 5 * time.Second, EvacuatePrefix: "evacuate/",
+				Clock: func() time.Time { return time.Now().Add(time.Duration(c.paused.Load())) },
 			})
 			c.net[all[i]] = v
 			c.stores, c.vms = append(c.stores, s), append(c.vms, v)
--- a/internal/follow/watch.go
+++ b/internal/follow/watch.go
@@ -63,14 +63,16 @@
 	asked := f.cfg.Clock()
 	// The watch ends when the store has compacted its history or does not answer; the
 	// next read shows which.
-	_ = f.cfg.Store.Watch(ctx, f.cfg.Key, rev, func(ev store.Event) {
+	_ = f.cfg.Store.Watch(ctx, f.watchPrefix(), rev, func(ev store.Event) {
 		switch {
 		case ev.Progress:
 			f.confirmFromStore(asked)
+			f.confirmEvacuationFromStore(asked)
 			asked = f.cfg.Clock()
 			if !f.watches() {
 				cancel()
 			}
+		case f.applyEvacuationEvent(&ev):
 		case ev.Entry.Key != f.cfg.Key:
 		case ev.Deleted:
 			f.recordStoreVersion(0)
@@ -137,7 +139,7 @@
 func (f *Follower) unconfirmedAge() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.cfg.Clock().Sub(f.confirmedAt)
+	return f.cfg.Clock().Sub(f.oldestConfirmation(f.confirmedAt))
 }
 
 // readStore reads the key and returns the revision from which to watch it.
@@ -149,6 +151,12 @@
 	if err != nil {
 		return 0, err
 	}
+	if f.evacuates() {
+		// Before the catalogue, by which a starting VM may begin to serve.
+		if err := f.readEvacuations(ctx, max(e.Revision, e.StoreRevision)); err != nil {
+			return 0, err
+		}
+	}
 	if e.Revision != 0 {
 		f.applyEntry(e)
 	} else {
--- a/internal/linktest/store.go
+++ b/internal/linktest/store.go
@@ -1,9 +1,11 @@
 package linktest
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -23,6 +25,8 @@
 	epoch   store.Epoch
 	counter int64
 	entries map[string]store.Entry
+	// removed has the revisions at which keys were deleted.
+	removed map[string]store.Revision
 	leases  map[store.LeaseID]time.Time
 	ttls    map[store.LeaseID]time.Duration
 	// granted is the epoch of each lease, lastLease the id of the last one.
@@ -213,6 +217,10 @@
 	}
 	delete(s.entries, key)
 	s.nextRevision()
+	if s.removed == nil {
+		s.removed = map[string]store.Revision{}
+	}
+	s.removed[key] = s.rev()
 	return store.Result{Done: true}, nil
 }
 
@@ -228,12 +236,18 @@
 			s.mu.Unlock()
 			return &store.Error{Op: "watch", Key: prefix, Kind: store.KindCompacted}
 		}
-		var found []store.Entry
+		var found []store.Event
 		for k, e := range s.entries {
 			if strings.HasPrefix(k, prefix) && e.Revision > from {
-				found = append(found, e)
+				found = append(found, store.Event{Entry: e})
+			}
+		}
+		for k, rev := range s.removed {
+			if strings.HasPrefix(k, prefix) && rev > from && s.entries[k].Revision == 0 {
+				found = append(found, store.Event{Entry: store.Entry{Key: k, Revision: rev}, Deleted: true})
 			}
 		}
+		slices.SortFunc(found, func(a, b store.Event) int { return cmp.Compare(a.Entry.Revision, b.Entry.Revision) })
 		from = s.rev()
 		if s.changed == nil {
 			s.changed = make(chan struct{})
@@ -241,7 +255,7 @@
 		changed := s.changed
 		s.mu.Unlock()
 		for _, e := range found {
-			f(store.Event{Entry: e})
+			f(e)
 		}
 		f(store.Event{Progress: true})
 		t := time.NewTimer(watchPollTimeout)
