Refuse statements for databases in evacuated zones

Cause: a VM that knows of an evacuation went on using the zone's databases.

Change: reads choose no database in the zone. Strict reads and writes go to a primary there until the zone closes; then they are refused at once and the primary is probed, since another VM may have moved it. Open transactions are rolled back with the next statement and answered ABORTED. The zone is checked last before a statement is sent, at the entry VM and again at the lender, because a wait or a pause of the VM may come before.

Result: nothing changes where Config.ZoneStatus is not set. Safeguards removed in turn: the filter of read targets fails TestEvacuatedReads; the check of the primary's zone, of a commit and of a statement in a transaction each fail TestEvacuatedPrimary; the checks before a write and a strict read are sent each fail TestClosedWhileWaiting; the check at the lender fails TestLenderInEvacuatedZone. Without the check of the primary's zone, a strict read retried without a pause; it waits between attempts now.

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -71,6 +71,7 @@
 	giveBack  func(keep bool)
 	link      Link
 	Target    ident.Target
+	Zone      ident.Zone
 	Group     ident.Group
 	Workspace ident.Workspace
 
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -260,7 +260,7 @@
 		return nil, &Error{Op: "dial", Kind: KindRefused, Target: p.member.ID, Code: a.Code}
 	}
 	c := &Conn{
-		pool: p, link: link, Target: p.member.ID, Group: p.member.Group, Workspace: ws,
+		pool: p, link: link, Target: p.member.ID, Zone: p.member.Zone, Group: p.member.Group, Workspace: ws,
 		state: a.State, answeredAt: now, openedAt: now, owner: owner,
 	}
 	if p.conns == nil {
--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -83,7 +83,7 @@
 	}
 	s.Roster.RecordAnswer(m.Group, m.ID)
 	return &Conn{
-		giveBack: l.Return, link: l.Link, Target: m.ID, Group: m.Group, Workspace: ws,
+		giveBack: l.Return, link: l.Link, Target: m.ID, Zone: m.Zone, Group: m.Group, Workspace: ws,
 		Vars: l.Vars, Prepared: l.Prepared, answeredAt: time.Now().Add(-l.AnswerAge), owner: owner,
 	}, nil
 }
--- a/internal/engine/config.go
+++ b/internal/engine/config.go
@@ -11,6 +11,7 @@
 	"chervilspan.example/pkg/access"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -108,6 +109,8 @@
 	Pools     *dbpool.Pools
 	Roster    *roster.Table
 	Place     Place
+	// ZoneStatus, unless nil, returns how the databases of a zone may be used now.
+	ZoneStatus func(ident.Zone) place.Status
 	// Ready, unless nil, is closed when the VM is ready to serve. Logins wait
 	// for it for up to readyTimeout.
 	Ready <-chan struct{}
--- a/internal/engine/cost.go
+++ b/internal/engine/cost.go
@@ -66,7 +66,7 @@
 // chooseReadTarget returns the database with the least estimated cost among those
 // not yet tried. ok is false if all were tried.
 func (s *Session) chooseReadTarget(tried map[ident.Target]bool) (*roster.Member, bool) {
-	members := s.placedMembers()
+	members, _ := s.placedMembers()
 	primary, _ := s.e.cfg.Roster.Primary(s.auth.Group)
 	now := time.Now()
 	best, bestCost := -1, time.Duration(0)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -29,6 +29,9 @@
 	// started is when New was called.
 	started time.Time
 
+	// evacuationRefusals counts the statements refused because of an evacuation.
+	evacuationRefusals atomic.Uint64
+
 	mu       sync.Mutex
 	sessions map[*Session]bool
 	// recheckedAt is when a group's primary was last asked about by recheckPrimary.
--- a/internal/engine/fixture_test.go
+++ b/internal/engine/fixture_test.go
@@ -18,6 +18,7 @@
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -65,7 +66,8 @@
 	}
 }
 
-// fixture is an engine in front of a cluster of three databases.
+// fixture is an engine in front of a cluster of three databases: a in zone z1 of region 1,
+// b and c in zone z2 of region 2.
 type fixture struct {
 	c     *linktest.Cluster
 	e     *engine.Engine
@@ -74,6 +76,19 @@
 	// overRate makes the limiter refuse all operations.
 	overRate bool
 	admitted int
+	// status has the zones that are evacuated.
+	status map[ident.Zone]place.Status
+}
+
+func (f *fixture) zoneStatus(z ident.Zone) place.Status {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.status[z]
+}
+
+// evacuate sets the status of a zone.
+func (f *fixture) evacuate(z ident.Zone, s place.Status) {
+	f.set(func(f *fixture) { f.status[z] = s })
 }
 
 func (f *fixture) Index() *access.KeyIndex {
@@ -170,7 +185,12 @@
 func runWith(t *testing.T, unfenced bool, f func(*testing.T, *fixture)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		fx := &fixture{c: linktest.New("g", "a", "b", "c"), index: access.NewKeyIndex(catalogue(1, "key"))}
+		fx := &fixture{c: linktest.New("g", "a", "b", "c"), index: access.NewKeyIndex(catalogue(1, "key")), status: map[ident.Zone]place.Status{}}
+		for id, z := range map[ident.Target]ident.Zone{"a": "z1", "b": "z2", "c": "z2"} {
+			fx.c.Update(id, func(d *linktest.DB) { d.Zone = z })
+		}
+		time.Sleep(time.Millisecond) // reports are ordered by time
+		fx.c.UpdateRoster()
 		pools := &dbpool.Pools{Dialer: fx.c, Roster: fx.c.Roster(), ConnLimit: func(*roster.Member) int { return 4 }}
 		monitor := lead.New(lead.Config{Roster: fx.c.Roster(), Pools: pools, Store: downStore(), Promoter: &linktest.Promoter{Cluster: fx.c}, Unfenced: unfenced})
 		fx.c.SetFormerGoesOn(unfenced)
@@ -179,7 +199,8 @@
 		var wg sync.WaitGroup
 		wg.Go(func() { monitor.Run(ctx) })
 		fx.e = engine.New(engine.Config{
-			Access: fx, Limiter: fx, Primaries: monitor, Pools: pools, Roster: fx.c.Roster(),
+			ZoneStatus: fx.zoneStatus,
+			Access:     fx, Limiter: fx, Primaries: monitor, Pools: pools, Roster: fx.c.Roster(),
 			Place: engine.Place{Zone: "z", RegionOf: func(z ident.Zone) ident.Region { return ident.Region(strings.TrimPrefix(string(z), "z")) }},
 		})
 		time.Sleep(2 * time.Second)
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -17,6 +17,9 @@
 // recordAnswer records an answer in the metrics and logs it unless it is a success.
 func (e *Engine) recordAnswer(s *Session, c *call, a *dbop.Answer) {
 	took := time.Since(c.start)
+	if a.Code == dbop.Busy && c.unplaced == evacuated {
+		e.evacuationRefusals.Add(1)
+	}
 	e.cfg.Meter.CountAnswer(&s.auth, c.st.Kind, a.Code, took)
 	if a.Code == dbop.OK {
 		return
--- a/internal/engine/place.go
+++ b/internal/engine/place.go
@@ -1,12 +1,12 @@
 package engine
 
 import (
-	"fmt"
 	"time"
 
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -19,13 +19,15 @@
 	recheckInterval = time.Second
 )
 
-// outsideRegions is the reason of a refusal because of the allowed regions.
-const outsideRegions = "no database in the allowed regions"
+// Reasons of refusals because of the placement of databases.
+const (
+	outsideRegions = "no database in the allowed regions"
+	evacuated      = "the database's availability zone is being evacuated"
+)
 
-// unplacedRefusal returns the answer to a statement that no database may serve.
-func (c *call) unplacedRefusal() dbop.Answer {
-	return dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("not run: %s; retry after %d ms", c.unplaced, unplacedRetryAfter.Milliseconds())}
-}
+// EvacuationRefusals returns the number of statements that were refused, or rolled back,
+// because only a database in an evacuated zone could have run them.
+func (e *Engine) EvacuationRefusals() uint64 { return e.evacuationRefusals.Load() }
 
 // inAllowedRegion reports whether the session may use databases in a zone.
 func (s *Session) inAllowedRegion(z ident.Zone) bool {
@@ -35,36 +37,52 @@
 	return s.e.cfg.Place.RegionOf != nil && s.auth.Regions.Allows(s.e.cfg.Place.RegionOf(z))
 }
 
+// zoneStatus returns how the databases of a zone may be used.
+func (e *Engine) zoneStatus(z ident.Zone) place.Status {
+	if e.cfg.ZoneStatus == nil {
+		return place.InService
+	}
+	return e.cfg.ZoneStatus(z)
+}
+
 // placedMembers returns the usable databases of the session's group that may serve its
-// reads.
-func (s *Session) placedMembers() []roster.Member {
+// reads. If there is none, why has the reason.
+func (s *Session) placedMembers() (placed []roster.Member, why string) {
 	members := s.e.cfg.Roster.UsableMembers(s.auth.Group)
-	if !s.auth.Regions.Limited() {
-		return members
+	if !s.auth.Regions.Limited() && s.e.cfg.ZoneStatus == nil {
+		return members, ""
+	}
+	if s.auth.Regions.Limited() {
+		why = outsideRegions
 	}
-	var out []roster.Member
 	for i := range members {
-		if s.inAllowedRegion(members[i].Zone) {
-			out = append(out, members[i])
+		switch {
+		case !s.inAllowedRegion(members[i].Zone):
+		case s.e.zoneStatus(members[i].Zone) != place.InService:
+			why = evacuated
+		default:
+			placed = append(placed, members[i])
 		}
 	}
-	return out
+	return placed, why
 }
 
-// canPlace reports whether any database may serve the statement, and otherwise records
-// why not.
-func (s *Session) canPlace(c *call) bool {
-	if s.auth.Regions.Limited() && len(s.placedMembers()) == 0 {
-		c.unplaced = outsideRegions
-		return false
+// canPlaceRead reports whether any database may serve a read, and otherwise records why
+// not.
+func (s *Session) canPlaceRead(c *call) bool {
+	placed, why := s.placedMembers()
+	if len(placed) > 0 || why == "" {
+		return true
 	}
-	return true
+	c.unplaced = why
+	return false
 }
 
 // awaitPrimary waits until the deadline for the primary to be known. ok is false if it
 // is not, or at once if the statement may not use it; the call then has the reason.
 func (s *Session) awaitPrimary(c *call) (m roster.Member, ok bool) {
-	if !s.canPlace(c) {
+	if placed, why := s.placedMembers(); len(placed) == 0 && why == outsideRegions {
+		c.unplaced = why
 		return m, false
 	}
 	m, ok = s.e.cfg.Primaries.Await(c.deadline, s.auth.Group)
@@ -72,12 +90,30 @@
 		c.lastCode = dbop.ReadOnly
 		return m, false
 	}
-	if !s.inAllowedRegion(m.Zone) {
+	switch {
+	case !s.inAllowedRegion(m.Zone):
 		c.unplaced = outsideRegions
-		s.e.recheckPrimary(m.Group, m.ID)
-		return m, false
+	case s.e.zoneStatus(m.Zone) == place.Closed:
+		c.unplaced = evacuated
+	default:
+		return m, true
 	}
-	return m, true
+	s.e.recheckPrimary(m.Group, m.ID)
+	return m, false
+}
+
+// closed reports whether no statement may be sent to a connection's database any more. It
+// is asked last before a statement is sent, since what precedes may take long, as when
+// the VM was frozen.
+func (e *Engine) closed(conn *dbpool.Conn) bool {
+	return e.cfg.ZoneStatus != nil && e.zoneStatus(conn.Zone) == place.Closed
+}
+
+// evacuatedAbort returns the answer in an open transaction whose database may not be used
+// any more.
+func (e *Engine) evacuatedAbort() dbop.Answer {
+	e.evacuationRefusals.Add(1)
+	return dbop.Answer{Code: dbop.Aborted, Text: evacuated + "; the transaction is rolled back"}
 }
 
 // recheckPrimary has a primary that a refused statement may not use probed, at most once
--- a/internal/engine/place_test.go
+++ b/internal/engine/place_test.go
@@ -8,19 +8,14 @@
 
 	"github.com/matryer/is"
 
-	"chervilspan.example/internal/linktest"
 	"chervilspan.example/pkg/access"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 )
 
-// limit restricts the workspace of the fixture's key to regions in a new version, and
-// places the databases a, b and c in zones z1, z2 and z2 of regions 1 and 2.
+// limit restricts the workspace of the fixture's key to regions in a new version.
 func (f *fixture) limit(version ident.Version, list ...ident.Region) {
-	for id, z := range map[ident.Target]ident.Zone{"a": "z1", "b": "z2", "c": "z2"} {
-		f.c.Update(id, func(d *linktest.DB) { d.Zone = z })
-	}
-	f.c.UpdateRoster()
 	c := catalogue(version, "key")
 	w := c.Workspaces["w"]
 	w.Regions = list
@@ -104,3 +99,97 @@
 		s.end()
 	})
 }
+
+const evacuating = "the database's availability zone is being evacuated; retry after "
+
+// TestEvacuatedReads guards against a read that chooses a database in a zone which is
+// being evacuated, and against one that waits when there is no other.
+func TestEvacuatedReads(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		is := is.New(t)
+		s := f.open(t, "bounded")
+		is.Equal(s.run(dbop.Read).Code, dbop.OK)
+		before := f.bodies("b") + f.bodies("c")
+		f.evacuate("z2", place.Leaving)
+		for range 10 {
+			is.Equal(s.run(dbop.Read).Signature, "sig-a")
+		}
+		is.Equal(s.run(dbop.BeginRead).Code, dbop.OK)
+		is.Equal(s.run(dbop.Read).Signature, "sig-a")
+		is.Equal(s.run(dbop.Commit).Code, dbop.OK)
+		f.evacuate("z1", place.Leaving)
+		is.True(refusedFor(s.run(dbop.Read), evacuating, time.Now()))
+		is.Equal(f.bodies("b")+f.bodies("c"), before)
+		f.evacuate("z2", place.InService)
+		is.Equal(s.run(dbop.Read).Code, dbop.OK)
+		is.Equal(f.e.EvacuationRefusals(), uint64(1))
+		s.end()
+	})
+}
+
+// TestEvacuatedPrimary guards against a statement that reaches a primary after its zone
+// closed, against a commit there, and against refusals before that or after the primary
+// has moved.
+func TestEvacuatedPrimary(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		is := is.New(t)
+		s, open, begun := f.open(t, "primary"), f.open(t, "primary"), f.open(t, "primary")
+		for _, x := range []*session{open, begun} {
+			is.Equal(x.run(dbop.Begin).Code, dbop.OK)
+			is.Equal(x.run(dbop.Write).Code, dbop.OK)
+		}
+		f.evacuate("z1", place.Leaving)
+		is.Equal(s.run(dbop.Write).Code, dbop.OK)
+		is.Equal(s.run(dbop.Read).Code, dbop.OK)
+		before := f.bodies("a")
+		f.evacuate("z1", place.Closed)
+		for _, k := range []dbop.Kind{dbop.Read, dbop.Write} {
+			is.True(refusedFor(s.run(k), evacuating, time.Now()))
+		}
+		is.Equal(open.run(dbop.Commit).Code, dbop.Aborted)
+		is.Equal(begun.run(dbop.Write).Code, dbop.Aborted)
+		is.Equal(f.bodies("a"), before)
+		is.Equal(len(f.c.Executions("a", dbop.Commit)), 0)
+		is.Equal(f.e.EvacuationRefusals(), uint64(4))
+		time.Sleep(2 * time.Second)
+		f.c.Promote("b")
+		s.run(dbop.Write)
+		time.Sleep(200 * time.Millisecond)
+		is.Equal(s.run(dbop.Write).Signature, "sig-b")
+		for _, x := range []*session{s, open, begun} {
+			x.end()
+		}
+	})
+}
+
+// TestClosedWhileWaiting guards against a statement that is sent to a database whose zone
+// closed while the statement waited for a connection, or while the VM was frozen.
+func TestClosedWhileWaiting(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		is := is.New(t)
+		hold := func() *session {
+			s := f.open(t, "primary")
+			is.Equal(s.run(dbop.Begin).Code, dbop.OK)
+			is.Equal(s.run(dbop.Write).Code, dbop.OK)
+			return s
+		}
+		held := []*session{hold(), hold(), hold()}
+		for _, k := range []dbop.Kind{dbop.Write, dbop.Read} {
+			f.evacuate("z1", place.InService)
+			last := hold()
+			before := f.bodies("a")
+			s := f.open(t, "primary")
+			s.in <- dbop.Statement{ID: "id", Kind: k, Text: "text"}
+			synctest.Wait()
+			f.evacuate("z1", place.Closed)
+			is.Equal(last.run(dbop.Rollback).Code, dbop.OK)
+			is.Equal((<-s.out).Code, dbop.Busy)
+			is.Equal(f.bodies("a"), before)
+			last.end()
+			s.end()
+		}
+		for _, s := range held {
+			s.end()
+		}
+	})
+}
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -51,7 +51,7 @@
 		return dbop.Answer{Code: dbop.Timeout, Text: "the database did not answer in time"}
 	}
 	if c.unplaced != "" {
-		return c.unplacedRefusal()
+		return dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("not run: %s; retry after %d ms", c.unplaced, unplacedRetryAfter.Milliseconds())}
 	}
 	return dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("not run: no database could serve in time (%s); retry after %d ms", c.lastCode, busyRetryAfter.Milliseconds())}
 }
@@ -168,6 +168,11 @@
 		if !ok {
 			break
 		}
+		if s.e.closed(conn) {
+			conn.Rollback(c.deadline)
+			b.wait(c)
+			continue
+		}
 		c.offered = true
 		s.e.cfg.Primaries.RequestConfirmation(conn.Group, conn.Target, c.receivedAt)
 		st := c.st
@@ -237,7 +242,7 @@
 func (s *Session) readAny(c *call) dbop.Answer {
 	var b backoff
 	tried := map[ident.Target]bool{}
-	for c.canAttempt() && s.canPlace(c) {
+	for c.canAttempt() && s.canPlaceRead(c) {
 		floor, ok := s.floor(c)
 		if !ok {
 			// Without a confirmed position, only the primary is known to have the
@@ -297,6 +302,10 @@
 			return a, false
 		}
 	}
+	if s.e.closed(conn) {
+		conn.Release(true)
+		return a, false
+	}
 	c.offered = true
 	st := c.st
 	st.Floor, st.Scheduling = floor, c.scheduling
--- a/internal/engine/txn.go
+++ b/internal/engine/txn.go
@@ -172,6 +172,9 @@
 			return dbop.Answer{Code: code, State: answers[len(answers)-1].State}, sent, true
 		}
 	}
+	if s.e.closed(tx.conn) {
+		return s.e.evacuatedAbort(), sent, true
+	}
 	c.offered = true
 	sent = s.e.cfg.Clock()
 	st := c.st
@@ -263,7 +266,7 @@
 	}
 	var b backoff
 	tried := map[ident.Target]bool{}
-	for c.canAttempt() && s.canPlace(c) {
+	for c.canAttempt() && s.canPlaceRead(c) {
 		floor, ok := s.floor(&call{receivedAt: tx.beganAt, deadline: c.deadline})
 		if !ok {
 			return s.startAtPrimary(c, tx)
@@ -303,9 +306,13 @@
 	}
 	conn := tx.conn
 	tx.conn, s.tx = nil, nil
-	c.offered = true
 	var b backoff
 	for {
+		if s.e.closed(conn) {
+			conn.Rollback(time.Now().Add(rollbackTimeout))
+			return s.e.evacuatedAbort()
+		}
+		c.offered = true
 		sent := s.e.cfg.Clock()
 		answers, err := conn.Do(c.deadline, c.st)
 		if err != nil {
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -38,6 +38,10 @@
 		s.recordFailure(c, m.ID, why)
 		return a, false
 	}
+	if s.e.closed(conn) {
+		conn.Release(true)
+		return a, false
+	}
 	c.offered = true
 	sent := s.e.cfg.Clock()
 	answers, err := conn.Do(c.deadline, c.st)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -204,3 +205,39 @@
 	}
 	t.Fatal("the stream keeps its connection open")
 }
+
+// TestLenderInEvacuatedZone guards against a lender that sends a statement to a database
+// in an evacuated zone for a borrower that did not know of it or sent it long ago, and
+// against one that no longer lends for databases elsewhere.
+func TestLenderInEvacuatedZone(t *testing.T) {
+	is := is.New(t)
+	c := linktest.New("g", "a")
+	l := newLender(t, c, 4)
+	var closed atomic.Bool
+	l.server.ZoneStatus = func(z ident.Zone) place.Status {
+		if z == "z" && closed.Load() {
+			return place.Closed
+		}
+		return place.InService
+	}
+	conn, err := borrower(t, c, l).Get(in(time.Second), member(c), "w", 0)
+	is.NoErr(err)
+	defer conn.Release(false)
+	do := func(kinds ...dbop.Kind) dbop.Code {
+		var sts []dbop.Statement
+		for _, k := range kinds {
+			sts = append(sts, dbop.Statement{Kind: k, Text: "x"})
+		}
+		answers, err := conn.Do(in(time.Second), sts...)
+		is.NoErr(err)
+		return answers[0].Code
+	}
+	is.Equal(do(dbop.Read), dbop.OK)
+	closed.Store(true)
+	is.Equal(do(dbop.Read), dbop.Busy)
+	is.Equal(do(dbop.Begin), dbop.OK)
+	is.Equal(do(dbop.Write), dbop.Aborted)
+	is.Equal(do(dbop.Commit), dbop.Aborted)
+	is.Equal(do(dbop.Rollback), dbop.OK)
+	is.Equal(len(c.Executions("a", dbop.Read))+len(c.Executions("a", dbop.Write)), 1)
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -13,6 +13,7 @@
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -20,6 +21,8 @@
 // first use.
 type Server struct {
 	Pools *dbpool.Pools
+	// ZoneStatus, unless nil, returns how the databases of a zone may be used now.
+	ZoneStatus func(ident.Zone) place.Status
 
 	mu     sync.Mutex
 	queues map[ident.Target]*readQueue
@@ -171,7 +174,7 @@
 func (s *Server) runInTurn(m *roster.Member, conn *dbpool.Conn, deadline time.Time, sts []dbop.Statement) ([]dbop.Answer, error) {
 	i := slices.IndexFunc(sts, func(st dbop.Statement) bool { return st.Scheduling.MaxWait > 0 })
 	if i < 0 {
-		return conn.Do(deadline, sts...)
+		return s.send(m, conn, deadline, sts)
 	}
 	sched := sts[i].Scheduling
 	queue := s.queueOf(m.ID)
@@ -187,7 +190,7 @@
 	slotTimer := time.AfterFunc(maxSlotHold, release)
 	defer slotTimer.Stop()
 	defer release()
-	return conn.Do(deadline, sts...)
+	return s.send(m, conn, deadline, sts)
 }
 
 // queueOf returns the queue of reads for a database.
