Move primaries out of evacuated zones

Cause: requests for a primary in an evacuated zone are refused once the zone closes.

Change: a primary in an evacuated zone is replaced like a leaving one, by a replica outside all evacuated zones, in a region that some route of the group allows, that has the primary's log. Without a listed candidate nothing is attempted.

--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -145,7 +145,7 @@
 // acknowledge its commits until the promotion takes effect.
 func (f *failover) replaceWorking(ctx context.Context, primary *reply, replies []reply) (best roster.Member, err error) {
 	id, all := enoughAnswered(replies)
-	planned := f.why == reasonLeaving || f.why == reasonMissing
+	planned := f.why == reasonLeaving || f.why == reasonMissing || f.why == reasonEvacuated
 	if planned {
 		if best, err = f.awaitSuccessor(ctx, primary, replies); err != nil {
 			return best, err
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -66,6 +66,9 @@
 	// Votes, unless nil, returns how many routes of a group allow databases in a zone.
 	// Of the candidates that lose no commit, one with the most is promoted.
 	Votes func(ident.Group, ident.Zone) int
+	// Evacuated, unless nil, reports whether a zone is being evacuated. A primary there is
+	// replaced like a leaving one, if a database elsewhere can be promoted.
+	Evacuated func(ident.Zone) bool
 	// Unfenced is set where the platform does not end a primary's work when it
 	// promotes another database. A replaced primary then goes on until it is demoted
 	// or hears of the new one, and its own answers do not show that it is the primary.
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -36,6 +36,8 @@
 	joining []ident.Target
 	// unfenced is the monitors' Config.Unfenced.
 	unfenced bool
+	// evacuated has the evacuated zones.
+	evacuated sync.Map
 	// suspended is how far Config.Clock is ahead of the bubble's clock.
 	suspended atomic.Int64
 }
@@ -90,8 +92,10 @@
 			pools := &dbpool.Pools{Dialer: fx.cluster, Roster: fx.cluster.Roster(), ConnLimit: func(*roster.Member) int { return 4 }}
 			mon := lead.New(lead.Config{
 				VM: ident.VM(rune('x' + i)), Roster: fx.cluster.Roster(), Pools: pools, Store: fx.store, Promoter: fx.promoter,
-				Epochs: epoch.New(epoch.Config{Store: fx.store, Lifetimes: []time.Duration{lead.ClaimTTL}}),
-				Peers:  peers{fx, i}, Rank: func(ident.Group) int { return i }, Clock: fx.now, Unfenced: fx.unfenced,
+				Epochs:    epoch.New(epoch.Config{Store: fx.store, Lifetimes: []time.Duration{lead.ClaimTTL}}),
+				Peers:     peers{fx, i},
+				Evacuated: func(z ident.Zone) bool { _, ok := fx.evacuated.Load(z); return ok },
+				Rank:      func(ident.Group) int { return i }, Clock: fx.now, Unfenced: fx.unfenced,
 				RefreshList: func(context.Context) error {
 					if fx.refresh != nil {
 						fx.refresh()
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -72,6 +72,7 @@
 	reasonLeaving   reason = "leaving"
 	reasonMissing   reason = "gone"
 	reasonNoPrimary reason = "none"
+	reasonEvacuated reason = "evacuated"
 )
 
 // monitorGroup checks one group until ctx ends.
@@ -235,6 +236,8 @@
 		return reasonMissing
 	case m.Leaving:
 		return reasonLeaving
+	case mon.canEvacuate(&m):
+		return reasonEvacuated
 	case st.failedDials >= minFailedDials && now.Sub(st.failingSince) > silenceTimeout:
 		return reasonSilent
 	case st.stalledWrites >= minStalledWrites && st.primary == id && now.Sub(st.stallFailoverAt) > stallFailoverInterval:
--- a/internal/lead/transfer.go
+++ b/internal/lead/transfer.go
@@ -19,7 +19,7 @@
 // missing from the list. It stays in service and has the log that the primary had when
 // it was asked; without such a replica nothing changes.
 func (f *failover) awaitSuccessor(ctx context.Context, primary *reply, replies []reply) (roster.Member, error) {
-	best, ok := f.awaitPosition(ctx, stayingReplicas(replies), primary.status.Received)
+	best, ok := f.awaitPosition(ctx, f.successors(replies), primary.status.Received)
 	if !ok {
 		return best, f.error("catch up", KindNoSuccessor, best.ID)
 	}
