Wire the evacuation of zones into chervilnode

Cause: the parts for evacuations were not connected, and operators could not enable them.

Change: the setting evacuate_ms enables evacuations. The template writes it as a string, so that the file is valid JSON where the deployment lacks the value.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -88,9 +88,9 @@
 	EvacuateWithin time.Duration
 	EvacuatePrefix string
 	KnowsZone      func(ident.Zone) bool
-	VM     ident.VM
-	Fleet  Fleet
-	Peers  Peers
+	VM             ident.VM
+	Fleet          Fleet
+	Peers          Peers
 	// Readers, unless nil, returns the addresses of the VMs from which to learn of
 	// versions, in order of preference; none if this VM watches the store itself. known
 	// is false while that is not decided.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,9 @@
 	Serve func(net.Listener, *engine.Engine, zerolog.Logger) error
 	// CatalogueKey is the key of the catalogue in the store, TargetPrefix the prefix
 	// of the keys of databases.
-	CatalogueKey    string
+	CatalogueKey string
+	// EvacuatePrefix is the prefix of the keys that order the evacuation of a zone.
+	EvacuatePrefix  string
 	DecodeCatalogue func([]byte) (*catal.Catalogue, error)
 	TargetPrefix    string
 	DecodeTarget    func(key string, value []byte) (roster.Entry, error)
@@ -107,6 +109,9 @@
 	// regionsLogged is the version whose regions were last checked, used by housekeep
 	// only.
 	regionsLogged ident.Version
+	// refusalsLogged is the number of refusals in the last evacuation_refused line, used
+	// by housekeep only.
+	refusalsLogged uint64
 	// countsLoggedAt is used by housekeep only.
 	countsLoggedAt time.Time
 	// firstReady is closed when the VM is ready for the first time.
@@ -135,6 +140,7 @@
 	n.follower = follow.New(follow.Config{
 		Store: a.Store, Key: a.CatalogueKey, Decode: a.DecodeCatalogue, VM: s.VM, Fleet: n.fleet, Peers: n.peers, Log: log,
 		Readers: n.catalogueReaders, Clock: uptime.Now,
+		EvacuateWithin: s.EvacuateWithin(), EvacuatePrefix: a.EvacuatePrefix, KnowsZone: n.knowsZone,
 	})
 	n.limiter = limit.New(limit.Config{
 		Catalogue: n.follower, Fleet: n.fleet, Peers: vmPeers{n}, Store: a.Store, Epochs: epochs, Log: log, Scope: n.metrics.Scope,
@@ -147,11 +153,13 @@
 	n.monitor = lead.New(lead.Config{
 		VM: s.VM, Roster: n.roster, Pools: n.pools, Store: a.Store, Epochs: epochs, Promoter: a.Promoter, Peers: vmPeers{n}, RefreshList: n.disco.Refresh,
 		Rank:     func(g ident.Group) int { return n.fleet.Rank(rankName(g), s.homeRegion()) },
-		RegionOf: n.regionOf, HomeRegion: s.homeRegion(), Votes: n.votes, Clock: uptime.Now, Log: log,
+		RegionOf: n.regionOf, HomeRegion: s.homeRegion(), Votes: n.votes, Evacuated: n.evacuated, Clock: uptime.Now, Log: log,
 		Unfenced: !s.FencedPromotions, SyncReplicas: n.syncReplicas,
 	})
+	n.lender.ZoneStatus = n.zoneStatus()
 	n.engine = engine.New(engine.Config{
-		Access: n.follower, Limiter: n.limiter, Primaries: n.monitor, Pools: n.pools, Roster: n.roster,
+		ZoneStatus: n.lender.ZoneStatus,
+		Access:     n.follower, Limiter: n.limiter, Primaries: n.monitor, Pools: n.pools, Roster: n.roster,
 		Ready: n.firstReady,
 		Place: engine.Place{Zone: s.Zone, Region: s.Region, RegionOf: n.regionOf},
 		Clock: uptime.Now,
@@ -344,7 +352,9 @@
 	if s, ok := n.adapters.Store.(store.Restorable); ok {
 		n.metrics.Scope.Gauge("store_epoch").Update(float64(s.Epoch()))
 	}
-	n.reportCounts(time.Since(n.countsLoggedAt) >= countsLogInterval)
+	log := time.Since(n.countsLoggedAt) >= countsLogInterval
+	n.reportEvacuation(log)
+	n.reportCounts(log)
 }
 
 // reportCounts reports the calls to the store and the bytes sent and received, as
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -39,6 +39,9 @@
 	FencedPromotions bool `json:"fenced_promotions,omitempty"`
 	// RateExcess is how far workspaces may exceed their rates.
 	RateExcess RateExcess `json:"rate_excess,omitzero"`
+	// EvacuateMS is the time in milliseconds within which the evacuation of a zone must be
+	// in force after it was ordered; 0 means that zones are not evacuated.
+	EvacuateMS Milliseconds `json:"evacuate_ms,omitempty"`
 	// MemoryMB is the VM's memory in MiB; 0 means no memory limit.
 	MemoryMB int `json:"memory_mb,omitempty"`
 	// GraceS is the longest time of a planned stop in seconds; 0 means 6.
@@ -54,6 +57,14 @@
 	Tokens   float64 `json:"tokens,omitempty"`
 }
 
+// EvacuateWithin returns the time within which the evacuation of a zone must be in force.
+func (s *Settings) EvacuateWithin() time.Duration {
+	return time.Duration(float64(s.EvacuateMS) * float64(time.Millisecond))
+}
+
+// maxEvacuateMS is the greatest value of EvacuateMS, an hour.
+const maxEvacuateMS = 3_600_000
+
 const defaultGrace = 6 * time.Second
 
 // Grace returns the longest time of a planned stop.
@@ -119,6 +130,9 @@
 	if x := s.RateExcess; x.WindowS < 0 || x.Fraction < 0 || x.Tokens < 0 {
 		add("/rate_excess", "has a negative number", "0 or more")
 	}
+	if !(s.EvacuateMS >= 0 && s.EvacuateMS <= maxEvacuateMS) {
+		add("/evacuate_ms", "is out of range", "0 to an hour")
+	}
 	if s.MemoryMB < 0 {
 		add("/memory_mb", "is negative", "0 or more")
 	}
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -5,6 +5,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -28,12 +29,15 @@
 	_, err = Load(path + "x")
 	is.True(err != nil)
 	for bad, want := range map[string]string{
-		strings.Replace(good, `"vm":"a",`, "", 1):               "/vm: is missing",
-		strings.Replace(good, `"10.0.0.1:2"`, `"here"`, 1):      "/ready: is no address",
-		strings.Replace(good, `"zone":"z1"`, `"zone":"z3"`, 1):  "/zones: gives the VM's zone another region",
-		strings.Replace(good, `"part":0.1`, `"part":-1`, 1):     "/rate_excess: has a negative number",
-		strings.Replace(good, `"later":1`, `"memory_mb":-1`, 1): "/memory_mb: is negative",
-		strings.Replace(good, `"later":1`, `"metrics":"x"`, 1):  "/metrics: is no address",
+		strings.Replace(good, `"vm":"a",`, "", 1):                    "/vm: is missing",
+		strings.Replace(good, `"10.0.0.1:2"`, `"here"`, 1):           "/ready: is no address",
+		strings.Replace(good, `"zone":"z1"`, `"zone":"z3"`, 1):       "/zones: gives the VM's zone another region",
+		strings.Replace(good, `"part":0.1`, `"part":-1`, 1):          "/rate_excess: has a negative number",
+		strings.Replace(good, `"later":1`, `"memory_mb":-1`, 1):      "/memory_mb: is negative",
+		strings.Replace(good, `"later":1`, `"metrics":"x"`, 1):       "/metrics: is no address",
+		strings.Replace(good, `"later":1`, `"evacuate_ms":-1`, 1):    "/evacuate_ms: is out of range",
+		strings.Replace(good, `"later":1`, `"evacuate_ms":"NaN"`, 1): "/evacuate_ms: is out of range",
+		strings.Replace(good, `"later":1`, `"evacuate_ms":"x"`, 1):   "read settings",
 		"{": "read settings",
 	} {
 		_, err := Parse([]byte(bad))
@@ -42,3 +46,16 @@
 		}
 	}
 }
+
+// TestEvacuateSetting guards against a deployment without the value that can't start, and
+// against a value that is not read from the text that the template writes.
+func TestEvacuateSetting(t *testing.T) {
+	is := is.New(t)
+	for value, want := range map[string]time.Duration{
+		`5000`: 5 * time.Second, `"5000"`: 5 * time.Second, `""`: 0, `null`: 0, `"null"`: 0, `"{{Bounds.EvacuateMs}}"`: 0,
+	} {
+		s, err := Parse([]byte(strings.Replace(good, `"later":1`, `"evacuate_ms":`+value, 1)))
+		is.NoErr(err)
+		is.Equal(s.EvacuateWithin(), want)
+	}
+}
