Make test fixtures free of data races

Cause: go test -race reported the tests' own maps and log buffers: each monitor of a fixture locked the shared buffer for itself, and tests removed VMs from a map that others read.

Change: one locked writer for all monitors, a lock around the map, and a flag in place of a removal.

Result: go test -race passes for internal/follow and internal/lead.

--- a/internal/follow/evacuate_test.go
+++ b/internal/follow/evacuate_test.go
@@ -121,17 +121,15 @@
 				time.Sleep(8*time.Second + delay)
 				want := len(c.vms)
 				if lost == "reader" {
-					delete(c.net, "1")
-					want-- // nobody tells VM 1, which asks VM 0 itself; it is not counted
+					c.readersGone.Store(true)
 				} else {
 					c.stores[0].SetDown(true)
-					want--
+					want-- // VM 0 is not in contact with the store
 				}
 				for i, s := range c.stores {
-					if lost == "reader" && i == 1 || lost == "store" && i == 0 {
-						continue
+					if lost != "store" || i > 0 {
+						order(is, s, true)
 					}
-					order(is, s, true)
 				}
 				time.Sleep(5 * time.Second)
 				is.True(c.knowing(place.Closed) >= want)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,8 +23,22 @@
 // network maps addresses to the followers of several VMs.
 type network map[string]*Follower
 
+// networkMu guards the networks of tests that remove VMs.
+var networkMu sync.Mutex
+
+// remove makes VMs unreachable.
+func (n network) remove(vms ...string) {
+	networkMu.Lock()
+	defer networkMu.Unlock()
+	for _, vm := range vms {
+		delete(n, vm)
+	}
+}
+
 // Client implements Peers.
 func (n network) Client(address string) (peerpb.PeerClient, error) {
+	networkMu.Lock()
+	defer networkMu.Unlock()
 	f, ok := n[address]
 	if !ok {
 		return nil, errors.New("no such VM")
--- a/internal/follow/reader_test.go
+++ b/internal/follow/reader_test.go
@@ -29,6 +29,8 @@
 	net    network
 	// paused is how far the VMs' clocks are ahead of the bubble's.
 	paused atomic.Int64
+	// readersGone makes the readers not answer.
+	readersGone atomic.Bool
 }
 
 func runChain(t *testing.T, n int, f func(*is.I, *chain)) {
@@ -51,7 +53,12 @@
 			}
 			v := New(Config{
 				Store: s, Key: "catalogue", Decode: decode, VM: ident.VM(all[i]), Fleet: all, Peers: c.net,
-				Readers:        func() ([]string, bool) { return readers, true },
+				Readers: func() ([]string, bool) {
+					if len(readers) > 0 && c.readersGone.Load() {
+						return []string{"nobody"}, true
+					}
+					return readers, true
+				},
 				EvacuateWithin: 5 * time.Second, EvacuatePrefix: "evacuate/",
 				Clock: func() time.Time { return time.Now().Add(time.Duration(c.paused.Load())) },
 			})
@@ -124,8 +131,7 @@
 func TestReadersFrozen(t *testing.T) {
 	runChain(t, 6, func(is *is.I, c *chain) {
 		time.Sleep(3 * time.Second)
-		delete(c.net, "0")
-		delete(c.net, "1")
+		c.net.remove("0", "1")
 		c.put(is, "3")
 		time.Sleep(maxUnconfirmedAge + time.Second)
 		for _, v := range c.vms[2:] {
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -88,6 +88,7 @@
 		fx.promoter = &linktest.Promoter{Cluster: fx.cluster}
 		ctx, cancel := context.WithCancel(t.Context())
 		var wg sync.WaitGroup
+		log := zerolog.New(zerolog.SyncWriter(&fx.log))
 		for i := range n {
 			pools := &dbpool.Pools{Dialer: fx.cluster, Roster: fx.cluster.Roster(), ConnLimit: func(*roster.Member) int { return 4 }}
 			mon := lead.New(lead.Config{
@@ -102,7 +103,7 @@
 					}
 					return nil
 				},
-				Log: zerolog.New(zerolog.SyncWriter(&fx.log)),
+				Log: log,
 			})
 			mon.Watch([]ident.Group{"g"})
 			fx.monitors = append(fx.monitors, mon)
