Merge branch 'place': allowed regions and evacuated zones

A request for a connection is a struct now (dbpool.Request), since the order by priority and the allowed regions each added a parameter. Reads in one round trip follow both.

--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -8,6 +8,7 @@
 
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -54,12 +55,25 @@
 	// Borrow returns a connection that another VM holds. ok is false when this
 	// VM must use a local connection. The error is an *Error; no statement was
 	// run then.
-	Borrow(deadline time.Time, m *roster.Member, ws ident.Workspace, owner Owner, sched dbop.Scheduling) (l LentConn, ok bool, err error)
+	Borrow(deadline time.Time, m *roster.Member, r *Request) (l LentConn, ok bool, err error)
 	// Load returns the known load of a database to which this VM borrows
 	// connections. ok is false when this VM uses local connections.
-	Load(m *roster.Member, ws ident.Workspace) (l Load, ok bool)
+	Load(m *roster.Member, ws ident.Workspace, allowed place.Regions) (l Load, ok bool)
 	// Pressure returns what is known of the queue of the lender that would be asked.
-	Pressure(m *roster.Member, ws ident.Workspace) Pressure
+	Pressure(m *roster.Member, ws ident.Workspace, allowed place.Regions) Pressure
+}
+
+// Request says for whom a connection is requested.
+type Request struct {
+	// Workspace "" accepts a connection of any workspace.
+	Workspace ident.Workspace
+	// Owner prefers the connection that it used last.
+	Owner Owner
+	// Scheduling is that of the first statement.
+	Scheduling dbop.Scheduling
+	// Allowed has the regions of the VMs to which the request may be sent, besides this
+	// VM's own.
+	Allowed place.Regions
 }
 
 // Get returns a connection of a workspace to a database; ws "" accepts a
@@ -67,19 +81,19 @@
 // Get returns an *Error when no connection is available by the deadline; no
 // statement was run then.
 func (s *Pools) Get(deadline time.Time, m *roster.Member, ws ident.Workspace, owner Owner) (*Conn, error) {
-	return s.GetScheduled(deadline, m, ws, owner, dbop.Scheduling{})
+	return s.GetFor(deadline, m, &Request{Workspace: ws, Owner: owner})
 }
 
-// GetScheduled is like Get for the first statement of the connection's user, which
-// waits for its turn if sched.Ranked is set. An error of kind KindRefused and code
-// Crowded means that the turn is not expected to come in time.
-func (s *Pools) GetScheduled(deadline time.Time, m *roster.Member, ws ident.Workspace, owner Owner, sched dbop.Scheduling) (*Conn, error) {
+// GetFor is like Get for a request, whose first statement waits for its turn if
+// Scheduling.Ranked is set. An error of kind KindRefused and code Crowded means that the
+// turn is not expected to come in time.
+func (s *Pools) GetFor(deadline time.Time, m *roster.Member, r *Request) (*Conn, error) {
 	if s.Lender == nil {
-		return s.getInTurn(deadline, m, ws, owner, sched)
+		return s.getInTurn(deadline, m, r)
 	}
-	l, ok, err := s.Lender.Borrow(deadline, m, ws, owner, sched)
+	l, ok, err := s.Lender.Borrow(deadline, m, r)
 	if !ok {
-		return s.getInTurn(deadline, m, ws, owner, sched)
+		return s.getInTurn(deadline, m, r)
 	}
 	if err != nil {
 		var e *Error
@@ -90,8 +104,8 @@
 	}
 	s.Roster.RecordAnswer(m.Group, m.ID)
 	return &Conn{
-		lentBy: s, giveBack: l.Return, link: l.Link, Target: m.ID, Group: m.Group, Workspace: ws,
-		Vars: l.Vars, Prepared: l.Prepared, answeredAt: time.Now().Add(-l.AnswerAge), owner: owner,
+		lentBy: s, giveBack: l.Return, link: l.Link, Target: m.ID, Zone: m.Zone, Group: m.Group, Workspace: r.Workspace,
+		Vars: l.Vars, Prepared: l.Prepared, answeredAt: time.Now().Add(-l.AnswerAge), owner: r.Owner,
 	}, nil
 }
 
@@ -151,10 +165,11 @@
 	Age time.Duration
 }
 
-// Load returns the load of a database for a request of the workspace.
-func (s *Pools) Load(m *roster.Member, ws ident.Workspace) Load {
+// Load returns the load of a database for a request of the workspace that may be sent
+// only to VMs in the allowed regions or in this VM's own.
+func (s *Pools) Load(m *roster.Member, ws ident.Workspace, allowed place.Regions) Load {
 	if s.Lender != nil {
-		if l, ok := s.Lender.Load(m, ws); ok {
+		if l, ok := s.Lender.Load(m, ws, allowed); ok {
 			return l
 		}
 	}
--- a/internal/dbpool/pressure.go
+++ b/internal/dbpool/pressure.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -41,9 +42,9 @@
 
 // Pressure returns what is known of the queue for a database that a request of the
 // workspace would join.
-func (s *Pools) Pressure(m *roster.Member, ws ident.Workspace) Pressure {
+func (s *Pools) Pressure(m *roster.Member, ws ident.Workspace, allowed place.Regions) Pressure {
 	if s.Lender == nil {
 		return Pressure{}
 	}
-	return s.Lender.Pressure(m, ws)
+	return s.Lender.Pressure(m, ws, allowed)
 }
--- a/internal/dbpool/read.go
+++ b/internal/dbpool/read.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"chervilspan.example/pkg/dbop"
-	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -71,7 +70,7 @@
 type Reader interface {
 	// Read runs a read. ok is false when no VM that lends connections can run it; it has
 	// not run then unless the result says so.
-	Read(m *roster.Member, ws ident.Workspace, owner Owner, r *Read) (res ReadResult, ok bool)
+	Read(m *roster.Member, req *Request, r *Read) (res ReadResult, ok bool)
 }
 
 // recordRemoteRead learns from the result of a read that had a connection.
@@ -87,12 +86,12 @@
 
 // ReadRemotely runs a read at a VM that lends its connections, in one round trip. ok is
 // false when a connection is needed instead.
-func (s *Pools) ReadRemotely(m *roster.Member, ws ident.Workspace, owner Owner, r *Read) (res ReadResult, ok bool) {
+func (s *Pools) ReadRemotely(m *roster.Member, req *Request, r *Read) (res ReadResult, ok bool) {
 	reader, ok := s.Lender.(Reader)
 	if !ok {
 		return res, false
 	}
-	if res, ok = reader.Read(m, ws, owner, r); !ok {
+	if res, ok = reader.Read(m, req, r); !ok {
 		return res, false
 	}
 	var e *Error
--- a/internal/dbpool/turn.go
+++ b/internal/dbpool/turn.go
@@ -25,16 +25,16 @@
 	Await(ctx context.Context, deadline time.Time, m *roster.Member, ws ident.Workspace, sched dbop.Scheduling) (Turn, error)
 }
 
-// getInTurn is GetLocal for a request that waits for its turn if sched.Ranked is set.
-func (s *Pools) getInTurn(deadline time.Time, m *roster.Member, ws ident.Workspace, owner Owner, sched dbop.Scheduling) (*Conn, error) {
-	if s.Turns == nil || !sched.Ranked {
-		return s.GetLocal(deadline, m, ws, owner)
+// getInTurn is GetLocal for a request that waits for its turn if it is ranked.
+func (s *Pools) getInTurn(deadline time.Time, m *roster.Member, r *Request) (*Conn, error) {
+	if s.Turns == nil || !r.Scheduling.Ranked {
+		return s.GetLocal(deadline, m, r.Workspace, r.Owner)
 	}
-	turn, err := s.Turns.Await(context.Background(), deadline, m, ws, sched)
+	turn, err := s.Turns.Await(context.Background(), deadline, m, r.Workspace, r.Scheduling)
 	if err != nil {
 		return nil, err
 	}
-	return s.GetWithTurn(deadline, m, ws, owner, turn)
+	return s.GetWithTurn(deadline, m, r.Workspace, r.Owner, turn)
 }
 
 // GetWithTurn is like GetLocal for a request that has a turn, which ends if there is no
--- a/internal/engine/cost.go
+++ b/internal/engine/cost.go
@@ -134,7 +134,7 @@
 // chooseReadTarget returns the database with the least estimated cost among those
 // not yet tried, or one that is nearly as good. ok is false if all were tried.
 func (s *Session) chooseReadTarget(tried map[ident.Target]bool) (*roster.Member, bool) {
-	members := s.e.cfg.Roster.UsableMembers(s.auth.Group)
+	members, _ := s.placedMembers()
 	primary, _ := s.e.cfg.Roster.Primary(s.auth.Group)
 	now := time.Now()
 	var best twoBest
@@ -143,7 +143,7 @@
 		if tried[m.ID] {
 			continue
 		}
-		load := s.e.cfg.Pools.Load(m, s.auth.Workspace)
+		load := s.e.cfg.Pools.Load(m, s.auth.Workspace, s.auth.Regions)
 		e := s.e.cfg.Pools.Estimate(m, s.auth.Class)
 		c := readChoice{member: m}
 		c.total, c.load = readCost(m, s.e.cfg.Place, load, e, m.ID == primary, now)
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -35,15 +35,20 @@
 // that the lender has reported leaves no time to answer it before its deadline, and not
 // sent again when the caller has closed its connection.
 func (s *Session) getConn(c *call, deadline time.Time, m *roster.Member) (*dbpool.Conn, error) {
-	sched := c.scheduling
-	if !sched.Ranked {
-		return s.e.cfg.Pools.Get(deadline, m, s.auth.Workspace, s.owner)
-	}
 	if err := s.checkOverload(c, m); err != nil {
 		return nil, err
 	}
-	sched.Spent = time.Since(c.start)
-	return s.e.cfg.Pools.GetScheduled(deadline, m, s.auth.Workspace, s.owner, sched)
+	return s.e.cfg.Pools.GetFor(deadline, m, s.request(c))
+}
+
+// request returns the request for a connection for a statement.
+func (s *Session) request(c *call) *dbpool.Request {
+	r := &dbpool.Request{Workspace: s.auth.Workspace, Owner: s.owner, Allowed: s.auth.Regions}
+	if c.scheduling.Ranked {
+		r.Scheduling = c.scheduling
+		r.Scheduling.Spent = time.Since(c.start)
+	}
+	return r
 }
 
 // checkOverload returns the reason why a statement is not sent to a database: its caller
@@ -62,7 +67,7 @@
 // statement in probeShare is sent all the same.
 func (s *Session) isPressed(c *call, m *roster.Member) bool {
 	now := time.Now()
-	p := s.e.cfg.Pools.Pressure(m, s.auth.Workspace)
+	p := s.e.cfg.Pools.Pressure(m, s.auth.Workspace, s.auth.Regions)
 	delay := p.Delay(s.auth.Weight, now)
 	if delay <= c.remaining() || rand.N(probeShare) == 0 {
 		return false
@@ -76,7 +81,7 @@
 	if !s.index.Ranked {
 		return 0
 	}
-	p := s.e.cfg.Pools.Pressure(m, s.auth.Workspace)
+	p := s.e.cfg.Pools.Pressure(m, s.auth.Workspace, s.auth.Regions)
 	return p.Delay(s.auth.Weight, now)
 }
 
--- a/internal/engine/overload_test.go
+++ b/internal/engine/overload_test.go
@@ -12,6 +12,7 @@
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -30,15 +31,15 @@
 	l.pressure[id] = p
 }
 
-func (l *pressedLender) Borrow(time.Time, *roster.Member, ident.Workspace, dbpool.Owner, dbop.Scheduling) (c dbpool.LentConn, ok bool, err error) {
+func (l *pressedLender) Borrow(time.Time, *roster.Member, *dbpool.Request) (c dbpool.LentConn, ok bool, err error) {
 	return c, false, nil
 }
 
-func (l *pressedLender) Load(*roster.Member, ident.Workspace) (c dbpool.Load, ok bool) {
+func (l *pressedLender) Load(*roster.Member, ident.Workspace, place.Regions) (c dbpool.Load, ok bool) {
 	return c, false
 }
 
-func (l *pressedLender) Pressure(m *roster.Member, _ ident.Workspace) dbpool.Pressure {
+func (l *pressedLender) Pressure(m *roster.Member, _ ident.Workspace, _ place.Regions) dbpool.Pressure {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.pressure[m.ID]
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -8,6 +8,7 @@
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -50,6 +51,8 @@
 		return dbop.Answer{Code: dbop.Timeout, Text: "the database did not answer in time"}
 	}
 	switch {
+	case c.unplaced != "":
+		return dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("not run: %s; retry after %d ms", c.unplaced, unplacedRetryAfter.Milliseconds())}
 	case c.primaryExpected > 0:
 		return c.noPrimaryRefusal()
 	case c.lastCode == dbop.Crowded:
@@ -73,9 +76,8 @@
 func (s *Session) beginAtPrimary(c *call) (conn *dbpool.Conn, ok bool) {
 	var b backoff
 	for c.canAttempt() {
-		m, found := s.awaitPrimary(c)
+		m, found := s.primaryFor(c)
 		if !found {
-			c.lastCode = dbop.ReadOnly
 			return nil, false
 		}
 		conn, why := s.beginAt(c, &m, dbop.Statement{Kind: dbop.Begin})
@@ -174,6 +176,11 @@
 		if !ok {
 			break
 		}
+		if s.e.closed(conn) {
+			conn.Rollback(c.deadline)
+			b.wait(c)
+			continue
+		}
 		c.offered = true
 		s.e.cfg.Primaries.RequestConfirmation(conn.Group, conn.Target, c.receivedAt)
 		st := c.st
@@ -248,7 +255,7 @@
 func (s *Session) readAny(c *call) dbop.Answer {
 	var b backoff
 	tried := map[ident.Target]bool{}
-	for c.canAttempt() {
+	for c.canAttempt() && s.canPlaceRead(c) {
 		floor, ok := s.floor(c)
 		if !ok {
 			// Without a confirmed position, only the primary is known to have the
@@ -311,6 +318,10 @@
 			return a, false
 		}
 	}
+	if s.e.closed(conn) {
+		conn.Release(true)
+		return a, false
+	}
 	c.offered = true
 	st := c.st
 	st.Floor, st.Scheduling = floor, c.scheduling
@@ -332,11 +343,13 @@
 		s.recordFailure(c, m.ID, s.handleGetError(m, err))
 		return a, false, true
 	}
+	if s.e.zoneStatus(m.Zone) == place.Closed {
+		return a, false, true
+	}
 	st := c.st
 	st.Floor, st.Scheduling = floor, c.scheduling
-	st.Scheduling.Spent = time.Since(c.start)
 	r := dbpool.Read{Setup: s.setup(&c.st), Statement: st, ConnDeadline: s.connDeadline(c), Limit: time.Until(s.attemptDeadline(c)), Deadline: c.deadline}
-	res, ok := s.e.cfg.Pools.ReadRemotely(m, s.auth.Workspace, s.owner, &r)
+	res, ok := s.e.cfg.Pools.ReadRemotely(m, s.request(c), &r)
 	c.mayHaveRun = c.mayHaveRun || res.MayHaveRun
 	switch {
 	case !ok:
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -89,6 +89,8 @@
 	// primaryExpected, unless 0, is when to retry a statement that was refused because
 	// the group has no primary.
 	primaryExpected time.Duration
+	// unplaced, unless empty, is why no database may serve the statement.
+	unplaced string
 	// lastCode is the reason why the last attempt failed.
 	lastCode dbop.Code
 }
--- a/internal/engine/write.go
+++ b/internal/engine/write.go
@@ -13,9 +13,8 @@
 func (s *Session) write(c *call) dbop.Answer {
 	var b backoff
 	for c.canAttempt() {
-		m, ok := s.awaitPrimary(c)
+		m, ok := s.primaryFor(c)
 		if !ok {
-			c.lastCode = dbop.ReadOnly
 			break
 		}
 		a, done := s.writeAt(c, &m)
@@ -42,6 +41,10 @@
 		s.recordFailure(c, m.ID, why)
 		return a, false
 	}
+	if s.e.closed(conn) {
+		conn.Release(true)
+		return a, false
+	}
 	c.offered = true
 	sent := s.e.cfg.Clock()
 	answers, err := conn.Do(c.deadline, c.st)
--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -145,7 +145,7 @@
 // acknowledge its commits until the promotion takes effect.
 func (f *failover) replaceWorking(ctx context.Context, primary *reply, replies []reply) (best roster.Member, err error) {
 	id, all := enoughAnswered(replies)
-	planned := f.why == reasonLeaving || f.why == reasonMissing
+	planned := f.why == reasonLeaving || f.why == reasonMissing || f.why == reasonEvacuated
 	if planned {
 		if best, err = f.awaitSuccessor(ctx, primary, replies); err != nil {
 			return best, err
@@ -201,7 +201,7 @@
 	if err != nil {
 		return best, err
 	}
-	best, _ = mostAdvanced(append(candidates, fenced...), f.mon.cfg.RegionOf, f.mon.cfg.HomeRegion)
+	best, _ = mostAdvanced(append(candidates, fenced...), f.mon.placement(f.st.id))
 	return best, nil
 }
 
@@ -224,7 +224,7 @@
 	if err != nil {
 		return best, err
 	}
-	best, ok := mostAdvanced(replies, f.mon.cfg.RegionOf, f.mon.cfg.HomeRegion)
+	best, ok := mostAdvanced(replies, f.mon.placement(f.st.id))
 	if !ok {
 		return best, f.error("fence", KindNoAnswer, "")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,7 +52,9 @@
 	Serve func(net.Listener, *engine.Engine, zerolog.Logger) error
 	// CatalogueKey is the key of the catalogue in the store, TargetPrefix the prefix
 	// of the keys of databases.
-	CatalogueKey    string
+	CatalogueKey string
+	// EvacuatePrefix is the prefix of the keys that order the evacuation of a zone.
+	EvacuatePrefix  string
 	DecodeCatalogue func([]byte) (*catal.Catalogue, error)
 	TargetPrefix    string
 	DecodeTarget    func(key string, value []byte) (roster.Entry, error)
@@ -105,6 +107,12 @@
 
 	stopping  atomic.Bool
 	startedAt time.Time
+	// regionsLogged is the version whose regions were last checked, used by housekeep
+	// only.
+	regionsLogged ident.Version
+	// refusalsLogged is the number of refusals in the last evacuation_refused line, used
+	// by housekeep only.
+	refusalsLogged uint64
 	// countsLoggedAt and speedReport are used by housekeep only.
 	countsLoggedAt time.Time
 	speedReport    speedReport
@@ -135,6 +143,7 @@
 	n.follower = follow.New(follow.Config{
 		Store: a.Store, Key: a.CatalogueKey, Decode: a.DecodeCatalogue, VM: s.VM, Fleet: n.fleet, Peers: n.peers, Log: log,
 		Readers: n.catalogueReaders, Clock: uptime.Now,
+		EvacuateWithin: s.EvacuateWithin(), EvacuatePrefix: a.EvacuatePrefix, KnowsZone: n.knowsZone,
 	})
 	n.limiter = limit.New(limit.Config{
 		Catalogue: n.follower, Fleet: n.fleet, Peers: vmPeers{n}, Store: a.Store, Epochs: epochs, Log: log, Scope: n.metrics.Scope,
@@ -147,11 +156,13 @@
 	n.monitor = lead.New(lead.Config{
 		VM: s.VM, Roster: n.roster, Pools: n.pools, Store: a.Store, Epochs: epochs, Promoter: a.Promoter, Peers: vmPeers{n}, RefreshList: n.disco.Refresh,
 		Rank:     func(g ident.Group) int { return n.fleet.Rank(rankName(g), s.homeRegion()) },
-		RegionOf: n.regionOf, HomeRegion: s.homeRegion(), Clock: uptime.Now, Log: log,
+		RegionOf: n.regionOf, HomeRegion: s.homeRegion(), Votes: n.votes, Evacuated: n.evacuated, Clock: uptime.Now, Log: log,
 		Unfenced: !s.FencedPromotions, SyncReplicas: n.syncReplicas,
 	})
+	n.lender.ZoneStatus = n.zoneStatus()
 	n.engine = engine.New(engine.Config{
-		Access: n.follower, Limiter: n.limiter, Primaries: n.monitor, Pools: n.pools, Roster: n.roster,
+		ZoneStatus: n.lender.ZoneStatus,
+		Access:     n.follower, Limiter: n.limiter, Primaries: n.monitor, Pools: n.pools, Roster: n.roster,
 		Ready: n.firstReady, VMs: func() int { return len(n.fleet.Live()) },
 		Place: engine.Place{Zone: s.Zone, Region: s.Region, RegionOf: n.regionOf},
 		Clock: uptime.Now,
@@ -302,6 +313,7 @@
 				groups = append(groups, g)
 			}
 			n.monitor.Watch(groups)
+			n.logUnknownRegions(c)
 		}
 		select {
 		case <-ctx.Done():
@@ -345,7 +357,9 @@
 		n.metrics.Scope.Gauge("store_epoch").Update(float64(s.Epoch()))
 	}
 	n.reportSpeeds()
-	n.reportCounts(time.Since(n.countsLoggedAt) >= countsLogInterval)
+	log := time.Since(n.countsLoggedAt) >= countsLogInterval
+	n.reportEvacuation(log)
+	n.reportCounts(log)
 }
 
 // reportCounts reports the calls to the store and the bytes sent and received, as
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -15,6 +15,7 @@
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 	"chervilspan.example/pkg/roster"
 	"chervilspan.example/pkg/speed"
 )
@@ -49,8 +50,9 @@
 type Config struct {
 	// Lenders returns the addresses of the VMs from which to borrow a connection
 	// of a workspace to a database, in order of preference. It returns none when
-	// this VM uses local connections.
-	Lenders func(*roster.Member, ident.Workspace) []string
+	// this VM uses local connections. Only VMs in the allowed regions, or in this VM's
+	// own, are returned.
+	Lenders func(m *roster.Member, ws ident.Workspace, allowed place.Regions) []string
 	Peers   Peers
 	// RecordSpeed, unless nil, takes what lenders report about the speed of databases.
 	RecordSpeed func(ident.Target, speed.Report)
@@ -87,12 +89,12 @@
 
 // Borrow implements dbpool.Lender. A lender that fails is skipped for some time.
 // When no lender remains, this VM uses local connections.
-func (c *Client) Borrow(deadline time.Time, m *roster.Member, ws ident.Workspace, owner dbpool.Owner, sched dbop.Scheduling) (dbpool.LentConn, bool, error) {
-	for _, address := range c.cfg.Lenders(m, ws) {
+func (c *Client) Borrow(deadline time.Time, m *roster.Member, r *dbpool.Request) (dbpool.LentConn, bool, error) {
+	for _, address := range c.cfg.Lenders(m, r.Workspace, r.Allowed) {
 		if c.avoid.Has(address) || c.avoid.Has(atTarget(address, m.ID)) {
 			continue
 		}
-		lent, err := c.borrow(deadline, address, m, ws, owner, sched)
+		lent, err := c.borrow(deadline, address, m, r)
 		if err == nil {
 			return lent, true, nil
 		}
@@ -127,8 +129,8 @@
 func atTarget(address string, id ident.Target) string { return address + "/" + string(id) }
 
 // Load implements dbpool.Lender.
-func (c *Client) Load(m *roster.Member, ws ident.Workspace) (dbpool.Load, bool) {
-	if len(c.cfg.Lenders(m, ws)) == 0 {
+func (c *Client) Load(m *roster.Member, ws ident.Workspace, allowed place.Regions) (dbpool.Load, bool) {
+	if len(c.cfg.Lenders(m, ws, allowed)) == 0 {
 		return dbpool.Load{}, false
 	}
 	c.mu.Lock()
@@ -144,7 +146,7 @@
 }
 
 // borrow requests a connection from one lender.
-func (c *Client) borrow(deadline time.Time, address string, m *roster.Member, ws ident.Workspace, owner dbpool.Owner, sched dbop.Scheduling) (dbpool.LentConn, *dbpool.Error) {
+func (c *Client) borrow(deadline time.Time, address string, m *roster.Member, req *dbpool.Request) (dbpool.LentConn, *dbpool.Error) {
 	failed := func(err error) (dbpool.LentConn, *dbpool.Error) {
 		return dbpool.LentConn{}, &dbpool.Error{Op: "borrow", Kind: dbpool.KindLenderFailed, Target: m.ID, Err: err}
 	}
@@ -152,7 +154,8 @@
 	if err != nil {
 		return failed(err)
 	}
-	open := toOpen(m, ws, owner)
+	sched := req.Scheduling
+	open := toOpen(m, req.Workspace, req.Owner)
 	l.class = rankedClass(sched)
 	open.Class, open.Spent = string(l.class), uint32(sched.Spent/spentUnit)
 	open.WaitMs = uint32(max(0, time.Until(deadline).Milliseconds()))
--- a/internal/relay/pressure.go
+++ b/internal/relay/pressure.go
@@ -5,6 +5,7 @@
 
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -31,14 +32,14 @@
 
 // Pressure implements dbpool.Lender. It is that of the first lender that is not
 // avoided.
-func (c *Client) Pressure(m *roster.Member, ws ident.Workspace) dbpool.Pressure {
+func (c *Client) Pressure(m *roster.Member, ws ident.Workspace, allowed place.Regions) dbpool.Pressure {
 	c.mu.Lock()
 	none := len(c.pressure) == 0
 	c.mu.Unlock()
 	if none {
 		return dbpool.Pressure{}
 	}
-	for _, address := range c.cfg.Lenders(m, ws) {
+	for _, address := range c.cfg.Lenders(m, ws, allowed) {
 		if c.avoid.Has(address) || c.avoid.Has(atTarget(address, m.ID)) {
 			continue
 		}
--- a/internal/relay/ranked_test.go
+++ b/internal/relay/ranked_test.go
@@ -28,7 +28,7 @@
 	m.Slots = 1
 	sched := dbop.Scheduling{Class: "c", Weight: 4, MaxWait: time.Second, Ranked: true}
 	get := func() *dbpool.Conn {
-		conn, err := p.GetScheduled(in(10*time.Second), m, "w", 0, sched)
+		conn, err := p.GetFor(in(10*time.Second), m, &dbpool.Request{Workspace: "w", Scheduling: sched})
 		is.NoErr(err)
 		return conn
 	}
@@ -79,7 +79,7 @@
 	results := make(chan result, 6)
 	for range cap(results) {
 		go func() {
-			conn, err := p.GetScheduled(in(10*time.Second), m, "w", 0, dbop.Scheduling{Class: "c", MaxWait: time.Second, Ranked: true})
+			conn, err := p.GetFor(in(10*time.Second), m, &dbpool.Request{Workspace: "w", Scheduling: dbop.Scheduling{Class: "c", MaxWait: time.Second, Ranked: true}})
 			results <- result{conn, err}
 		}()
 	}
--- a/internal/relay/read_client.go
+++ b/internal/relay/read_client.go
@@ -6,21 +6,20 @@
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/dbop"
-	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
 )
 
 // Read implements dbpool.Reader. A lender that fails is skipped for some time, and the
 // read is sent to the next one, since a read may run twice.
-func (c *Client) Read(m *roster.Member, ws ident.Workspace, owner dbpool.Owner, r *dbpool.Read) (res dbpool.ReadResult, ok bool) {
-	for _, address := range c.cfg.Lenders(m, ws) {
+func (c *Client) Read(m *roster.Member, req *dbpool.Request, r *dbpool.Read) (res dbpool.ReadResult, ok bool) {
+	for _, address := range c.cfg.Lenders(m, req.Workspace, req.Allowed) {
 		if c.avoid.Has(address) || c.avoid.Has(atTarget(address, m.ID)) {
 			continue
 		}
 		if !c.readers.Has(address) {
 			return res, false
 		}
-		got, err := c.readAt(address, m, ws, owner, r)
+		got, err := c.readAt(address, m, req, r)
 		res.MayHaveRun = res.MayHaveRun || got.MayHaveRun
 		if err == nil {
 			got.MayHaveRun = res.MayHaveRun
@@ -36,7 +35,7 @@
 }
 
 // readAt runs a read at one lender. The error tells why there was no connection.
-func (c *Client) readAt(address string, m *roster.Member, ws ident.Workspace, owner dbpool.Owner, r *dbpool.Read) (res dbpool.ReadResult, failure *dbpool.Error) {
+func (c *Client) readAt(address string, m *roster.Member, req *dbpool.Request, r *dbpool.Read) (res dbpool.ReadResult, failure *dbpool.Error) {
 	failed := func(err error) (dbpool.ReadResult, *dbpool.Error) {
 		c.readers.Remove(address) // it may be another version after a restart
 		return res, &dbpool.Error{Op: "read", Kind: dbpool.KindLenderFailed, Target: m.ID, Err: err}
@@ -47,14 +46,14 @@
 	}
 	c.addLoans(m.ID, 1)
 	defer c.addLoans(m.ID, -1)
-	if err := l.send(&peerpb.RelayRequest{Step: &peerpb.RelayRequest_Read{Read: toRead(m, ws, owner, r)}}); err != nil {
+	if err := l.send(&peerpb.RelayRequest{Step: &peerpb.RelayRequest_Read{Read: toRead(m, req, r)}}); err != nil {
 		return failed(err)
 	}
 	res.MayHaveRun = true
 	reply, err := l.receive(time.Now().Add(takenTimeout))
 	key := pressureKey{m.ID, address}
 	if err == nil && reply.GetTaken() != nil {
-		stop := c.watchCaller(l, key, r.Statement.Scheduling)
+		stop := c.watchCaller(l, key, req.Scheduling)
 		reply, err = l.receive(r.Deadline.Add(replyMargin))
 		if stop != nil && !stop() {
 			l.abort()
@@ -80,10 +79,10 @@
 	return toReadResult(done), nil
 }
 
-func toRead(m *roster.Member, ws ident.Workspace, owner dbpool.Owner, r *dbpool.Read) *peerpb.RelayRead {
-	open := toOpen(m, ws, owner)
-	class := rankedClass(r.Statement.Scheduling)
-	open.Class, open.Spent = string(class), uint32(r.Statement.Scheduling.Spent/spentUnit)
+func toRead(m *roster.Member, req *dbpool.Request, r *dbpool.Read) *peerpb.RelayRead {
+	open := toOpen(m, req.Workspace, req.Owner)
+	class := rankedClass(req.Scheduling)
+	open.Class, open.Spent = string(class), uint32(req.Scheduling.Spent/spentUnit)
 	open.WaitMs = uint32(max(0, time.Until(r.ConnDeadline).Milliseconds()))
 	out := &peerpb.RelayRead{
 		Open: open, Variables: toVariables(r.Setup.Vars), Statement: withoutClass([]*peerpb.RelayStatement{toStatement(&r.Statement)}, class)[0],
--- a/internal/relay/read_test.go
+++ b/internal/relay/read_test.go
@@ -44,7 +44,7 @@
 	p := borrower(t, c, l)
 	learn(t, c, p)
 	for range 2 {
-		res, ok := p.ReadRemotely(member(c), "w", 7, remoteRead())
+		res, ok := p.ReadRemotely(member(c), &dbpool.Request{Workspace: "w", Owner: 7}, remoteRead())
 		is.True(ok)
 		is.NoErr(res.Err)
 		is.True(res.Answered)
@@ -57,7 +57,7 @@
 	other := remoteRead()
 	other.Setup = dbpool.Setup{}
 	other.Statement = read("READ 1")
-	res, ok := p.ReadRemotely(member(c), "w", 8, other)
+	res, ok := p.ReadRemotely(member(c), &dbpool.Request{Workspace: "w", Owner: 8}, other)
 	is.True(ok && res.Answered)
 	is.Equal(len(c.Executions("a", dbop.Read)[0].Vars), 0)
 	is.Equal(c.OpenConns("a"), 1)
@@ -70,7 +70,7 @@
 	is := is.New(t)
 	c := linktest.New("g", "a")
 	p := borrower(t, c, newLender(t, c, 1))
-	res, ok := p.ReadRemotely(member(c), "w", 7, remoteRead())
+	res, ok := p.ReadRemotely(member(c), &dbpool.Request{Workspace: "w", Owner: 7}, remoteRead())
 	is.True(!ok && !res.MayHaveRun)
 	is.Equal(len(c.Executions("a", dbop.Execute)), 0)
 }
@@ -85,7 +85,7 @@
 	c.Update("a", func(d *linktest.DB) { d.DroppedAnswers = map[dbop.Kind]int{dbop.Execute: 1} })
 	r := remoteRead()
 	r.Limit = 150 * time.Millisecond
-	res, ok := p.ReadRemotely(member(c), "w", 7, r)
+	res, ok := p.ReadRemotely(member(c), &dbpool.Request{Workspace: "w", Owner: 7}, r)
 	is.True(ok)
 	is.NoErr(res.Err)
 	is.True(!res.Answered && res.MayHaveRun)
@@ -102,7 +102,7 @@
 	learn(t, c, p)
 	dying.stop()
 	learn(t, c, p) // borrows from the other lender
-	res, ok := p.ReadRemotely(member(c), "w", 7, remoteRead())
+	res, ok := p.ReadRemotely(member(c), &dbpool.Request{Workspace: "w", Owner: 7}, remoteRead())
 	is.True(ok && res.Answered)
 	is.Equal(len(c.Executions("a", dbop.Execute)), 1)
 }
@@ -115,7 +115,7 @@
 	p := borrower(t, c, newLender(t, c, 1))
 	learn(t, c, p)
 	c.Update("a", func(d *linktest.DB) { d.Latency = 600 * time.Millisecond })
-	res, ok := p.ReadRemotely(member(c), "w", 7, remoteRead())
+	res, ok := p.ReadRemotely(member(c), &dbpool.Request{Workspace: "w", Owner: 7}, remoteRead())
 	is.True(ok && res.Answered)
 	is.Equal(len(c.Executions("a", dbop.Execute)), 1)
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -16,6 +16,7 @@
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/place"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -29,6 +30,8 @@
 	ClassOf func(ident.Class) catal.Class
 	Lends   func(ident.Group) bool
 	Log     zerolog.Logger
+	// ZoneStatus, unless nil, returns how the databases of a zone may be used now.
+	ZoneStatus func(ident.Zone) place.Status
 
 	mu     sync.Mutex
 	queues map[ident.Target]*readQueue
@@ -215,7 +218,7 @@
 func (s *Server) runInTurn(m *roster.Member, conn *dbpool.Conn, deadline time.Time, sts []dbop.Statement) ([]dbop.Answer, error) {
 	i := slices.IndexFunc(sts, func(st dbop.Statement) bool { return st.Scheduling.MaxWait > 0 })
 	if i < 0 {
-		return conn.Do(deadline, sts...)
+		return s.send(m, conn, deadline, sts)
 	}
 	sched := sts[i].Scheduling
 	queue := s.queueOf(m.ID)
@@ -231,7 +234,7 @@
 	slotTimer := time.AfterFunc(maxSlotHold, release)
 	defer slotTimer.Stop()
 	defer release()
-	return conn.Do(deadline, sts...)
+	return s.send(m, conn, deadline, sts)
 }
 
 // queueOf returns the queue of reads for a database.
