Decode the limits of cold databases

Cause: ColdPerS, ColdStartS and ColdLeftMs of the platform's documents were passed over.

Change: the catalogue's groups have WarmUp, entries of the roster ColdLeft.

--- a/pkg/catal/types.go
+++ b/pkg/catal/types.go
@@ -64,6 +64,22 @@
 	// Connections, unless 0, is the number of connections that each target of
 	// the group accepts. It is used for groups whose targets are discovered.
 	Connections uint32 `json:"connections,omitempty"`
+	// WarmUp limits the requests to databases of the group after their start. Only
+	// documents of platforms whose databases report when they are warm set it.
+	WarmUp WarmUp `json:"-"`
+}
+
+// WarmUp limits the requests that reach a database until it is warm. The zero value
+// sets no limit.
+type WarmUp struct {
+	// Rate is the number of requests per second to one database, from all VMs
+	// together; 0 means no limit.
+	Rate float64
+	// Duration is how long after its start a database counts as cold unless it
+	// reports itself as warm.
+	Duration time.Duration
+	// Invalid, unless empty, says which value of the document was not usable.
+	Invalid string
 }
 
 // Target is one database of a group.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -42,6 +42,12 @@
 	// reports of one process.
 	ProcessStart int64
 	Sequence     int64
+	// ColdLeft is for how long after the report the database is cold; 0 means that
+	// it is warm.
+	ColdLeft time.Duration
+	// ColdUnknown is set when the report does not tell ColdLeft, ColdInvalid when it
+	// has a value for it that is not usable.
+	ColdUnknown, ColdInvalid bool
 }
 
 // defaultSlots applies to a database that does not report its slots.
