Limit requests to single databases over the fleet

Cause: a cold database's rate must hold over all VMs, also those that are frozen, cut off or restarted.

Change: internal/limit keeps an account for each database of Config.Targets among those of workspaces, on the same slices. It begins without tokens, and a permit that was decided more than Config.PermitLifetime ago is refused, also one for which the request had waited.

--- a/internal/limit/fake_test.go
+++ b/internal/limit/fake_test.go
@@ -17,6 +17,7 @@
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/member"
+	"chervilspan.example/pkg/quota"
 	"chervilspan.example/pkg/store"
 )
 
@@ -38,6 +39,10 @@
 	restorable *linktest.Store
 	epochs     func(store.Store) Epochs
 	leaseTTL   time.Duration
+	// targets and excess are each VM's Config.Targets and Config.Excess.
+	targets  func(*catal.Catalogue) map[ident.Target]quota.Limit
+	excess   Excess
+	lifetime time.Duration
 }
 
 type testVM struct {
@@ -235,7 +240,8 @@
 		v.restorable = &restorableAccess{Store: w.restorable}
 		s, epochs = v.restorable, w.epochs(v.restorable)
 	}
-	l := New(Config{Catalogue: w, Fleet: v, Peers: v, Store: s, Epochs: epochs, StaticSplit: w.staticSplit, LeaseTTL: w.leaseTTL})
+	l := New(Config{Catalogue: w, Fleet: v, Peers: v, Store: s, Epochs: epochs, StaticSplit: w.staticSplit, LeaseTTL: w.leaseTTL,
+		Targets: w.targets, Excess: w.excess, Lifetime: w.lifetime, PermitLifetime: 100 * time.Millisecond})
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	v.dead, v.Limiter = false, l
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -81,6 +81,12 @@
 	Lifetime time.Duration
 	// Excess is the tolerated excess over the rate and burst of a workspace.
 	Excess Excess
+	// Targets, unless nil, returns the limits of the requests to single databases,
+	// which AdmitAt enforces. All VMs must return the same limits, apart from the
+	// delay until they know of a change.
+	Targets func(*catal.Catalogue) map[ident.Target]quota.Limit
+	// PermitLifetime is how long a permit of AdmitAt may be used.
+	PermitLifetime time.Duration
 	// StaticSplit divides the rates evenly among the live VMs instead of lending.
 	// It is the baseline of the measurements.
 	StaticSplit bool
@@ -148,7 +154,7 @@
 		hints: map[quota.Shard]map[ident.VM]bool{}, preconnected: vmSet{},
 	}
 	l.slices.set.SetLifetime(cfg.Lifetime)
-	l.resultChans.New = func() any { return make(chan error, 1) }
+	l.resultChans.New = func() any { return make(chan result, 1) }
 	l.leaseDeadline.Store(&time.Time{})
 	l.view.Store(&view{})
 	l.metrics.scope = cfg.Scope.SubScope("limit")
--- a/internal/limit/observe.go
+++ b/internal/limit/observe.go
@@ -83,6 +83,9 @@
 	v, now := l.view.Load(), l.now()
 	out := make([]Usage, 0, len(v.workspaces))
 	for ws, e := range v.workspaces {
+		if e.isTarget {
+			continue
+		}
 		cfg := v.cat.Workspaces[ws]
 		e.mu.Lock()
 		c := e.acct.Counts()
@@ -103,6 +106,9 @@
 func (l *Limiter) report() {
 	now := time.Now()
 	for ws, e := range l.view.Load().workspaces {
+		if e.isTarget {
+			continue
+		}
 		e.mu.Lock()
 		c, queued := e.acct.Counts(), e.acct.Queued()
 		e.mu.Unlock()
--- a/internal/limit/rate.go
+++ b/internal/limit/rate.go
@@ -25,11 +25,19 @@
 	mu         sync.Mutex
 	shard      quota.Shard
 	acct       *quota.Account
-	waiters    map[quota.Ticket]chan error
+	waiters    map[quota.Ticket]chan result
 	timer      *time.Timer
 	nextPoll   time.Time
 	closed     bool
 	lastReport reportState
+	// isTarget is set for the account of a database, see AdmitAt.
+	isTarget bool
+}
+
+// result is the answer to a waiting request, and when it was decided.
+type result struct {
+	err error
+	at  time.Time
 }
 
 // Admit takes a token for one statement of a workspace and waits for it for up to
@@ -53,7 +61,7 @@
 		e.mu.Unlock()
 		return &Error{Op: "admit", Kind: KindUnknown, Workspace: ws}
 	}
-	ch := l.resultChans.Get().(chan error)
+	ch := l.resultChans.Get().(chan result)
 	ticket := e.acct.Enqueue(now)
 	e.waiters[ticket] = ch
 	e.poll(now)
@@ -64,18 +72,22 @@
 // checkPermit refuses an admission that was decided too long ago: the process was
 // paused, and another VM may hold the slice by now.
 func (e *workspaceEntry) checkPermit(decided time.Time) error {
-	if e.acct.PermitValid(decided, e.l.now()) {
+	now := e.l.now()
+	if e.acct.PermitValid(decided, now) && (!e.isTarget || now.Sub(decided) < e.l.cfg.PermitLifetime) {
 		return nil
 	}
 	return &Error{Op: "admit", Kind: KindRate, Workspace: e.ws}
 }
 
 // await waits for the result of a queued request or the end of ctx.
-func (e *workspaceEntry) await(ctx context.Context, ticket quota.Ticket, ch chan error) error {
+func (e *workspaceEntry) await(ctx context.Context, ticket quota.Ticket, ch chan result) error {
 	select {
-	case err := <-ch:
+	case r := <-ch:
 		e.l.resultChans.Put(ch)
-		return err
+		if r.err != nil {
+			return r.err
+		}
+		return e.checkPermit(r.at)
 	case <-ctx.Done():
 	}
 	e.mu.Lock()
@@ -113,7 +125,7 @@
 func (e *workspaceEntry) respond(t quota.Ticket, err error) {
 	if ch := e.waiters[t]; ch != nil {
 		delete(e.waiters, t)
-		ch <- err
+		ch <- result{err, e.l.now()}
 	}
 }
 
--- a/internal/limit/view.go
+++ b/internal/limit/view.go
@@ -27,6 +27,8 @@
 	holders    map[quota.Shard][]ident.VM
 	workspaces map[ident.Workspace]*workspaceEntry
 	targets    map[ident.Target]*target
+	// targetLimits are those of Config.Targets.
+	targetLimits map[ident.Target]quota.Limit
 }
 
 // refresh replaces the view if the catalogue, the membership or the hints have
@@ -40,11 +42,12 @@
 	}
 	live := eligibleVMs(l.cfg.Fleet.Live())
 	self := locationOf(l.cfg.Fleet.Self())
-	if cat == old.cat && slices.Equal(live, old.live) && self == old.self && !l.pruneHints() {
+	targetLimits := l.targetLimits(cat)
+	if cat == old.cat && slices.Equal(live, old.live) && self == old.self && maps.Equal(targetLimits, old.targetLimits) && !l.pruneHints() {
 		return
 	}
 	now := l.now()
-	v := &view{cat: cat, live: live, self: self}
+	v := &view{cat: cat, live: live, self: self, targetLimits: targetLimits}
 	v.shardCount = cmp.Or(cat.Sharing.Shards, quota.DefaultShards)
 	v.sliceCount = int(cmp.Or(cat.Sharing.Slices, quota.DefaultSlices))
 	l.computePlacement(v)
@@ -154,6 +157,7 @@
 		e.class.Store(&class)
 		v.workspaces[ws] = e
 	}
+	l.setTargetAccounts(v, old, now)
 	for ws, e := range old.workspaces {
 		if v.workspaces[ws] == nil {
 			e.close()
@@ -167,20 +171,22 @@
 		acct: quota.NewAccount(quota.Config{
 			Self: v.self.VM, MaxWait: l.cfg.MaxRateWait, Lifetime: l.cfg.Lifetime, FirstGrantID: quota.GrantID(rand.Uint64()),
 		}),
-		waiters: map[quota.Ticket]chan error{},
+		waiters: map[quota.Ticket]chan result{},
 	}
 }
 
 // configureWorkspace sets up the account of a workspace from the view and the held
 // slices.
 func (l *Limiter) configureWorkspace(e *workspaceEntry, v *view, now time.Time) {
-	cfg := v.cat.Workspaces[e.ws]
+	limit := v.limitOf(e.ws)
 	shard := quota.ShardOf(e.ws, v.shardCount)
 	s := quota.Setup{
-		Limit: quota.Limit{Rate: cfg.Rate, Burst: cfg.Burst}, SliceCount: v.sliceCount, Shard: shard,
+		Limit: limit, SliceCount: v.sliceCount, Shard: shard,
 		Offset: quota.SliceOffset(e.ws), Holders: v.holders[shard], FirstSeen: e.firstSeen,
 	}
-	s.InitialTokens = l.cfg.Excess.tokens(s.Limit) / 2
+	if !e.isTarget {
+		s.InitialTokens = l.cfg.Excess.tokens(s.Limit) / 2
+	}
 	if l.cfg.StaticSplit {
 		s.Holders = nil
 		i := slices.IndexFunc(v.live, isVM(v.self.VM))
