Keep requests to cold databases within their rate

Cause: a database that was started a short time ago got its full load at once.

Change: internal/cold asks for a token of the database's limit at the moment in which a VM sends a statement that takes a slot on a connection of its own, so lent connections are counted where they are. Statements that can't run at another database go first. Reads choose warm databases first; for one second after a database became warm, its load grows.

Without the guard, or without the choice of warm databases, that test fails; without writes first TestUrgentFirst and TestQueue, without the doubt after a closed connection TestAdmit, without its duration TestDoubt, with unknown databases as warm TestCold, without the reserve for lifetimes TestLimit. The removal of the comparison of process starts in Guard.Ramp makes no test fail.

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -106,6 +106,13 @@
 // kind KindBroken means that the outcome of the statements after the returned
 // answers is unknown.
 func (c *Conn) Do(deadline time.Time, sts ...dbop.Statement) ([]dbop.Answer, error) {
+	if c.pool != nil {
+		release, refused := c.admit(deadline, sts)
+		if refused != nil {
+			return refused, nil
+		}
+		defer release()
+	}
 	c.sentAt = time.Now()
 	answers, err := c.link.Exchange(deadline, sts...)
 	failed := err != nil
@@ -118,6 +125,9 @@
 	}
 	if err != nil {
 		c.broken = true
+		if c.pool != nil {
+			c.recordClosed(err)
+		}
 		return answers, &Error{Op: "run", Kind: KindBroken, Target: c.Target, Err: err}
 	}
 	c.answeredAt = time.Now()
--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -27,6 +27,9 @@
 	// one is used.
 	Lender Lender
 
+	// Guard, unless nil, is asked before a statement is sent on a local connection.
+	Guard Guard
+
 	// Dials counts the attempts to open a connection.
 	Dials atomic.Uint64
 
--- a/internal/engine/config.go
+++ b/internal/engine/config.go
@@ -99,7 +99,7 @@
 	RegionOf func(ident.Zone) ident.Region
 }
 
-// Config configures an Engine. All fields but Ready, Clock, Meter and Log are
+// Config configures an Engine. All fields but Ramp, Ready, Clock, Meter and Log are
 // required.
 type Config struct {
 	Access    Access
@@ -108,6 +108,9 @@
 	Pools     *dbpool.Pools
 	Roster    *roster.Table
 	Place     Place
+	// Ramp, unless nil, returns which part of the reads that could run at a database
+	// may do so: 0 while it is cold, 1 when it is warm.
+	Ramp func(*roster.Member) float64
 	// Ready, unless nil, is closed when the VM is ready to serve. Logins wait
 	// for it for up to readyTimeout.
 	Ready <-chan struct{}
--- a/internal/engine/cost.go
+++ b/internal/engine/cost.go
@@ -68,11 +68,12 @@
 func (s *Session) chooseReadTarget(tried map[ident.Target]bool) (*roster.Member, bool) {
 	members := s.e.cfg.Roster.UsableMembers(s.auth.Group)
 	primary, _ := s.e.cfg.Roster.Primary(s.auth.Group)
+	cold := s.e.coldMembers(members, tried)
 	now := time.Now()
 	best, bestCost := -1, time.Duration(0)
 	for i := range members {
 		m := &members[i]
-		if tried[m.ID] {
+		if tried[m.ID] || cold[m.ID] {
 			continue
 		}
 		load := s.e.cfg.Pools.Load(m, s.auth.Workspace)
--- a/internal/limit/target.go
+++ b/internal/limit/target.go
@@ -15,7 +15,9 @@
 const targetPrefix = "\x00target/"
 
 // targetAccount returns the name of a database's account.
-func targetAccount(id ident.Target) ident.Workspace { return ident.Workspace(targetPrefix + string(id)) }
+func targetAccount(id ident.Target) ident.Workspace {
+	return ident.Workspace(targetPrefix + string(id))
+}
 
 // AdmitAt takes a token for one request to a database with a limit of Config.Targets
 // and waits for it for up to Config.MaxRateWait. If it returns an error, the request
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"chervilspan.example/internal/cold"
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/internal/disco"
 	"chervilspan.example/internal/engine"
@@ -101,6 +102,7 @@
 	borrower    *relay.Client
 	lists       *lists.Reader
 	disco       *disco.Poller
+	cold        *cold.Guard
 
 	stopping  atomic.Bool
 	startedAt time.Time
@@ -133,7 +135,9 @@
 		Store: a.Store, Key: a.CatalogueKey, Decode: a.DecodeCatalogue, VM: s.VM, Fleet: n.fleet, Peers: n.peers, Log: log,
 		Readers: n.catalogueReaders, Clock: uptime.Now,
 	})
+	n.setColdGuard()
 	n.limiter = limit.New(limit.Config{
+		Targets: n.coldLimits(), PermitLifetime: permitLifetime,
 		Catalogue: n.follower, Fleet: n.fleet, Peers: vmPeers{n}, Store: a.Store, Epochs: epochs, Log: log, Scope: n.metrics.Scope,
 		MaxRateWait: maxRateWait, LeaseTTL: sliceLeaseTTL, RatesOnly: true, Clock: uptime.Now,
 		Lifetime: grantLifetime, Excess: limit.Excess{
@@ -149,7 +153,7 @@
 	})
 	n.engine = engine.New(engine.Config{
 		Access: n.follower, Limiter: n.limiter, Primaries: n.monitor, Pools: n.pools, Roster: n.roster,
-		Ready: n.firstReady,
+		Ready: n.firstReady, Ramp: n.coldRamp(),
 		Place: engine.Place{Zone: s.Zone, Region: s.Region, RegionOf: n.regionOf},
 		Clock: uptime.Now,
 		Meter: newMeter(n.metrics.Scope), Log: log,
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -39,6 +39,9 @@
 	FencedPromotions bool `json:"fenced_promotions,omitempty"`
 	// RateExcess is how far workspaces may exceed their rates.
 	RateExcess RateExcess `json:"rate_excess,omitzero"`
+	// ColdExcess is how many requests may reach a cold database in any one second.
+	// If it is missing, there is no limit.
+	ColdExcess ColdExcess `json:"cold_excess,omitzero"`
 	// MemoryMB is the VM's memory in MiB; 0 means no memory limit.
 	MemoryMB int `json:"memory_mb,omitempty"`
 	// GraceS is the longest time of a planned stop in seconds; 0 means 6.
@@ -54,6 +57,13 @@
 	Tokens   float64 `json:"tokens,omitempty"`
 }
 
+// ColdExcess is a multiple of the rate of a cold database, and in addition a fixed
+// number of requests.
+type ColdExcess struct {
+	Fraction float64 `json:"part,omitempty"`
+	Tokens   float64 `json:"tokens,omitempty"`
+}
+
 const defaultGrace = 6 * time.Second
 
 // Grace returns the longest time of a planned stop.
@@ -119,6 +129,9 @@
 	if x := s.RateExcess; x.WindowS < 0 || x.Fraction < 0 || x.Tokens < 0 {
 		add("/rate_excess", "has a negative number", "0 or more")
 	}
+	if x := s.ColdExcess; x.Fraction < 0 || x.Tokens < 0 {
+		add("/cold_excess", "has a negative number", "0 or more")
+	}
 	if s.MemoryMB < 0 {
 		add("/memory_mb", "is negative", "0 or more")
 	}
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -28,12 +28,13 @@
 	_, err = Load(path + "x")
 	is.True(err != nil)
 	for bad, want := range map[string]string{
-		strings.Replace(good, `"vm":"a",`, "", 1):               "/vm: is missing",
-		strings.Replace(good, `"10.0.0.1:2"`, `"here"`, 1):      "/ready: is no address",
-		strings.Replace(good, `"zone":"z1"`, `"zone":"z3"`, 1):  "/zones: gives the VM's zone another region",
-		strings.Replace(good, `"part":0.1`, `"part":-1`, 1):     "/rate_excess: has a negative number",
-		strings.Replace(good, `"later":1`, `"memory_mb":-1`, 1): "/memory_mb: is negative",
-		strings.Replace(good, `"later":1`, `"metrics":"x"`, 1):  "/metrics: is no address",
+		strings.Replace(good, `"vm":"a",`, "", 1):                                       "/vm: is missing",
+		strings.Replace(good, `"10.0.0.1:2"`, `"here"`, 1):                              "/ready: is no address",
+		strings.Replace(good, `"zone":"z1"`, `"zone":"z3"`, 1):                          "/zones: gives the VM's zone another region",
+		strings.Replace(good, `"part":0.1`, `"part":-1`, 1):                             "/rate_excess: has a negative number",
+		strings.Replace(good, `"later":1`, `"cold_excess":{"part":1.5,"tokens":-1}`, 1): "/cold_excess: has a negative number",
+		strings.Replace(good, `"later":1`, `"memory_mb":-1`, 1):                         "/memory_mb: is negative",
+		strings.Replace(good, `"later":1`, `"metrics":"x"`, 1):                          "/metrics: is no address",
 		"{": "read settings",
 	} {
 		_, err := Parse([]byte(bad))
