--- a/internal/limit/fake_test.go
+++ b/internal/limit/fake_test.go
@@ -240,8 +240,10 @@
 		v.restorable = &restorableAccess{Store: w.restorable}
 		s, epochs = v.restorable, w.epochs(v.restorable)
 	}
-	l := New(Config{Catalogue: w, Fleet: v, Peers: v, Store: s, Epochs: epochs, StaticSplit: w.staticSplit, LeaseTTL: w.leaseTTL,
-		Targets: w.targets, Excess: w.excess, Lifetime: w.lifetime, PermitLifetime: 100 * time.Millisecond})
+	l := New(Config{
+		Catalogue: w, Fleet: v, Peers: v, Store: s, Epochs: epochs, StaticSplit: w.staticSplit, LeaseTTL: w.leaseTTL,
+		Targets: w.targets, Excess: w.excess, Lifetime: w.lifetime, PermitLifetime: 100 * time.Millisecond,
+	})
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	v.dead, v.Limiter = false, l
