Test a lender that knows another process of a cold database

Result: TestAdmit fails without the comparison, and without the growth of the load after a database became warm.

--- a/internal/cold/cold_test.go
+++ b/internal/cold/cold_test.go
@@ -93,6 +93,7 @@
 		time.Sleep(time.Second)
 		is.Equal(took(m), time.Duration(0))
 		f.Limits(f.cat)
+		is.Equal(f.Ramp(&roster.Member{Entry: roster.Entry{ID: "a", Group: "g", ProcessStart: 2}}), 0.0)
 		f.Closed(m)
 		_, ok = f.Admit(soon(), m, false)
 		is.True(!ok)
