--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -114,6 +114,13 @@
 // kind KindBroken means that the outcome of the statements after the returned
 // answers is unknown.
 func (c *Conn) Do(deadline time.Time, sts ...dbop.Statement) ([]dbop.Answer, error) {
+	if c.pool != nil {
+		release, refused := c.admit(deadline, sts)
+		if refused != nil {
+			return refused, nil
+		}
+		defer release()
+	}
 	if c.startTurn(sts) {
 		defer c.endTurn()
 	}
@@ -130,6 +137,9 @@
 	c.recordSpeed(sts, answers, inProgress, failed, err)
 	if err != nil {
 		c.broken = true
+		if c.pool != nil {
+			c.recordClosed(err)
+		}
 		return answers, &Error{Op: "run", Kind: KindBroken, Target: c.Target, Err: err}
 	}
 	c.answeredAt = time.Now()
--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -33,6 +33,9 @@
 	// Learns, unless nil, reports whether the learned speed of a database is used.
 	Learns func(*roster.Member) bool
 
+	// Guard, unless nil, is asked before a statement is sent on a local connection.
+	Guard Guard
+
 	// Dials counts the attempts to open a connection.
 	Dials atomic.Uint64
 
--- a/internal/engine/config.go
+++ b/internal/engine/config.go
@@ -102,8 +102,8 @@
 	RegionOf func(ident.Zone) ident.Region
 }
 
-// Config configures an Engine. All fields but Ready, VMs, Clock, Meter and Log are
-// required.
+// Config configures an Engine. All fields but ZoneStatus, Ramp, Ready, VMs, Clock, Meter
+// and Log are required.
 type Config struct {
 	Access    Access
 	Limiter   Limiter
@@ -113,6 +113,9 @@
 	Place     Place
 	// ZoneStatus, unless nil, returns how the databases of a zone may be used now.
 	ZoneStatus func(ident.Zone) place.Status
+	// Ramp, unless nil, returns which part of the reads that could run at a database
+	// may do so: 0 while it is cold, 1 when it is warm.
+	Ramp func(*roster.Member) float64
 	// Ready, unless nil, is closed when the VM is ready to serve. Logins wait
 	// for it for up to readyTimeout.
 	Ready <-chan struct{}
--- a/internal/engine/cost.go
+++ b/internal/engine/cost.go
@@ -136,11 +136,12 @@
 func (s *Session) chooseReadTarget(tried map[ident.Target]bool) (*roster.Member, bool) {
 	members, _ := s.placedMembers()
 	primary, _ := s.e.cfg.Roster.Primary(s.auth.Group)
+	cold := s.e.coldMembers(members, tried)
 	now := time.Now()
 	var best twoBest
 	for i := range members {
 		m := &members[i]
-		if tried[m.ID] {
+		if tried[m.ID] || cold[m.ID] {
 			continue
 		}
 		load := s.e.cfg.Pools.Load(m, s.auth.Workspace, s.auth.Regions)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"chervilspan.example/internal/cold"
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/internal/disco"
 	"chervilspan.example/internal/engine"
@@ -104,6 +105,7 @@
 	borrower    *relay.Client
 	lists       *lists.Reader
 	disco       *disco.Poller
+	cold        *cold.Guard
 
 	stopping  atomic.Bool
 	startedAt time.Time
@@ -145,7 +147,9 @@
 		Readers: n.catalogueReaders, Clock: uptime.Now,
 		EvacuateWithin: s.EvacuateWithin(), EvacuatePrefix: a.EvacuatePrefix, KnowsZone: n.knowsZone,
 	})
+	n.setColdGuard()
 	n.limiter = limit.New(limit.Config{
+		Targets: n.coldLimits(), PermitLifetime: permitLifetime,
 		Catalogue: n.follower, Fleet: n.fleet, Peers: vmPeers{n}, Store: a.Store, Epochs: epochs, Log: log, Scope: n.metrics.Scope,
 		MaxRateWait: maxRateWait, LeaseTTL: sliceLeaseTTL, RatesOnly: true, Clock: uptime.Now,
 		Lifetime: grantLifetime, Excess: limit.Excess{
@@ -163,7 +167,7 @@
 	n.engine = engine.New(engine.Config{
 		ZoneStatus: n.lender.ZoneStatus,
 		Access:     n.follower, Limiter: n.limiter, Primaries: n.monitor, Pools: n.pools, Roster: n.roster,
-		Ready: n.firstReady, VMs: func() int { return len(n.fleet.Live()) },
+		Ready: n.firstReady, VMs: func() int { return len(n.fleet.Live()) }, Ramp: n.coldRamp(),
 		Place: engine.Place{Zone: s.Zone, Region: s.Region, RegionOf: n.regionOf},
 		Clock: uptime.Now,
 		Meter: newMeter(n.metrics.Scope), Log: log,
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -45,6 +45,9 @@
 	// EvacuateMS is the time in milliseconds within which the evacuation of a zone must be
 	// in force after it was ordered; 0 means that zones are not evacuated.
 	EvacuateMS Milliseconds `json:"evacuate_ms,omitempty"`
+	// ColdExcess is how many requests may reach a cold database in any one second.
+	// If it is missing, there is no limit.
+	ColdExcess ColdExcess `json:"cold_excess,omitzero"`
 	// MemoryMB is the VM's memory in MiB; 0 means no memory limit.
 	MemoryMB int `json:"memory_mb,omitempty"`
 	// GraceS is the longest time of a planned stop in seconds; 0 means 6.
@@ -68,6 +71,13 @@
 // maxEvacuateMS is the greatest value of EvacuateMS, an hour.
 const maxEvacuateMS = 3_600_000
 
+// ColdExcess is a multiple of the rate of a cold database, and in addition a fixed
+// number of requests.
+type ColdExcess struct {
+	Fraction float64 `json:"part,omitempty"`
+	Tokens   float64 `json:"tokens,omitempty"`
+}
+
 const defaultGrace = 6 * time.Second
 
 // Grace returns the longest time of a planned stop.
@@ -136,6 +146,9 @@
 	if !(s.EvacuateMS >= 0 && s.EvacuateMS <= maxEvacuateMS) {
 		add("/evacuate_ms", "is out of range", "0 to an hour")
 	}
+	if x := s.ColdExcess; x.Fraction < 0 || x.Tokens < 0 {
+		add("/cold_excess", "has a negative number", "0 or more")
+	}
 	if s.MemoryMB < 0 {
 		add("/memory_mb", "is negative", "0 or more")
 	}
