--- a/internal/cold/cold.go
+++ b/internal/cold/cold.go
@@ -35,8 +35,8 @@
 type Config struct {
 	Tolerance warm.Tolerance
 	Lifetimes warm.Lifetimes
-	// Admit takes a token of a database's limit, for which it waits a short time. The request must be sent within
-	// Lifetimes.Permit of it.
+	// Admit takes a token of a database's limit, for which it waits a short time. The
+	// request must be sent within Lifetimes.Permit of it.
 	Admit     func(context.Context, ident.Target) error
 	Catalogue Catalogue
 	Roster    *roster.Table
@@ -52,17 +52,18 @@
 	cfg     Config
 	metrics metrics
 
-	mu    sync.Mutex
-	table warm.Table
-	lines map[ident.Target]*line
+	mu         sync.Mutex
+	table      warm.Table
+	admissions map[ident.Target]*admissions
 	// reported has what was last logged of each database.
 	reported map[ident.Target]logged
 	// warned is the version of the catalogue whose values were last checked.
 	warned ident.Version
 }
 
-// line has the statements that wait for a database.
-type line struct {
+// admissions has the statements that wait for a token of a database, and counts those
+// sent while its load grows.
+type admissions struct {
 	queue warm.Queue
 	turns map[warm.Ticket]chan struct{}
 	// current is the statement whose turn it is, 0 for none.
@@ -82,7 +83,7 @@
 	if cfg.Scope == nil {
 		cfg.Scope = tally.NoopScope
 	}
-	return &Guard{cfg: cfg, metrics: newMetrics(cfg.Scope), lines: map[ident.Target]*line{}, reported: map[ident.Target]logged{}}
+	return &Guard{cfg: cfg, metrics: newMetrics(cfg.Scope), admissions: map[ident.Target]*admissions{}, reported: map[ident.Target]logged{}}
 }
 
 // Limits returns the limit of each database under a catalogue. It is called whenever
@@ -192,33 +193,33 @@
 func (g *Guard) enterRamp(m *roster.Member, ramp float64) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	l := g.lineOf(m.ID)
-	if l.inFlight >= warm.RampSlots(ramp, m.SlotCount()) {
+	a := g.admissionsOf(m.ID)
+	if a.inFlight >= warm.RampSlots(ramp, m.SlotCount()) {
 		return false
 	}
-	l.inFlight++
+	a.inFlight++
 	return true
 }
 
 func (g *Guard) leaveRamp(id ident.Target) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lineOf(id).inFlight--
+	g.admissionsOf(id).inFlight--
 }
 
 // takeToken takes a token of a cold database when it is the statement's turn.
 func (g *Guard) takeToken(deadline time.Time, id ident.Target, urgent bool) bool {
 	turn := make(chan struct{}, 1)
 	g.mu.Lock()
-	l := g.lineOf(id)
-	ticket := l.queue.Enter(urgent)
-	l.turns[ticket] = turn
-	l.wakeFirst()
+	a := g.admissionsOf(id)
+	ticket := a.queue.Enter(urgent)
+	a.turns[ticket] = turn
+	a.wakeFirst()
 	g.mu.Unlock()
 	defer func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		l.leave(ticket)
+		a.leave(ticket)
 	}()
 	wait := time.NewTimer(min(time.Until(deadline), maxTurnWait))
 	defer wait.Stop()
@@ -232,33 +233,33 @@
 	}
 }
 
-// lineOf returns the line of a database. The caller holds g.mu.
-func (g *Guard) lineOf(id ident.Target) *line {
-	l := g.lines[id]
-	if l == nil {
-		l = &line{turns: map[warm.Ticket]chan struct{}{}}
-		g.lines[id] = l
+// admissionsOf returns the admissions of a database. The caller holds g.mu.
+func (g *Guard) admissionsOf(id ident.Target) *admissions {
+	a := g.admissions[id]
+	if a == nil {
+		a = &admissions{turns: map[warm.Ticket]chan struct{}{}}
+		g.admissions[id] = a
 	}
-	return l
+	return a
 }
 
 // wakeFirst lets the first statement take its token unless another one does.
-func (l *line) wakeFirst() {
-	if l.current != 0 {
+func (a *admissions) wakeFirst() {
+	if a.current != 0 {
 		return
 	}
-	if t, ok := l.queue.First(); ok {
-		l.current = t
-		l.turns[t] <- struct{}{}
+	if t, ok := a.queue.First(); ok {
+		a.current = t
+		a.turns[t] <- struct{}{}
 	}
 }
 
 // leave removes a statement that has its token or waits no longer.
-func (l *line) leave(t warm.Ticket) {
-	l.queue.Leave(t)
-	delete(l.turns, t)
-	if l.current == t {
-		l.current = 0
-		l.wakeFirst()
+func (a *admissions) leave(t warm.Ticket) {
+	a.queue.Leave(t)
+	delete(a.turns, t)
+	if a.current == t {
+		a.current = 0
+		a.wakeFirst()
 	}
 }
--- a/internal/cold/cold_test.go
+++ b/internal/cold/cold_test.go
@@ -124,7 +124,7 @@
 		}
 		time.Sleep(time.Second)
 		is.Equal(order, []bool{false, true, true, true}) // the others do not get their turn in time
-		is.Equal(f.lines["a"].queue.Len(), 0)
+		is.Equal(f.admissions["a"].queue.Len(), 0)
 	})
 }
 
--- a/internal/cold/doc.go
+++ b/internal/cold/doc.go
@@ -11,7 +11,9 @@
 //
 // # Usage
 //
-//	g := cold.New(cold.Config{Tolerance: x, Admit: l.AdmitAt, Catalogue: c, Roster: &table, Log: log})
+//	g := cold.New(cold.Config{
+//		Tolerance: x, Admit: l.AdmitAt, Catalogue: c, Roster: &table, Log: log,
+//	})
 //	release, ok := g.Admit(deadline, member, urgent)
 //	if !ok {
 //		return // send nothing
--- a/internal/cold/observe.go
+++ b/internal/cold/observe.go
@@ -63,9 +63,9 @@
 			delete(g.reported, id)
 		}
 	}
-	for id, l := range g.lines {
-		if !limited(id) && l.queue.Len() == 0 && l.inFlight == 0 {
-			delete(g.lines, id)
+	for id, a := range g.admissions {
+		if !limited(id) && a.queue.Len() == 0 && a.inFlight == 0 {
+			delete(g.admissions, id)
 		}
 	}
 	count := 0
--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -68,14 +68,15 @@
 // Release or Rollback. It must be used by one goroutine at a time.
 type Conn struct {
 	// pool is nil for a borrowed connection, which giveBack returns to the lender.
-	pool      *pool
-	lentBy    *Pools
-	giveBack  func(keep bool)
-	link      Link
-	Target    ident.Target
-	Zone      ident.Zone
-	Group     ident.Group
-	Workspace ident.Workspace
+	pool *pool
+	// borrowedBy is the Pools that borrowed the connection; nil for a local one.
+	borrowedBy *Pools
+	giveBack   func(keep bool)
+	link       Link
+	Target     ident.Target
+	Zone       ident.Zone
+	Group      ident.Group
+	Workspace  ident.Workspace
 
 	// Vars and Prepared are the session variables and the names of the prepared
 	// statements on the connection.
@@ -94,10 +95,10 @@
 	broken   bool
 	// owner is the last user of the connection.
 	owner Owner
-	// class is that of the last statement that had one.
+	// class is the class of the last statement that had one.
 	class speed.Class
-	// turn is that of the first statement of the connection's user; nil when it has
-	// ended or there is none.
+	// turn is the turn of the first statement of the connection's user; nil when it
+	// has ended or there is none.
 	turn Turn
 }
 
--- a/internal/dbpool/guard.go
+++ b/internal/dbpool/guard.go
@@ -21,15 +21,6 @@
 	Closed(m *roster.Member)
 }
 
-// takesSlot reports whether a statement takes a slot at a database.
-func takesSlot(st dbop.Statement) bool {
-	switch st.Kind {
-	case dbop.Read, dbop.Write, dbop.Execute, dbop.Commit:
-		return true
-	}
-	return false
-}
-
 // mayRunElsewhere reports whether a statement is a read that is not bound to a database
 // by its transaction. Such reads queue, or run outside a transaction.
 func (c *Conn) mayRunElsewhere(st *dbop.Statement) bool {
@@ -43,8 +34,9 @@
 }
 
 // admit asks the guard about the statements that take a slot, of which the engine sends
-// one at a time: the first of several would be sent after a wait for the others. It returns the answers
-// if they must not be sent: Crowded to a read that may be run elsewhere, Busy to others.
+// one at a time: the first of several would be sent after a wait for the others. If they
+// must not be sent, it returns their answers, with the code Crowded for a read that may
+// run elsewhere and Busy for others. Otherwise release is to be called after the answers.
 func (c *Conn) admit(deadline time.Time, sts []dbop.Statement) (release func(), refused []dbop.Answer) {
 	g := c.pool.parent.Guard
 	var releases []func()
@@ -57,7 +49,7 @@
 		return release, nil
 	}
 	for i := range sts {
-		if !takesSlot(sts[i]) {
+		if !sts[i].Kind.TakesSlot() {
 			continue
 		}
 		elsewhere := c.mayRunElsewhere(&sts[i])
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -48,7 +48,7 @@
 	refusedAt time.Time
 	// speed is what has been learned from the answers.
 	speed speed.Model
-	// running is the number of statements of a class that are in progress.
+	// running is the number of statements with a class that are in progress.
 	running atomic.Int32
 }
 
--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -107,7 +107,7 @@
 	}
 	s.Roster.RecordAnswer(m.Group, m.ID)
 	return &Conn{
-		lentBy: s, giveBack: l.Return, link: l.Link, Target: m.ID, Zone: m.Zone, Group: m.Group, Workspace: r.Workspace,
+		borrowedBy: s, giveBack: l.Return, link: l.Link, Target: m.ID, Zone: m.Zone, Group: m.Group, Workspace: r.Workspace,
 		Vars: l.Vars, Prepared: l.Prepared, answeredAt: time.Now().Add(-l.AnswerAge), owner: r.Owner,
 	}, nil
 }
--- a/internal/dbpool/read.go
+++ b/internal/dbpool/read.go
@@ -75,13 +75,11 @@
 
 // recordRemoteRead learns from the result of a read that had a connection.
 func (s *Pools) recordRemoteRead(m *roster.Member, r *ReadResult) {
-	if s.Learns == nil || r.Setup != dbop.OK {
+	if r.Setup != dbop.OK {
 		return
 	}
 	failed := !r.Answered || r.Answer.Code == dbop.Failed || r.Answer.Code == dbop.Timeout
-	s.learned.mu.Lock()
-	defer s.learned.mu.Unlock()
-	s.learned.view.RecordResult(m.ID, failed, time.Now())
+	s.recordRemoteResult(m.ID, failed, time.Now())
 }
 
 // ReadRemotely runs a read at a VM that lends its connections, in one round trip. ok is
--- a/internal/dbpool/speed.go
+++ b/internal/dbpool/speed.go
@@ -147,16 +147,24 @@
 	return -1
 }
 
+// recordRemoteResult counts whether a statement failed that ran on a connection of
+// another VM. Its service time comes with that VM's report.
+func (s *Pools) recordRemoteResult(id ident.Target, failed bool, now time.Time) {
+	if s.Learns == nil {
+		return
+	}
+	s.learned.mu.Lock()
+	defer s.learned.mu.Unlock()
+	s.learned.view.RecordResult(id, failed, now)
+}
+
 // recordSpeed learns from the answers to statements sent at c.sentAt.
 func (c *Conn) recordSpeed(sts []dbop.Statement, answers []dbop.Answer, inProgress int, failed bool, err error) {
 	now := time.Now()
 	i := classIndex(sts)
 	if c.pool == nil {
-		if c.lentBy != nil && c.lentBy.Learns != nil && i >= 0 {
-			l := &c.lentBy.learned
-			l.mu.Lock()
-			l.view.RecordResult(c.Target, failed, now)
-			l.mu.Unlock()
+		if c.borrowedBy != nil && i >= 0 {
+			c.borrowedBy.recordRemoteResult(c.Target, failed, now)
 		}
 		return
 	}
--- a/internal/dbpool/turn.go
+++ b/internal/dbpool/turn.go
@@ -11,8 +11,8 @@
 
 // Turn is the right of a request to get a connection and to run its first statement.
 // A Conn calls Start when it sends that statement, with writes set for one that may wait
-// for a replica, and End when the answer has arrived
-// or the connection is given back before.
+// for a replica, and End when the answer has arrived or the connection is given back
+// before.
 type Turn interface {
 	Start(writes bool)
 	End()
@@ -57,8 +57,7 @@
 		return false
 	}
 	for i := range sts {
-		switch sts[i].Kind {
-		case dbop.Read, dbop.Write, dbop.Execute, dbop.Commit:
+		if sts[i].Kind.TakesSlot() {
 			c.turn.Start(sts[i].Kind == dbop.Write || sts[i].Kind == dbop.Commit || sts[i].Writes)
 			return true
 		}
--- a/internal/engine/absence.go
+++ b/internal/engine/absence.go
@@ -32,7 +32,8 @@
 	// absencePollInterval is how often a waiting statement checks whether a more urgent
 	// one has taken its place.
 	absencePollInterval = 50 * time.Millisecond
-	// absenceGap is how long no statement may have waited within one absence.
+	// absenceGap is the longest time without a waiting statement within one absence; a
+	// statement that waits later begins a new one.
 	absenceGap = time.Second
 	// serviceSmoothing is the inverse of the weight of a new figure in moving averages.
 	serviceSmoothing = 8
@@ -79,8 +80,8 @@
 	return ab
 }
 
-// enter adds a waiting statement, or returns nil and when to retry if limit others go
-// before it.
+// enter adds a waiting statement, or returns nil and when to retry if the rules leave no
+// place for it.
 func (a *absences) enter(g ident.Group, weight uint32, rules absenceRules, now time.Time) (*absenceWaiter, time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -97,8 +98,9 @@
 	return nil, ab.retryAfter(weight, now)
 }
 
-// hasPlace reports whether a waiting statement may go on waiting: while the absence is
-// new, or when fewer than the limit are more urgent, or as urgent and were there before.
+// hasPlace reports whether a waiting statement may go on waiting: during the grace
+// period, or when fewer statements than the rules allow are more urgent, or as urgent and
+// were there before.
 func (ab *absence) hasPlace(w *absenceWaiter, rules absenceRules, now time.Time) bool {
 	if now.Sub(ab.since) < rules.grace {
 		return true
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -79,8 +79,8 @@
 func (e *Engine) Open(l Login, c Caller) (*Session, *dbop.Answer) {
 	e.awaitReady()
 	s := &Session{e: e, caller: c, login: l, owner: dbpool.Owner(rand.Uint64())}
-	if l, ok := c.(leaver); ok {
-		s.gone = l.Gone
+	if g, ok := c.(goneReporter); ok {
+		s.gone = g.Gone
 	}
 	if a := s.authorize(); a != nil {
 		e.logLogin(l.Route, a)
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -20,12 +20,13 @@
 	maxRetryAfter = 2 * time.Second
 )
 
-// leaver is implemented by a Caller that knows whether the caller has closed its
+// goneReporter is implemented by a Caller that knows whether the caller has closed its
 // connection.
-type leaver interface{ Gone() bool }
+type goneReporter interface{ Gone() bool }
 
-// pressed is the reported delay for which a statement was refused.
-type pressed struct {
+// reportedDelay is the delay for which a statement was not sent to a database, with its
+// age and the address of the lender that reported it.
+type reportedDelay struct {
 	delay, age time.Duration
 	source     string
 }
@@ -57,22 +58,22 @@
 	if !c.scheduling.Ranked {
 		return nil
 	}
-	if c.lastCode != dbop.OK && s.gone != nil && s.gone() || s.isPressed(c, m) {
+	if c.lastCode != dbop.OK && s.gone != nil && s.gone() || s.delayTooLong(c, m) {
 		return &dbpool.Error{Op: "get", Kind: dbpool.KindRefused, Target: m.ID, Code: dbop.Crowded}
 	}
 	return nil
 }
 
-// isPressed reports whether the queue for a database is too long for a statement. One
-// statement in probeShare is sent all the same.
-func (s *Session) isPressed(c *call, m *roster.Member) bool {
+// delayTooLong reports whether the reported delay at a database leaves no time to answer
+// a statement. One statement in probeShare is sent all the same.
+func (s *Session) delayTooLong(c *call, m *roster.Member) bool {
 	now := time.Now()
 	p := s.e.cfg.Pools.Pressure(m, s.auth.Workspace, s.auth.Regions)
 	delay := p.Delay(s.auth.Weight, now)
 	if delay <= c.remaining() || rand.N(probeShare) == 0 {
 		return false
 	}
-	c.pressed = pressed{delay, now.Sub(p.At), p.Source}
+	c.tooLong = reportedDelay{delay, now.Sub(p.At), p.Source}
 	return true
 }
 
@@ -92,7 +93,7 @@
 	if !c.scheduling.Ranked {
 		return busyRetryAfter
 	}
-	window := min(max(c.pressed.delay, 2*busyRetryAfter), maxRetryAfter)
+	window := min(max(c.tooLong.delay, 2*busyRetryAfter), maxRetryAfter)
 	return minRetryAfter + rand.N(window/time.Duration(max(c.scheduling.Weight, 1)))
 }
 
@@ -116,7 +117,7 @@
 		return ShedNoPrimary
 	case c.lastCode != dbop.Crowded:
 		return ""
-	case c.pressed.delay > 0:
+	case c.tooLong.delay > 0:
 		return ShedPressure
 	}
 	return ShedQueue
@@ -124,8 +125,8 @@
 
 // logPressure adds the reported delay for which a statement was refused.
 func (c *call) logPressure(ev *zerolog.Event) *zerolog.Event {
-	if c.pressed.delay == 0 {
+	if c.tooLong.delay == 0 {
 		return ev
 	}
-	return ev.Dur("pressure", c.pressed.delay).Dur("pressure_age", c.pressed.age).Str("pressure_source", c.pressed.source)
+	return ev.Dur("pressure", c.tooLong.delay).Dur("pressure_age", c.tooLong.age).Str("pressure_source", c.tooLong.source)
 }
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -85,7 +85,9 @@
 	mayHaveRun bool
 	// scheduling holds the queueing parameters of the statement at a database.
 	scheduling dbop.Scheduling
-	pressed    pressed
+	// tooLong is the reported delay of the last attempt that was given up for it; zero
+	// if there was none.
+	tooLong reportedDelay
 	// primaryExpected, unless 0, is when to retry a statement that was refused because
 	// the group has no primary.
 	primaryExpected time.Duration
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -11,9 +11,14 @@
 // The version in force never decreases, whatever the source of a catalogue. A store that
 // was restored from an older copy may show a lower one for a while; this confirms nothing.
 //
+// With Config.EvacuateWithin, the orders to evacuate availability zones take the same
+// ways as the catalogue, and ZoneStatus says how the databases of a zone may be used.
+//
 // # Usage
 //
-//	f := follow.New(follow.Config{Store: s, Key: "catalogue", Decode: decode, Fleet: fleet, Peers: peers})
+//	f := follow.New(follow.Config{
+//		Store: s, Key: "catalogue", Decode: decode, Fleet: fleet, Peers: peers,
+//	})
 //	go f.Run(ctx)
 //	idx := f.Index() // nil while there is no catalogue
 package follow
--- a/internal/lead/doc.go
+++ b/internal/lead/doc.go
@@ -1,5 +1,5 @@
 // Package lead monitors the primary of each group, and fails over to another
-// database when the primary is lost or leaves.
+// database when the primary is lost or leaves, or its zone is evacuated.
 //
 // # Monitoring
 //
@@ -31,8 +31,9 @@
 // supersedes it.
 //
 // A primary that answers is demoted before another database is promoted, since one that
-// joins the group after the fences is not fenced. One that is leaving or missing from the
-// list is replaced only by a replica in service that has its log.
+// joins the group after the fences is not fenced. One that is leaving, missing from the
+// list or in an evacuated zone is replaced only by a replica in service that has its log,
+// and in the last case only by one outside the evacuated zones.
 //
 // # Former primaries
 //
--- a/internal/lead/evacuate_test.go
+++ b/internal/lead/evacuate_test.go
@@ -21,8 +21,8 @@
 }
 
 // TestEvacuatedPrimary guards against a primary that stays in an evacuated zone, against
-// one that is moved into another such zone or to a database without its commits, and against a move that does not demote the
-// former primary first.
+// one that is moved into another such zone or to a database without its commits, and
+// against a move that does not demote the former primary first.
 func TestEvacuatedPrimary(t *testing.T) {
 	run(t, 3, func(is *is.I, f *fixture) {
 		for _, id := range []ident.Target{"a", "b"} {
--- /dev/null
+++ b/internal/lead/fixture_test.go
@@ -0,0 +1,157 @@
+package lead_test
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/internal/epoch"
+	"chervilspan.example/internal/lead"
+	"chervilspan.example/internal/linktest"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/roster"
+)
+
+// fixture is a cluster of three databases that several VMs monitor.
+type fixture struct {
+	cluster  *linktest.Cluster
+	store    *linktest.Store
+	promoter *linktest.Promoter
+	monitors []*lead.Monitor
+	log      bytes.Buffer
+	// refresh, unless nil, is called when a VM reads the list before a failover.
+	refresh func()
+	// joining has databases that are not there at the start.
+	joining []ident.Target
+	// unfenced is the monitors' Config.Unfenced.
+	unfenced bool
+	// evacuated has the evacuated zones.
+	evacuated sync.Map
+	// suspended is how far Config.Clock is ahead of the bubble's clock.
+	suspended atomic.Int64
+}
+
+// suspend advances Config.Clock as a suspension of the machine would.
+func (f *fixture) suspend(d time.Duration) { f.suspended.Add(int64(d)) }
+
+func (f *fixture) now() time.Time { return time.Now().Add(time.Duration(f.suspended.Load())) }
+
+// peers answers for the other VMs of a fixture.
+type peers struct {
+	f    *fixture
+	self int
+}
+
+func (p peers) ConfirmsPrimary(_ context.Context, g ident.Group, id ident.Target) bool {
+	for i, mon := range p.f.monitors {
+		if i != p.self && mon.ConfirmedPrimary(g) == id {
+			return true
+		}
+	}
+	return false
+}
+
+// run starts n VMs in a synctest bubble and calls f when the list of databases
+// counts as complete.
+func run(t *testing.T, n int, f func(*is.I, *fixture)) {
+	t.Helper()
+	runWith(t, n, &fixture{}, f)
+}
+
+// runUnfenced is like run, on a platform where a replaced primary goes on until it is
+// demoted.
+func runUnfenced(t *testing.T, n int, f func(*is.I, *fixture)) {
+	t.Helper()
+	runWith(t, n, &fixture{unfenced: true}, f)
+}
+
+func runWith(t *testing.T, n int, fx *fixture, f func(*is.I, *fixture)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		fx.cluster, fx.store = linktest.New("g", append([]ident.Target{"a", "b", "c"}, fx.joining...)...), &linktest.Store{}
+		for _, id := range fx.joining {
+			fx.cluster.Update(id, func(d *linktest.DB) { d.Removed = true })
+		}
+		fx.cluster.UpdateRoster()
+		fx.cluster.SetFormerGoesOn(fx.unfenced)
+		fx.promoter = &linktest.Promoter{Cluster: fx.cluster}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		log := zerolog.New(zerolog.SyncWriter(&fx.log))
+		for i := range n {
+			pools := &dbpool.Pools{Dialer: fx.cluster, Roster: fx.cluster.Roster(), ConnLimit: func(*roster.Member) int { return 4 }}
+			mon := lead.New(lead.Config{
+				VM: ident.VM(rune('x' + i)), Roster: fx.cluster.Roster(), Pools: pools, Store: fx.store, Promoter: fx.promoter,
+				Epochs:    epoch.New(epoch.Config{Store: fx.store, Lifetimes: []time.Duration{lead.ClaimTTL}}),
+				Peers:     peers{fx, i},
+				Evacuated: func(z ident.Zone) bool { _, ok := fx.evacuated.Load(z); return ok },
+				Rank:      func(ident.Group) int { return i }, Clock: fx.now, Unfenced: fx.unfenced,
+				RefreshList: func(context.Context) error {
+					if fx.refresh != nil {
+						fx.refresh()
+					}
+					return nil
+				},
+				Log: log,
+			})
+			mon.Watch([]ident.Group{"g"})
+			fx.monitors = append(fx.monitors, mon)
+			wg.Go(func() { mon.Run(ctx) })
+		}
+		updates := time.NewTicker(time.Second)
+		go func() {
+			for {
+				select {
+				case <-ctx.Done():
+					return
+				case <-updates.C:
+					fx.cluster.UpdateRoster()
+				}
+			}
+		}()
+		time.Sleep(4 * time.Second)
+		f(is.New(t), fx)
+		updates.Stop()
+		cancel()
+		wg.Wait()
+		time.Sleep(time.Second) // for calls that release claims
+	})
+}
+
+func (f *fixture) promotions() []string {
+	return slices.DeleteFunc(f.cluster.ControlLog(), func(s string) bool { return !strings.HasPrefix(s, "promote") })
+}
+
+// remove makes a database stop answering and removes it from the list.
+func (f *fixture) remove(id ident.Target) {
+	f.cluster.Update(id, func(d *linktest.DB) { d.Removed = true })
+}
+
+// otherMonitor returns the monitor of a further VM with a roster of its own, which
+// answers the others.
+func (f *fixture) otherMonitor() *lead.Monitor {
+	table := &roster.Table{}
+	mon := lead.New(lead.Config{Roster: table, Pools: &dbpool.Pools{
+		Dialer: f.cluster, Roster: table, ConnLimit: func(*roster.Member) int { return 4 },
+	}})
+	f.monitors = append(f.monitors, mon)
+	return mon
+}
+
+// markLeaving lists a database as leaving.
+func (f *fixture) markLeaving(id ident.Target) {
+	m, _ := f.cluster.Roster().Member("g", id)
+	e := m.Entry
+	e.Leaving, e.Sequence = true, e.Sequence+int64(time.Hour)
+	f.cluster.Roster().Merge([]roster.Entry{e}, time.Now())
+}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -63,9 +63,9 @@
 	// for primaries.
 	RegionOf   func(ident.Zone) ident.Region
 	HomeRegion ident.Region
-	// Votes, unless nil, returns how many routes of a group allow databases in a zone.
-	// Of the candidates that lose no commit, one with the most is promoted.
-	Votes func(ident.Group, ident.Zone) int
+	// RoutesAllowing, unless nil, returns how many routes of a group allow databases in a
+	// zone. Of the candidates that lose no commit, one with the most is promoted.
+	RoutesAllowing func(ident.Group, ident.Zone) int
 	// Evacuated, unless nil, reports whether a zone is being evacuated. A primary there is
 	// replaced like a leaving one, if a database elsewhere can be promoted.
 	Evacuated func(ident.Zone) bool
--- a/internal/lead/placement.go
+++ b/internal/lead/placement.go
@@ -13,9 +13,9 @@
 type placement struct {
 	region func(ident.Zone) ident.Region
 	home   ident.Region
-	// votes returns how many routes of the group allow databases in a zone; nil means
-	// that all zones have equally many.
-	votes func(ident.Zone) int
+	// routesAllowing returns how many routes of the group allow databases in a zone; nil
+	// means that all zones have equally many.
+	routesAllowing func(ident.Zone) int
 	// evacuated reports whether a zone is being evacuated; nil means that none is.
 	evacuated func(ident.Zone) bool
 }
@@ -23,8 +23,8 @@
 // placement returns the placement of a group's primary.
 func (mon *Monitor) placement(g ident.Group) placement {
 	p := placement{region: mon.cfg.RegionOf, home: mon.cfg.HomeRegion, evacuated: mon.cfg.Evacuated}
-	if mon.cfg.Votes != nil {
-		p.votes = func(z ident.Zone) int { return mon.cfg.Votes(g, z) }
+	if mon.cfg.RoutesAllowing != nil {
+		p.routesAllowing = func(z ident.Zone) int { return mon.cfg.RoutesAllowing(g, z) }
 	}
 	return p
 }
@@ -38,10 +38,10 @@
 	case eb && !ea:
 		return 1
 	}
-	if p.votes == nil {
+	if p.routesAllowing == nil {
 		return 0
 	}
-	return cmp.Compare(p.votes(a), p.votes(b))
+	return cmp.Compare(p.routesAllowing(a), p.routesAllowing(b))
 }
 
 func (p placement) isEvacuated(z ident.Zone) bool { return p.evacuated != nil && p.evacuated(z) }
@@ -49,7 +49,7 @@
 // mayMoveTo reports whether the primary may be moved to a zone because its own is being
 // evacuated: that zone is not, and a route of the group allows databases there.
 func (p placement) mayMoveTo(z ident.Zone) bool {
-	return !p.isEvacuated(z) && (p.votes == nil || p.votes(z) > 0)
+	return !p.isEvacuated(z) && (p.routesAllowing == nil || p.routesAllowing(z) > 0)
 }
 
 // canEvacuate reports whether a primary is in an evacuated zone and a listed database that
--- a/internal/lead/placement_test.go
+++ b/internal/lead/placement_test.go
@@ -20,7 +20,7 @@
 	}
 	p := placement{
 		region: func(z ident.Zone) ident.Region { return ident.Region(z) }, home: "x",
-		votes: func(z ident.Zone) int { return map[ident.Zone]int{"x": 1, "y": 2}[z] },
+		routesAllowing: func(z ident.Zone) int { return map[ident.Zone]int{"x": 1, "y": 2}[z] },
 	}
 	choose := func(f func([]reply, placement) (roster.Member, bool), rs ...reply) ident.Target {
 		m, _ := f(rs, p)
@@ -30,6 +30,6 @@
 	is.Equal(choose(mostAdvanced, zoned("a", "x", 9), zoned("b", "y", 9)), ident.Target("b"))
 	is.Equal(choose(bestPlaced, zoned("a", "x", 9), zoned("b", "y", 8)), ident.Target("b"))
 	is.Equal(choose(bestPlaced, zoned("a", "y", 8), zoned("b", "y", 9)), ident.Target("b"))
-	p.votes = nil
+	p.routesAllowing = nil
 	is.Equal(choose(mostAdvanced, zoned("a", "y", 9), zoned("b", "x", 9)), ident.Target("b"))
 }
--- a/internal/limit/doc.go
+++ b/internal/limit/doc.go
@@ -3,6 +3,10 @@
 // fairq: it claims slices in the store, borrows tokens from other VMs and lends
 // tokens to them, and requests slots from the gates of targets.
 //
+// The requests to single databases are limited in the same way: a database with a limit
+// in Config.Targets has an account beside those of the workspaces, and AdmitAt takes its
+// tokens.
+//
 // For rates, locks are taken in the order Limiter.refreshMu, workspaceEntry.mu,
 // sliceState.mu; for slots, a target or a gate is locked. No lock is held
 // across I/O. A request for which tokens or a slot are available takes one lock
--- a/internal/node/cold.go
+++ b/internal/node/cold.go
@@ -14,7 +14,8 @@
 )
 
 // permitLifetime is how long after its admission a request may be sent to a cold
-// database. What it allows above the rate, the tolerance has to cover.
+// database. The burst is smaller by what the rate yields in this time; see
+// warm.Tolerance.Limit.
 const permitLifetime = 100 * time.Millisecond
 
 // setColdGuard sets the guard of cold databases if the settings ask for one.
--- a/internal/node/doc.go
+++ b/internal/node/doc.go
@@ -2,8 +2,8 @@
 // platform's VMs. Everything specific to the platform is passed in as Adapters.
 //
 // Every VM runs the same components: the catalogue follower, the list of VMs, the
-// list of databases, the rate limiter of workspaces, the monitor of primaries,
-// and the session engine.
+// list of databases, the rate limiter of workspaces, the lender of connections, the
+// guard of cold databases, the monitor of primaries, and the session engine.
 //
 // # Usage
 //
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"runtime/debug"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,7 +18,6 @@
 	"chervilspan.example/internal/evlog"
 	"chervilspan.example/internal/fleet"
 	"chervilspan.example/internal/follow"
-	"chervilspan.example/internal/guard"
 	"chervilspan.example/internal/lead"
 	"chervilspan.example/internal/limit"
 	"chervilspan.example/internal/lists"
@@ -73,12 +70,6 @@
 	grantLifetime = 400 * time.Millisecond
 	// sweepInterval is how often unused connections are closed.
 	sweepInterval = 2 * time.Second
-	// versionCheckTimeout is how long a starting VM waits for another VM's version of
-	// the catalogue. It is below the time for which logins wait for the start.
-	versionCheckTimeout = time.Second
-	// countsLogInterval is how often the numbers of calls to the store and of bytes are
-	// logged.
-	countsLogInterval = 10 * time.Second
 	// memoryLimitFraction is the fraction of the VM's memory that is set as the soft
 	// memory limit of the Go runtime.
 	memoryLimitFraction = 0.6
@@ -160,7 +151,7 @@
 	n.monitor = lead.New(lead.Config{
 		VM: s.VM, Roster: n.roster, Pools: n.pools, Store: a.Store, Epochs: epochs, Promoter: a.Promoter, Peers: vmPeers{n}, RefreshList: n.disco.Refresh,
 		Rank:     func(g ident.Group) int { return n.fleet.Rank(rankName(g), s.homeRegion()) },
-		RegionOf: n.regionOf, HomeRegion: s.homeRegion(), Votes: n.votes, Evacuated: n.evacuated, Clock: uptime.Now, Log: log,
+		RegionOf: n.regionOf, HomeRegion: s.homeRegion(), RoutesAllowing: n.routesAllowing, Evacuated: n.evacuated, Clock: uptime.Now, Log: log,
 		Unfenced: !s.FencedPromotions, SyncReplicas: n.syncReplicas,
 	})
 	n.lender.ZoneStatus = n.zoneStatus()
@@ -245,65 +236,6 @@
 	}
 }
 
-func (n *Node) startMetrics() {
-	if n.settings.Metrics == "" {
-		return
-	}
-	l, err := net.Listen("tcp", n.settings.Metrics)
-	if err != nil {
-		// The VM can serve callers without metrics.
-		evlog.At(n.log, evlog.AcceptFailed).Str("listener", "metrics").Err(err).Send()
-		return
-	}
-	go n.runListener("metrics", func() error { return n.serveHTTP(l, true) })
-}
-
-const headerTimeout = 2 * time.Second
-
-func (n *Node) serveHTTP(l net.Listener, metrics bool) error {
-	mux := http.NewServeMux()
-	if metrics {
-		mux.Handle("/metrics", n.metrics.Handler())
-	}
-	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) {
-		if !n.isReady() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})
-	s := http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	return s.Serve(l)
-}
-
-// isReady reports whether the VM can serve callers.
-func (n *Node) isReady() bool {
-	return !n.stopping.Load() && n.follower.Index() != nil && n.versionChecked() && n.roster.Loaded() && n.limiter.Ready()
-}
-
-// versionChecked reports whether the version in force may be served by. After a
-// restoration of the store, it may be one that other VMs have replaced; a starting VM
-// then asks another VM first, or waits for versionCheckTimeout if none answers.
-func (n *Node) versionChecked() bool {
-	return store.EpochOf(n.adapters.Store) <= store.FirstEpoch || n.follower.Compared() || time.Since(n.startedAt) > versionCheckTimeout
-}
-
-// readyPollInterval is how often a starting VM checks whether it is ready.
-const readyPollInterval = 15 * time.Millisecond
-
-// awaitReady closes firstReady, for which the engine waits, once the VM is ready.
-func (n *Node) awaitReady(ctx context.Context) {
-	t := time.NewTicker(readyPollInterval)
-	defer t.Stop()
-	for !n.isReady() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-		}
-	}
-	close(n.firstReady)
-	evlog.At(n.log, evlog.DaemonReady).Uint64("version", uint64(n.follower.Version())).Send()
-}
-
 // housekeep closes unused connections, reports totals, and has the groups of the
 // catalogue watched.
 func (n *Node) housekeep(ctx context.Context) {
@@ -333,68 +265,6 @@
 	}
 }
 
-// reportRestorations logs when the store has been restored from an older copy.
-func (n *Node) reportRestorations(ctx context.Context) {
-	s, ok := n.adapters.Store.(store.Restorable)
-	for ok {
-		restored := s.Restored()
-		select {
-		case <-ctx.Done():
-			return
-		case <-restored:
-		}
-		r := s.LastRestoration()
-		evlog.At(n.log, evlog.StoreRestored).Int64("before", int64(r.Before)).Int64("after", int64(r.After)).
-			Int64("last_before", r.LastBefore.Counter()).Int64("first_after", r.FirstAfter.Counter()).Send()
-	}
-}
-
-// updateGauges reports totals that other packages count.
-func (n *Node) updateGauges() {
-	n.metrics.Scope.Gauge("target_dials").Update(float64(n.pools.Dials.Load()))
-	n.metrics.Scope.Gauge("vms").Update(float64(len(n.fleet.Live())))
-	n.metrics.Scope.Gauge("lent_connections").Update(float64(n.lender.LentCount()))
-	n.updateQueueGauges()
-	n.metrics.Scope.Gauge("panics").Update(float64(guard.Count()))
-	n.metrics.Scope.Gauge("sessions").Update(float64(n.engine.Sessions()))
-	if s, ok := n.adapters.Store.(store.Restorable); ok {
-		n.metrics.Scope.Gauge("store_epoch").Update(float64(s.Epoch()))
-	}
-	n.reportSpeeds()
-	log := time.Since(n.countsLoggedAt) >= countsLogInterval
-	n.reportEvacuation(log)
-	n.reportCounts(log)
-}
-
-// reportCounts reports the calls to the store and the bytes sent and received, as
-// metrics and, if log is set, in the log.
-func (n *Node) reportCounts(log bool) {
-	if log {
-		n.countsLoggedAt = time.Now()
-	}
-	if n.adapters.StoreCounts != nil {
-		calls, failures := n.adapters.StoreCounts()
-		for op, count := range calls {
-			n.metrics.Scope.Tagged(map[string]string{"op": strings.ReplaceAll(op, " ", "_")}).Gauge("store_calls").Update(float64(count))
-		}
-		n.metrics.Scope.Gauge("store_failures").Update(float64(failures))
-		if log {
-			evlog.At(n.log, evlog.StoreCalls).Interface("calls", calls).Uint64("failures", failures).Send()
-		}
-	}
-	if n.adapters.Usage == nil {
-		return
-	}
-	bytes := map[string][2]uint64{}
-	for _, row := range n.adapters.Usage.Rows() {
-		n.metrics.Scope.Tagged(map[string]string{"mechanism": string(row.Mechanism), "border": row.Border.String()}).Gauge("bytes").Update(float64(row.Bytes))
-		bytes[string(row.Mechanism)+" "+row.Border.String()] = [2]uint64{row.Bytes, row.Messages}
-	}
-	if log {
-		evlog.At(n.log, evlog.BytesUsed).Interface("bytes", bytes).Send()
-	}
-}
-
 // poolIsCurrent reports whether the roster still has a pool's database with the
 // same address and process start.
 func (n *Node) poolIsCurrent(g ident.Group, id ident.Target, address string, processStart int64) bool {
--- a/internal/node/place.go
+++ b/internal/node/place.go
@@ -7,13 +7,13 @@
 	"chervilspan.example/pkg/place"
 )
 
-// votes implements lead.Config.Votes.
-func (n *Node) votes(g ident.Group, z ident.Zone) int {
+// routesAllowing implements lead.Config.RoutesAllowing.
+func (n *Node) routesAllowing(g ident.Group, z ident.Zone) int {
 	c := n.follower.Catalogue()
 	if c == nil {
 		return 0
 	}
-	return place.Votes(c, g, n.regionOf(z))
+	return place.RoutesAllowing(c, g, n.regionOf(z))
 }
 
 // logUnknownRegions logs, once for each version, the allowed regions that no zone has.
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -143,7 +143,7 @@
 	if x := s.RateExcess; x.WindowS < 0 || x.Fraction < 0 || x.Tokens < 0 {
 		add("/rate_excess", "has a negative number", "0 or more")
 	}
-	if !(s.EvacuateMS >= 0 && s.EvacuateMS <= maxEvacuateMS) {
+	if !(s.EvacuateMS >= 0 && s.EvacuateMS <= maxEvacuateMS) { // also true for NaN
 		add("/evacuate_ms", "is out of range", "0 to an hour")
 	}
 	if x := s.ColdExcess; x.Fraction < 0 || x.Tokens < 0 {
--- a/internal/node/speed.go
+++ b/internal/node/speed.go
@@ -13,12 +13,26 @@
 	"chervilspan.example/pkg/speed"
 )
 
+const (
+	// stallCheckInterval is how often a VM checks whether it has begun to use connections
+	// of its own, and ticksPerCheck is the number of ticks after which it checks whether
+	// it still does. Most VMs of a large fleet hold no connections and need no ticks.
+	// stallIdleAfter is how long ticks go on without answers.
+	stallCheckInterval = time.Second
+	ticksPerCheck      = 250
+	stallIdleAfter     = 30 * time.Second
+	// loggedSpeedRatio is the ratio by which the learned speed of a database must
+	// change to be logged.
+	loggedSpeedRatio = 2
+	// maxLoggedSpeedAge is the age up to which a change is logged: a figure without
+	// new answers returns to the average.
+	maxLoggedSpeedAge = time.Second
+)
+
 // learnsSpeed reports whether the learned speed of a database is used.
 func (n *Node) learnsSpeed(m *roster.Member) bool {
-	if set := n.settings.LearnSpeed; set != nil && !*set {
-		return false
-	} else if set != nil {
-		return true
+	if set := n.settings.LearnSpeed; set != nil {
+		return *set
 	}
 	return n.isLent(m.Group)
 }
@@ -66,21 +80,6 @@
 	return slices.ContainsFunc(n.pools.Speeds(), func(s dbpool.Speed) bool { return s.Age < stallIdleAfter })
 }
 
-const (
-	// Most VMs of a large fleet hold no connections, and those need no ticks:
-	// stallCheckInterval and ticksPerCheck are how often that is looked at, and
-	// stallIdleAfter is how long ticks go on without answers.
-	stallCheckInterval = time.Second
-	ticksPerCheck      = 250
-	stallIdleAfter     = 30 * time.Second
-	// loggedSpeedRatio is the ratio by which the learned speed of a database must
-	// change to be logged.
-	loggedSpeedRatio = 2
-	// maxLoggedSpeedAge is the age up to which a change is logged: a figure without
-	// new answers returns to the average.
-	maxLoggedSpeedAge = time.Second
-)
-
 // speedReport has the learned speed of each database as last logged.
 type speedReport struct {
 	targets metr.LabelValues
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -91,7 +91,7 @@
 // When no lender remains, this VM uses local connections.
 func (c *Client) Borrow(deadline time.Time, m *roster.Member, r *dbpool.Request) (dbpool.LentConn, bool, error) {
 	for _, address := range c.cfg.Lenders(m, r.Workspace, r.Allowed) {
-		if c.avoid.Has(address) || c.avoid.Has(atTarget(address, m.ID)) {
+		if c.avoids(address, m.ID) {
 			continue
 		}
 		lent, err := c.borrow(deadline, address, m, r)
@@ -128,6 +128,12 @@
 // atTarget returns the key under which a lender is avoided for one database.
 func atTarget(address string, id ident.Target) string { return address + "/" + string(id) }
 
+// avoids reports whether a lender is skipped for a database, because it or its
+// connections to the database failed.
+func (c *Client) avoids(address string, id ident.Target) bool {
+	return c.avoid.Has(address) || c.avoid.Has(atTarget(address, id))
+}
+
 // Load implements dbpool.Lender.
 func (c *Client) Load(m *roster.Member, ws ident.Workspace, allowed place.Regions) (dbpool.Load, bool) {
 	if len(c.cfg.Lenders(m, ws, allowed)) == 0 {
@@ -154,11 +160,8 @@
 	if err != nil {
 		return failed(err)
 	}
-	sched := req.Scheduling
-	open := toOpen(m, req.Workspace, req.Owner)
-	l.class = rankedClass(sched)
-	open.Class, open.Spent = string(l.class), uint32(sched.Spent/spentUnit)
-	open.WaitMs = uint32(max(0, time.Until(deadline).Milliseconds()))
+	open := toOpen(m, req, deadline)
+	l.class = ident.Class(open.Class)
 	if err := l.send(&peerpb.RelayRequest{Step: &peerpb.RelayRequest_Open{Open: open}}); err != nil {
 		return failed(err)
 	}
@@ -167,7 +170,7 @@
 		if r.GetTaken().Reads {
 			c.readers.Add(address)
 		}
-		stop := c.watchCaller(l, pressureKey{m.ID, address}, sched)
+		stop := c.watchCaller(l, pressureKey{m.ID, address}, req.Scheduling)
 		r, err = l.receive(deadline.Add(replyMargin))
 		if stop != nil && !stop() {
 			l.abort()
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -10,10 +10,14 @@
 	"chervilspan.example/pkg/roster"
 )
 
-func toOpen(m *roster.Member, ws ident.Workspace, owner dbpool.Owner) *peerpb.RelayOpen {
+// toOpen returns the request for a connection, for which the lender waits until the
+// deadline.
+func toOpen(m *roster.Member, r *dbpool.Request, deadline time.Time) *peerpb.RelayOpen {
 	return &peerpb.RelayOpen{
 		Target: string(m.ID), Address: m.Address, Born: m.ProcessStart, Group: string(m.Group), Zone: string(m.Zone),
-		Workspace: string(ws), Owner: uint64(owner), Slots: uint32(m.Slots),
+		Workspace: string(r.Workspace), Owner: uint64(r.Owner), Slots: uint32(m.Slots),
+		Class: string(rankedClass(r.Scheduling)), Spent: uint32(r.Scheduling.Spent / spentUnit),
+		WaitMs: uint32(max(0, time.Until(deadline).Milliseconds())),
 	}
 }
 
--- a/internal/relay/loan.go
+++ b/internal/relay/loan.go
@@ -21,7 +21,7 @@
 	stream  grpc.BidiStreamingClient[peerpb.RelayRequest, peerpb.RelayReply]
 	cancel  context.CancelFunc
 	usedAt  time.Time
-	// class is that of RelayOpen.
+	// class is the class that RelayOpen named, which statements of the loan leave out.
 	class ident.Class
 	// failed reports that the stream must not be used again.
 	failed bool
--- a/internal/relay/pressure.go
+++ b/internal/relay/pressure.go
@@ -40,7 +40,7 @@
 		return dbpool.Pressure{}
 	}
 	for _, address := range c.cfg.Lenders(m, ws, allowed) {
-		if c.avoid.Has(address) || c.avoid.Has(atTarget(address, m.ID)) {
+		if c.avoids(address, m.ID) {
 			continue
 		}
 		c.mu.Lock()
--- a/internal/relay/read_client.go
+++ b/internal/relay/read_client.go
@@ -6,6 +6,7 @@
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -13,7 +14,7 @@
 // read is sent to the next one, since a read may run twice.
 func (c *Client) Read(m *roster.Member, req *dbpool.Request, r *dbpool.Read) (res dbpool.ReadResult, ok bool) {
 	for _, address := range c.cfg.Lenders(m, req.Workspace, req.Allowed) {
-		if c.avoid.Has(address) || c.avoid.Has(atTarget(address, m.ID)) {
+		if c.avoids(address, m.ID) {
 			continue
 		}
 		if !c.readers.Has(address) {
@@ -80,10 +81,8 @@
 }
 
 func toRead(m *roster.Member, req *dbpool.Request, r *dbpool.Read) *peerpb.RelayRead {
-	open := toOpen(m, req.Workspace, req.Owner)
-	class := rankedClass(req.Scheduling)
-	open.Class, open.Spent = string(class), uint32(req.Scheduling.Spent/spentUnit)
-	open.WaitMs = uint32(max(0, time.Until(r.ConnDeadline).Milliseconds()))
+	open := toOpen(m, req, r.ConnDeadline)
+	class := ident.Class(open.Class)
 	out := &peerpb.RelayRead{
 		Open: open, Variables: toVariables(r.Setup.Vars), Statement: withoutClass([]*peerpb.RelayStatement{toStatement(&r.Statement)}, class)[0],
 		LimitMs: uint32(max(0, r.Limit.Milliseconds())), TotalMs: uint32(max(0, time.Until(r.Deadline).Milliseconds())),
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -173,7 +173,8 @@
 }
 
 // run executes the borrower's statements until the connection is returned. When
-// the stream ends before that, a connection that has been used is closed.
+// the stream ends before that, a connection that has been used is closed. sched has the
+// class and weight of statements that the borrower sends without a class.
 func (s *Server) run(st serverStream, m *roster.Member, conn *dbpool.Conn, sched dbop.Scheduling) error {
 	used := false
 	for {
--- a/internal/relay/turn.go
+++ b/internal/relay/turn.go
@@ -157,12 +157,12 @@
 	delete(q.waiters, t)
 }
 
-// drop removes a waiting request, with onlyHopeless only one that can't be answered in
-// time. It returns false if it did not.
-func (q *turnQueue) drop(t sched.Ticket, onlyHopeless bool) bool {
+// drop removes a waiting request; if onlyUnanswerable is set, only one that is not
+// expected to be answered in time. It returns false if it did not.
+func (q *turnQueue) drop(t sched.Ticket, onlyUnanswerable bool) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if onlyHopeless && !q.queue.Hopeless(t, time.Now()) || !onlyHopeless && !q.queue.Remove(t) {
+	if onlyUnanswerable && !q.queue.RemoveUnanswerable(t, time.Now()) || !onlyUnanswerable && !q.queue.Remove(t) {
 		return false
 	}
 	delete(q.waiters, t)
@@ -321,7 +321,7 @@
 	return q.reported
 }
 
-// item returns the request of a statement in the queue.
+// item returns the entry of a request in the queue.
 func item(s dbop.Scheduling, ws ident.Workspace, objective, timeout time.Duration, deadline, now time.Time) sched.Item {
 	it := sched.Item{Workspace: ws, Class: s.Class, Weight: s.Weight, Deadline: deadline}
 	start := now.Add(-s.Spent)
--- a/internal/relay/turns.go
+++ b/internal/relay/turn_server.go
@@ -47,6 +47,7 @@
 	return sts
 }
 
+// setClass sets the class and weight that withoutClass removed.
 func setClass(sts []dbop.Statement, sched dbop.Scheduling) {
 	for i := range sts {
 		if s := &sts[i].Scheduling; sched.Ranked && s.MaxWait > 0 && s.Class == "" {
--- a/internal/usage/doc.go
+++ b/internal/usage/doc.go
@@ -9,8 +9,8 @@
 // # Usage
 //
 //	t := usage.New(usage.Place{Zone: "z1", Region: "r1", RegionOf: regionOf})
-//	conn = t.Conn(conn, usage.Peers, func() (ident.Zone, bool) { return zoneOf(address) })
-//	t.AddPayload("/peer.v1.Peer/Relay", zone, 120)
+//	conn = t.Conn(conn, usage.Peers, func() ident.Zone { return zoneOf(address) })
+//	t.Add("Relay.run", zone, 120)
 //	for _, row := range t.Rows() {
 //		fmt.Println(row.Mechanism, row.Border, row.Bytes)
 //	}
--- a/model/cold.pml
+++ b/model/cold.pml
@@ -7,7 +7,8 @@
  *
  * A VM that takes no step is frozen or cut off. A restarted one has lost its memory and
  * takes its slice over at once, while tokens that it lent may be in use; so does another
- * VM here, which in the program waits for their lifetime. The database restarts once, at any moment; before, it was warm.
+ * VM here, which in the program waits for their lifetime. The database restarts once, at
+ * any moment; before, it was warm.
  *
  * Property: a token bucket of the same rate, with a burst larger by what is minted
  * during the lifetimes of a grant and of a permit, that counts every request that
--- a/pkg/dbop/dbop.go
+++ b/pkg/dbop/dbop.go
@@ -37,6 +37,16 @@
 	Demote
 )
 
+// TakesSlot reports whether a statement of the kind takes a slot at a database while it
+// runs.
+func (k Kind) TakesSlot() bool {
+	switch k {
+	case Read, Write, Execute, Commit:
+		return true
+	}
+	return false
+}
+
 // Statement is one statement of a caller or of the proxy itself.
 type Statement struct {
 	// ID is the caller's identifier; empty for the proxy's own statements.
--- a/pkg/place/regions.go
+++ b/pkg/place/regions.go
@@ -84,16 +84,16 @@
 	return limitedTo(both)
 }
 
-// Votes returns the number of routes of a group that allow a region. Routes without a
-// list count for every region.
-func Votes(c *catal.Catalogue, g ident.Group, r ident.Region) int {
-	votes := 0
+// RoutesAllowing returns the number of routes of a group that allow a region. Routes
+// without a list count for every region.
+func RoutesAllowing(c *catal.Catalogue, g ident.Group, r ident.Region) int {
+	count := 0
 	for _, route := range c.Routes {
 		if route.Group == g && RegionsOf(route.Regions).Allows(r) {
-			votes++
+			count++
 		}
 	}
-	return votes
+	return count
 }
 
 // UnknownRegions returns the regions in the lists of routes and workspaces that no zone
--- a/pkg/place/regions_test.go
+++ b/pkg/place/regions_test.go
@@ -32,9 +32,9 @@
 	is.True(!regions("ab").Allows("a"))
 }
 
-// TestVotes guards against routes of other groups that count, and routes without a list
-// that don't.
-func TestVotes(t *testing.T) {
+// TestRoutesAllowing guards against routes of other groups that count, and routes without
+// a list that don't.
+func TestRoutesAllowing(t *testing.T) {
 	is := is.New(t)
 	c := &catal.Catalogue{
 		Zones: map[ident.Zone]catal.Zone{"z": {Region: "a"}},
@@ -43,7 +43,7 @@
 		},
 		Workspaces: map[ident.Workspace]catal.Workspace{"w": {Regions: []ident.Region{"d", "a", "b"}}},
 	}
-	is.Equal(Votes(c, "g", "a"), 1)
-	is.Equal(Votes(c, "g", "b"), 2)
+	is.Equal(RoutesAllowing(c, "g", "a"), 1)
+	is.Equal(RoutesAllowing(c, "g", "b"), 2)
 	is.Equal(UnknownRegions(c), []ident.Region{"b", "d"})
 }
--- a/pkg/quota/order.go
+++ b/pkg/quota/order.go
@@ -14,8 +14,8 @@
 	maxSpreadVMs = 16
 	// holdersPerZone is the number of VMs of a zone that hold its slices in a larger
 	// fleet. There most VMs borrow, and a holder of many slices lends a whole token where
-	// several holders of one slice would each lend a fraction. The second one bounds what
-	// is lost with a VM.
+	// several holders of one slice would each lend a fraction. With a second holder, a
+	// zone keeps half of its slices when it loses a VM.
 	holdersPerZone = 2
 )
 
--- a/pkg/sched/estimate.go
+++ b/pkg/sched/estimate.go
@@ -103,11 +103,11 @@
 	return sum / time.Duration(max(q.slots, 1))
 }
 
-// isHopeless reports whether a statement is expected to meet neither its objective nor
-// its deadline. A late statement has to wait until those that are in time have been
-// served, so its chance depends on the whole backlog. No statement is hopeless while no
-// service time is known.
-func (q *Queue) isHopeless(c *class, e *entry, now time.Time) (time.Duration, bool) {
+// isUnanswerable reports whether a statement is expected to meet neither its objective nor
+// its deadline, and returns the expected wait. A late statement has to wait until those
+// that are in time have been served, so that depends on the whole backlog. No statement
+// is unanswerable while no service time is known.
+func (q *Queue) isUnanswerable(c *class, e *entry, now time.Time) (time.Duration, bool) {
 	if e.Deadline.IsZero() {
 		return 0, false
 	}
@@ -125,20 +125,20 @@
 	return wait, e.Objective.IsZero() || now.Add(wait).After(c.latestStart(e.Objective))
 }
 
-// Hopeless removes a waiting statement and reports true if it is expected to meet
-// neither its objective nor its deadline. Callers ask when it has waited for a little
+// RemoveUnanswerable removes a waiting statement and reports true if it is expected to
+// meet neither its objective nor its deadline. Callers ask when it has waited for a little
 // less than a quarter of its objective, the last moment at which a refusal is early.
-func (q *Queue) Hopeless(t Ticket, now time.Time) bool {
+func (q *Queue) RemoveUnanswerable(t Ticket, now time.Time) bool {
 	for _, c := range q.classes {
 		for i := range c.entries {
 			if c.entries[i].Ticket != t {
 				continue
 			}
-			_, hopeless := q.isHopeless(c, &c.entries[i], now)
-			if hopeless {
+			_, unanswerable := q.isUnanswerable(c, &c.entries[i], now)
+			if unanswerable {
 				q.removeAt(c, i)
 			}
-			return hopeless
+			return unanswerable
 		}
 	}
 	return false
--- a/pkg/sched/load_test.go
+++ b/pkg/sched/load_test.go
@@ -32,25 +32,26 @@
 	done(it *Item, took time.Duration)
 }
 
-// today is the policy of fairq with a wait of at most half of the objective.
-type today struct {
+// fairShares is the policy of fairq with a wait of at most half of the objective.
+type fairShares struct {
 	q     fairq.Queue
 	items map[Ticket]Item
 }
 
 func flowName(it *Item) ident.Workspace { return it.Workspace + "/" + ident.Workspace(it.Class) }
 
-func (p *today) push(it Item, _ time.Duration, slots int, now time.Time) bool {
+func (p *fairShares) push(it Item, _ time.Duration, slots int, now time.Time) bool {
 	half := now.Add(it.Objective.Sub(now) / 2)
 	return p.q.Push(fairq.Item{Ticket: fairq.Ticket(it.Ticket), Workspace: flowName(&it), Weight: it.Weight, Deadline: half}, slots, now) == nil
 }
 
-func (p *today) pop(now time.Time) (Ticket, bool) {
+func (p *fairShares) pop(now time.Time) (Ticket, bool) {
 	p.q.Expire(now)
 	t, ok := p.q.Pop(now)
 	return Ticket(t), ok
 }
-func (p *today) done(it *Item, took time.Duration) { p.q.RecordServiceTime(flowName(it), took) }
+
+func (p *fairShares) done(it *Item, took time.Duration) { p.q.RecordServiceTime(flowName(it), took) }
 
 type ranked struct{ q Queue }
 
@@ -180,7 +181,7 @@
 // Queue.
 func compare(t *testing.T, total, settled time.Duration, kinds ...kind) (ours, former map[ident.Class]*outcome, ws map[ident.Workspace]*outcome, after *outcome) {
 	t.Helper()
-	former, _, _ = simulate(&today{}, 5, total, settled, kinds...)
+	former, _, _ = simulate(&fairShares{}, 5, total, settled, kinds...)
 	ours, ws, after = simulate(&ranked{}, 5, total, settled, kinds...)
 	for _, k := range kinds {
 		a, b := former[k.name], ours[k.name]
--- a/pkg/sched/order.go
+++ b/pkg/sched/order.go
@@ -29,7 +29,7 @@
 	return t, true
 }
 
-// survey counts the statements of c that can still be answered.
+// survey sets the fields of c that describe the statements that can still be answered.
 func (c *class) survey(now time.Time) {
 	c.inTime, c.alive, c.slack, c.aboveHalf = 0, 0, 0, false
 	for i := range c.entries {
--- a/pkg/sched/sched.go
+++ b/pkg/sched/sched.go
@@ -83,7 +83,8 @@
 	standing   bool
 	// objective is that of the last statement, counted from its arrival.
 	objective time.Duration
-	// recorded is the number of service times recorded, up to smoothingDivisor.
+	// recorded is the number of service times recorded, up to smoothingDivisor. It has
+	// the type of work, which is divided by it.
 	recorded time.Duration
 	// The fields below are set by survey: the number of statements that can meet their
 	// objective and their deadline, the time until the first of the former has to
@@ -142,7 +143,7 @@
 	q.slots = max(slots, 1)
 	c := q.classOf(it.Class, it.Weight)
 	e := entry{Item: it, pushed: now}
-	if wait, hopeless := q.isHopeless(c, &e, now); hopeless {
+	if wait, unanswerable := q.isUnanswerable(c, &e, now); unanswerable {
 		return &Error{Op: "push", Kind: KindDeadline, ExpectedWait: wait}
 	}
 	if q.length >= q.limit() {
@@ -184,9 +185,9 @@
 	return f
 }
 
-// Displace removes and returns a waiting statement to make room in a full queue for
-// one of the given class and workspace: one of a class with less value, or else of a
-// workspace with more waiting statements. Each class may keep its floor of the places.
+// Displace removes and returns a waiting statement to make room in a full queue for a
+// new one: a statement of a class with less value, or else of a workspace with more
+// waiting statements. Each class may keep its floor of the places.
 // It prefers a statement whose refusal is still early.
 func (q *Queue) Displace(it Item, now time.Time) (Ticket, bool) {
 	than := q.classOf(it.Class, it.Weight)
--- a/pkg/speed/view.go
+++ b/pkg/speed/view.go
@@ -14,8 +14,8 @@
 	trustFor    = time.Second
 	forgetAfter = 3 * time.Second
 	// classDivisor is the inverse of the least weight of a report in the time of its
-	// class over all databases. It is small: a database that becomes slow must differ from
-	// the others, instead of moving what they are compared with.
+	// class over all databases. The weight is small, so that a database that becomes slow
+	// differs from the others instead of moving what they are compared with.
 	classDivisor = 64
 	// factorWeight is the weight of a report in the factor of its database. Reports
 	// are averages already.
--- a/pkg/warm/doc.go
+++ b/pkg/warm/doc.go
@@ -4,8 +4,8 @@
 // A Table knows which databases are cold, from their reports and from how long ago
 // they were started. Tolerance.Limit gives the token bucket that all VMs together may
 // use for a cold database; packages quota and limit divide it among the VMs. A Queue
-// orders the requests that wait for tokens, writes first, since reads may go to
-// another database. For RampTime after a database became warm, Ramp and RampSlots say
+// orders the requests that wait for tokens. Those that no other database can run, such
+// as writes, go first. For RampTime after a database became warm, Ramp and RampSlots say
 // which part of the requests of a VM it gets.
 //
 // The package does no I/O and reads no clock. Times are those of a clock that
@@ -15,7 +15,8 @@
 // # Usage
 //
 //	var tab warm.Table
-//	tab.Observe("db-1", warm.Report{Start: 1771, Sequence: 4, Left: 9 * time.Second}, rule, now, time.Now())
+//	r := warm.Report{Start: 1771, Sequence: 4, Left: 9 * time.Second}
+//	tab.Observe("db-1", r, rule, now, time.Now())
 //	if tab.Cold("db-1", now) {
 //		// take a token of tolerance.Limit(rule.Rate, lifetimes) first
 //	}
--- a/pkg/warm/queue.go
+++ b/pkg/warm/queue.go
@@ -5,20 +5,21 @@
 // Ticket identifies a waiting request.
 type Ticket uint64
 
-// Queue orders the requests that wait for tokens of a cold database: writes before
-// reads, and each kind in the order of arrival. The zero Queue is empty.
+// Queue orders the requests that wait for tokens of a cold database: urgent ones
+// first, and both kinds in the order of arrival. A request is urgent if no other
+// database can run it, such as a write. The zero Queue is empty.
 type Queue struct {
-	last          Ticket
-	writes, reads []Ticket
+	last           Ticket
+	urgent, others []Ticket
 }
 
 // Enter appends a request.
-func (q *Queue) Enter(write bool) Ticket {
+func (q *Queue) Enter(urgent bool) Ticket {
 	q.last++
-	if write {
-		q.writes = append(q.writes, q.last)
+	if urgent {
+		q.urgent = append(q.urgent, q.last)
 	} else {
-		q.reads = append(q.reads, q.last)
+		q.others = append(q.others, q.last)
 	}
 	return q.last
 }
@@ -26,10 +27,10 @@
 // First returns the request whose turn it is.
 func (q *Queue) First() (Ticket, bool) {
 	switch {
-	case len(q.writes) > 0:
-		return q.writes[0], true
-	case len(q.reads) > 0:
-		return q.reads[0], true
+	case len(q.urgent) > 0:
+		return q.urgent[0], true
+	case len(q.others) > 0:
+		return q.others[0], true
 	}
 	return 0, false
 }
@@ -37,9 +38,9 @@
 // Leave removes a request that has its token or waits no longer.
 func (q *Queue) Leave(t Ticket) {
 	is := func(o Ticket) bool { return o == t }
-	q.writes = slices.DeleteFunc(q.writes, is)
-	q.reads = slices.DeleteFunc(q.reads, is)
+	q.urgent = slices.DeleteFunc(q.urgent, is)
+	q.others = slices.DeleteFunc(q.others, is)
 }
 
 // Len returns the number of waiting requests.
-func (q *Queue) Len() int { return len(q.writes) + len(q.reads) }
+func (q *Queue) Len() int { return len(q.urgent) + len(q.others) }
