Report the age and source of the catalogue's confirmation

Change: events 147 and 148 at three quarters of the time within which a version must be in force, which is the new setting config_ms (from the deployment's bounds); catalogue_taken names the VM that had the version, and the age; login_refused and request_refused for key or route have version and age; gauges catalogue_version and catalogue_age_seconds. No decision changes. Measured: tests of follow, node, engine, evlog and docs pass; lint is clean.

--- a/internal/engine/config.go
+++ b/internal/engine/config.go
@@ -102,15 +102,18 @@
 	RegionOf func(ident.Zone) ident.Region
 }
 
-// Config configures an Engine. All fields but ZoneStatus, Ramp, Ready, VMs, Clock, Meter
+// Config configures an Engine. All fields but CatalogueAge, ZoneStatus, Ramp, Ready, VMs, Clock, Meter
 // and Log are required.
 type Config struct {
-	Access    Access
-	Limiter   Limiter
-	Primaries Primaries
-	Pools     *dbpool.Pools
-	Roster    *roster.Table
-	Place     Place
+	Access Access
+	// CatalogueAge, unless nil, returns how long ago the catalogue in force was last known
+	// to be the newest, for the log.
+	CatalogueAge func() time.Duration
+	Limiter      Limiter
+	Primaries    Primaries
+	Pools        *dbpool.Pools
+	Roster       *roster.Table
+	Place        Place
 	// ZoneStatus, unless nil, returns how the databases of a zone may be used now.
 	ZoneStatus func(ident.Zone) place.Status
 	// Ramp, unless nil, returns which part of the reads that could run at a database
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"chervilspan.example/internal/evlog"
 	"chervilspan.example/pkg/access"
 	"chervilspan.example/pkg/dbop"
@@ -32,10 +34,26 @@
 	if a.Code == dbop.Unknown || a.Code == dbop.Timeout {
 		ev = evlog.RequestUnanswered
 	}
-	c.logPressure(evlog.At(e.cfg.Log, ev)).Str("request", c.st.ID).Str("route", string(s.login.Route)).
+	line := c.logPressure(evlog.At(e.cfg.Log, ev))
+	if a.Code == dbop.BadKey || a.Code == dbop.NoRoute {
+		line = e.logCatalogue(line)
+	} else {
+		line.Uint64("version", uint64(s.catalogueVersion()))
+	}
+	line.Str("request", c.st.ID).Str("route", string(s.login.Route)).
 		Str("workspace", string(s.auth.Workspace)).Str("code", a.Code.String()).Str("why", a.Text).
-		Str("last", c.lastCode.String()).Bool("offered", c.offered).Dur("took", took).
-		Uint64("version", uint64(s.catalogueVersion())).Send()
+		Str("last", c.lastCode.String()).Bool("offered", c.offered).Dur("took", took).Send()
+}
+
+// logCatalogue adds the version of the catalogue in force and its age to a log line.
+func (e *Engine) logCatalogue(line *zerolog.Event) *zerolog.Event {
+	if idx := e.cfg.Access.Index(); idx != nil {
+		line.Uint64("version", uint64(idx.Catalogue.Version))
+	}
+	if e.cfg.CatalogueAge != nil {
+		line.Dur("age", e.cfg.CatalogueAge())
+	}
+	return line
 }
 
 func (s *Session) catalogueVersion() ident.Version {
@@ -53,7 +71,7 @@
 }
 
 func (e *Engine) logLogin(r ident.Route, a *dbop.Answer) {
-	evlog.At(e.cfg.Log, evlog.LoginRefused).Str("route", string(r)).Str("code", a.Code.String()).Str("reason", a.Text).Send()
+	e.logCatalogue(evlog.At(e.cfg.Log, evlog.LoginRefused)).Str("route", string(r)).Str("code", a.Code.String()).Str("reason", a.Text).Send()
 }
 
 func (e *Engine) logIdleRollback(s *Session) {
--- /dev/null
+++ b/internal/follow/confirm.go
@@ -0,0 +1,101 @@
+package follow
+
+import (
+	"time"
+
+	"chervilspan.example/internal/evlog"
+	"chervilspan.example/pkg/ident"
+)
+
+// FromStore is the source of what this VM reads from the store itself.
+const FromStore = "store"
+
+const (
+	// defaultWithin is Config.Within if that is 0.
+	defaultWithin = 9 * time.Second
+	// reportedFraction is the fraction of Config.Within after which a version that has
+	// not been confirmed is reported.
+	reportedFraction = 0.75
+)
+
+// Confirmation says as of when the version in force is known to have been the newest.
+type Confirmation struct {
+	Version ident.Version
+	// Age is the time since then, 0 if the version was never confirmed.
+	Age time.Duration
+	// From is "store", or the address of the VM that confirmed the version; empty if
+	// none did.
+	From string
+}
+
+// Confirmation returns the last confirmation of the version in force.
+func (f *Follower) Confirmation() Confirmation {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.confirmation()
+}
+
+// confirmation is Confirmation for a caller that holds f.mu.
+func (f *Follower) confirmation() Confirmation {
+	c := Confirmation{Version: f.Version(), From: f.confirmedFrom}
+	if !f.confirmedAt.IsZero() {
+		c.Age = f.cfg.Clock().Sub(f.confirmedAt)
+	}
+	return c
+}
+
+// confirmFromStore records that this VM knew all versions in the store at a time. It
+// confirms the version in force unless the store showed only an older one.
+func (f *Follower) confirmFromStore(at time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.storeVersion >= f.Version() {
+		f.setConfirmed(at, FromStore)
+	}
+}
+
+// confirm records that a version was the newest at a time, if it is still in force. from
+// is the address of the VM that said so.
+func (f *Follower) confirm(v ident.Version, at time.Time, from string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if v == f.Version() {
+		f.setConfirmed(at, from)
+	}
+}
+
+// setConfirmed moves confirmedAt on. The caller holds f.mu, under which the version in
+// force changes.
+func (f *Follower) setConfirmed(at time.Time, from string) {
+	if at.After(f.confirmedAt) {
+		f.confirmedAt, f.confirmedFrom = at, from
+	}
+}
+
+func (f *Follower) unconfirmedAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cfg.Clock().Sub(f.oldestConfirmation(f.confirmedAt))
+}
+
+// reportUnconfirmed logs when the version in force has not been confirmed for a part of
+// the time within which a new one must be in force, and when it is confirmed again.
+func (f *Follower) reportUnconfirmed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := f.confirmation()
+	if c.From == "" {
+		return // the VM is starting
+	}
+	late := c.Age > time.Duration(reportedFraction*float64(f.cfg.Within))
+	if late == f.lateReported {
+		return
+	}
+	f.lateReported = late
+	event := evlog.CatalogueConfirmed
+	if late {
+		event = evlog.CatalogueUnconfirmed
+	}
+	evlog.At(f.cfg.Log, event).Uint64("version", uint64(c.Version)).Dur("age", c.Age).Str("confirmed_by", c.From).
+		Bool("watches", f.watches()).Bool("store_up", f.storeUp.Load()).Send()
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -24,6 +24,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"sync/atomic"
@@ -86,6 +87,9 @@
 	// Key is the key of the catalogue in the store, Decode decodes its value.
 	Key    string
 	Decode func([]byte) (*catal.Catalogue, error)
+	// Within is the time within which a version must be in force on each VM that is not
+	// cut off, from when the store acknowledged it; 0 means 9 s.
+	Within time.Duration
 	// EvacuateWithin is the time within which the evacuation of a zone must be in force;
 	// 0 means that evacuations are not followed. EvacuatePrefix is the prefix of the keys
 	// that order one, each followed by the zone. KnowsZone, unless nil, reports whether a
@@ -120,8 +124,11 @@
 	mu      sync.Mutex
 	changed chan struct{}
 	// confirmedAt is the last time, by Config.Clock, as of which the version in force
-	// was the newest in the store.
-	confirmedAt time.Time
+	// was the newest in the store, and confirmedFrom the source of that knowledge.
+	confirmedAt   time.Time
+	confirmedFrom string
+	// lateReported is set while the last line was catalogue_unconfirmed.
+	lateReported bool
 	// storeUp is set when the last read of the store succeeded.
 	storeUp atomic.Bool
 	// storeVersion is the version that the store last showed this VM.
@@ -142,6 +149,7 @@
 	if cfg.Clock == nil {
 		cfg.Clock = time.Now
 	}
+	cfg.Within = cmp.Or(cfg.Within, defaultWithin)
 	if cfg.Readers == nil {
 		cfg.Readers = func() ([]string, bool) { return nil, true }
 	}
@@ -187,7 +195,8 @@
 func (f *Follower) StoreUp() bool { return f.storeUp.Load() }
 
 // Apply puts a catalogue in force if its version is higher than the present one,
-// and reports whether it did. from names the source in the log.
+// and reports whether it did. from names the source in the log: "store", or the address
+// of a VM.
 func (f *Follower) Apply(c *catal.Catalogue, from string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -197,7 +206,8 @@
 	f.index.Store(access.NewKeyIndex(c))
 	close(f.changed)
 	f.changed = make(chan struct{})
-	evlog.At(f.cfg.Log, evlog.CatalogueTaken).Uint64("version", uint64(c.Version)).Str("from", from).Send()
+	evlog.At(f.cfg.Log, evlog.CatalogueTaken).Uint64("version", uint64(c.Version)).Str("from", from).
+		Dur("age", f.confirmation().Age).Send()
 	select {
 	case f.newVersion <- struct{}{}:
 	default:
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -31,6 +31,7 @@
 		if !f.compareWithReader(ctx) {
 			f.compareWithOthers(ctx, n)
 		}
+		f.reportUnconfirmed()
 		t.Reset(f.gossipDelay())
 	}
 }
@@ -85,21 +86,22 @@
 	}
 	zones := f.receiveEvacuation(r.GetEvacuation()) // before a version by which the VM may start to serve
 	if ident.Version(r.GetVersion()) > f.Version() {
-		f.pull(ctx, c)
+		f.pull(ctx, c, address)
 	}
 	f.mu.Lock()
 	f.compared = true
 	f.mu.Unlock()
 	if age := r.GetConfirmedAgeMs(); age > 0 {
 		at := asked.Add(-time.Duration(age) * time.Millisecond)
-		f.confirm(ident.Version(r.GetVersion()), at)
+		f.confirm(ident.Version(r.GetVersion()), at, address)
 		f.confirmEvacuation(zones, at)
 	}
 	return true
 }
 
-// pull fetches a newer catalogue from a VM, verifies its hash and applies it.
-func (f *Follower) pull(ctx context.Context, c peerpb.PeerClient) {
+// pull fetches a newer catalogue from the VM at an address, verifies its hash and applies
+// it.
+func (f *Follower) pull(ctx context.Context, c peerpb.PeerClient, address string) {
 	r, err := c.GetCatalogue(ctx, &peerpb.GetCatalogueRequest{HaveVersion: uint64(f.Version())})
 	if err != nil || len(r.GetDocument()) == 0 {
 		return // the next comparison tries again
@@ -107,10 +109,10 @@
 	sum := sha256.Sum256(r.GetDocument())
 	var cat catal.Catalogue
 	if string(sum[:]) != string(r.GetSha256()) || json.Unmarshal(r.GetDocument(), &cat) != nil {
-		evlog.At(f.cfg.Log, evlog.CatalogueUnread).Str("from", "peer").Send()
+		evlog.At(f.cfg.Log, evlog.CatalogueUnread).Str("from", address).Send()
 		return
 	}
-	f.Apply(&cat, "peer")
+	f.Apply(&cat, address)
 }
 
 // GetCatalogue implements peer.Catalogue.
--- a/internal/follow/reader_test.go
+++ b/internal/follow/reader_test.go
@@ -200,9 +200,9 @@
 	now := time.Now()
 	f := New(Config{Clock: func() time.Time { return now }})
 	f.Apply(&catal.Catalogue{Version: 5}, "peer")
-	f.confirm(4, now)
+	f.confirm(4, now, "peer")
 	is.True(f.confirmedAt.IsZero())
-	f.confirm(5, now)
+	f.confirm(5, now, "peer")
 	is.Equal(f.confirmedAt, now)
 }
 
@@ -230,3 +230,28 @@
 	}
 	is.Equal(strings.Count(log.String(), "catalogue_older"), 1)
 }
+
+// TestUnconfirmedReported guards against a VM that goes on with a version which it has not
+// heard to be the newest for long, without a line that tells so, and against such a line at
+// every comparison.
+func TestUnconfirmedReported(t *testing.T) {
+	is := is.New(t)
+	var log bytes.Buffer
+	now := time.Now()
+	f := New(Config{Within: 6 * time.Second, Clock: func() time.Time { return now }, Log: zerolog.New(&log)})
+	f.Apply(&catal.Catalogue{Version: 5}, "peer")
+	f.reportUnconfirmed()
+	f.confirm(5, now, "10.0.0.1:1")
+	now = now.Add(4 * time.Second)
+	f.reportUnconfirmed()
+	is.True(!strings.Contains(log.String(), "confirmed_by"))
+	now = now.Add(time.Second)
+	f.reportUnconfirmed()
+	f.reportUnconfirmed()
+	is.Equal(strings.Count(log.String(), "catalogue_unconfirmed"), 1)
+	is.True(strings.Contains(log.String(), `"age":5000,"confirmed_by":"10.0.0.1:1"`))
+	is.Equal(f.Confirmation(), Confirmation{Version: 5, Age: 5 * time.Second, From: "10.0.0.1:1"})
+	f.confirm(5, now, FromStore)
+	f.reportUnconfirmed()
+	is.Equal(strings.Count(log.String(), "catalogue_confirmed"), 1)
+}
--- a/internal/follow/watch.go
+++ b/internal/follow/watch.go
@@ -94,16 +94,6 @@
 	}
 }
 
-// confirmFromStore records that this VM knew all versions in the store at a time. It
-// confirms the version in force unless the store showed only an older one.
-func (f *Follower) confirmFromStore(at time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.storeVersion >= f.Version() {
-		f.setConfirmed(at)
-	}
-}
-
 // storeIsOlder reports whether the store last showed an older version than the one in
 // force.
 func (f *Follower) storeIsOlder() bool {
@@ -119,29 +109,6 @@
 	f.storeVersion = v
 }
 
-// confirm records that a version was the newest at a time, if it is still in force.
-func (f *Follower) confirm(v ident.Version, at time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if v == f.Version() {
-		f.setConfirmed(at)
-	}
-}
-
-// setConfirmed moves confirmedAt on. The caller holds f.mu, under which the version in
-// force changes.
-func (f *Follower) setConfirmed(at time.Time) {
-	if at.After(f.confirmedAt) {
-		f.confirmedAt = at
-	}
-}
-
-func (f *Follower) unconfirmedAge() time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.cfg.Clock().Sub(f.oldestConfirmation(f.confirmedAt))
-}
-
 // readStore reads the key and returns the revision from which to watch it.
 func (f *Follower) readStore(ctx context.Context) (store.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -175,7 +142,7 @@
 		return
 	}
 	f.recordStoreVersion(c.Version)
-	f.Apply(c, "store")
+	f.Apply(c, FromStore)
 }
 
 // logOlder logs, once for each version, that a read showed an older version than the one
--- a/internal/node/gauges.go
+++ b/internal/node/gauges.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"strconv"
 	"strings"
 	"time"
 
 	"chervilspan.example/internal/evlog"
+	"chervilspan.example/internal/follow"
 	"chervilspan.example/internal/guard"
 	"chervilspan.example/pkg/store"
 )
@@ -35,6 +37,7 @@
 	n.metrics.Scope.Gauge("target_dials").Update(float64(n.pools.Dials.Load()))
 	n.metrics.Scope.Gauge("vms").Update(float64(len(n.fleet.Live())))
 	n.metrics.Scope.Gauge("lent_connections").Update(float64(n.lender.LentCount()))
+	n.updateCatalogueGauges()
 	n.updateQueueGauges()
 	n.metrics.Scope.Gauge("panics").Update(float64(guard.Count()))
 	n.metrics.Scope.Gauge("sessions").Update(float64(n.engine.Sessions()))
@@ -47,6 +50,21 @@
 	n.reportCounts(log)
 }
 
+// updateCatalogueGauges reports the version of the catalogue in force, and how long ago it
+// was last known to be the newest. The tag tells whether this VM or another one read that
+// from the store.
+func (n *Node) updateCatalogueGauges() {
+	c := n.follower.Confirmation()
+	n.metrics.Scope.Gauge("catalogue_version").Update(float64(c.Version))
+	for _, own := range []bool{true, false} {
+		age := 0.0
+		if own == (c.From == follow.FromStore) {
+			age = c.Age.Seconds()
+		}
+		n.metrics.Scope.Tagged(map[string]string{"own_read": strconv.FormatBool(own)}).Gauge("catalogue_age_seconds").Update(age)
+	}
+}
+
 // reportCounts reports the calls to the store and the bytes sent and received, as
 // metrics and, if log is set, in the log.
 func (n *Node) reportCounts(log bool) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -135,7 +135,7 @@
 	n.fleet = fleet.New(fleet.Config{Self: self, Store: a.Store, Seeds: s.Seeds, FirstStart: s.FirstStart, Log: log, OnChange: func() { n.limiter.TriggerRefresh() }, ListEntries: n.listVMs})
 	n.follower = follow.New(follow.Config{
 		Store: a.Store, Key: a.CatalogueKey, Decode: a.DecodeCatalogue, VM: s.VM, Fleet: n.fleet, Peers: n.peers, Log: log,
-		Readers: n.catalogueReaders, Clock: uptime.Now,
+		Readers: n.catalogueReaders, Clock: uptime.Now, Within: s.ConfigWithin(),
 		EvacuateWithin: s.EvacuateWithin(), EvacuatePrefix: a.EvacuatePrefix, KnowsZone: n.knowsZone,
 	})
 	n.setColdGuard()
@@ -157,7 +157,7 @@
 	n.lender.ZoneStatus = n.zoneStatus()
 	n.engine = engine.New(engine.Config{
 		ZoneStatus: n.lender.ZoneStatus,
-		Access:     n.follower, Limiter: n.limiter, Primaries: n.monitor, Pools: n.pools, Roster: n.roster,
+		Access:     n.follower, CatalogueAge: func() time.Duration { return n.follower.Confirmation().Age }, Limiter: n.limiter, Primaries: n.monitor, Pools: n.pools, Roster: n.roster,
 		Ready: n.firstReady, VMs: func() int { return len(n.fleet.Live()) }, Ramp: n.coldRamp(),
 		Place: engine.Place{Zone: s.Zone, Region: s.Region, RegionOf: n.regionOf},
 		Clock: uptime.Now,
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -42,6 +42,9 @@
 	// LearnSpeed is whether the choice of databases follows their learned speed. When
 	// it is not set, it does where VMs lend each other connections.
 	LearnSpeed *bool `json:"learn_speed,omitempty"`
+	// ConfigMS is the time in milliseconds within which a version of the catalogue must be
+	// in force after it was written; 0 means the default of package follow.
+	ConfigMS Milliseconds `json:"config_ms,omitempty"`
 	// EvacuateMS is the time in milliseconds within which the evacuation of a zone must be
 	// in force after it was ordered; 0 means that zones are not evacuated.
 	EvacuateMS Milliseconds `json:"evacuate_ms,omitempty"`
@@ -68,8 +71,13 @@
 	return time.Duration(float64(s.EvacuateMS) * float64(time.Millisecond))
 }
 
-// maxEvacuateMS is the greatest value of EvacuateMS, an hour.
-const maxEvacuateMS = 3_600_000
+// ConfigWithin returns the time within which a version of the catalogue must be in force.
+func (s *Settings) ConfigWithin() time.Duration {
+	return time.Duration(float64(s.ConfigMS) * float64(time.Millisecond))
+}
+
+// maxWithinMS is the greatest value of EvacuateMS and of ConfigMS, an hour.
+const maxWithinMS = 3_600_000
 
 // ColdExcess is a multiple of the rate of a cold database, and in addition a fixed
 // number of requests.
@@ -143,8 +151,10 @@
 	if x := s.RateExcess; x.WindowS < 0 || x.Fraction < 0 || x.Tokens < 0 {
 		add("/rate_excess", "has a negative number", "0 or more")
 	}
-	if !(s.EvacuateMS >= 0 && s.EvacuateMS <= maxEvacuateMS) { // also true for NaN
-		add("/evacuate_ms", "is out of range", "0 to an hour")
+	for path, ms := range map[string]Milliseconds{"/evacuate_ms": s.EvacuateMS, "/config_ms": s.ConfigMS} {
+		if !(ms >= 0 && ms <= maxWithinMS) { // also true for NaN
+			add(path, "is out of range", "0 to an hour")
+		}
 	}
 	if x := s.ColdExcess; x.Fraction < 0 || x.Tokens < 0 {
 		add("/cold_excess", "has a negative number", "0 or more")
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -37,6 +37,7 @@
 		strings.Replace(good, `"later":1`, `"memory_mb":-1`, 1):                         "/memory_mb: is negative",
 		strings.Replace(good, `"later":1`, `"metrics":"x"`, 1):                          "/metrics: is no address",
 		strings.Replace(good, `"later":1`, `"evacuate_ms":-1`, 1):                       "/evacuate_ms: is out of range",
+		strings.Replace(good, `"later":1`, `"config_ms":-1`, 1):                         "/config_ms: is out of range",
 		strings.Replace(good, `"later":1`, `"evacuate_ms":"NaN"`, 1):                    "/evacuate_ms: is out of range",
 		strings.Replace(good, `"later":1`, `"evacuate_ms":"x"`, 1):                      "read settings",
 		"{": "read settings",
@@ -48,15 +49,16 @@
 	}
 }
 
-// TestEvacuateSetting guards against a deployment without the value that can't start, and
+// TestMilliseconds guards against a deployment without a value that can't start, and
 // against a value that is not read from the text that the template writes.
-func TestEvacuateSetting(t *testing.T) {
+func TestMilliseconds(t *testing.T) {
 	is := is.New(t)
 	for value, want := range map[string]time.Duration{
 		`5000`: 5 * time.Second, `"5000"`: 5 * time.Second, `""`: 0, `null`: 0, `"null"`: 0, `"{{Bounds.EvacuateMs}}"`: 0,
 	} {
-		s, err := Parse([]byte(strings.Replace(good, `"later":1`, `"evacuate_ms":`+value, 1)))
+		s, err := Parse([]byte(strings.Replace(good, `"later":1`, `"evacuate_ms":`+value+`,"config_ms":`+value, 1)))
 		is.NoErr(err)
 		is.Equal(s.EvacuateWithin(), want)
+		is.Equal(s.ConfigWithin(), want)
 	}
 }
