Ask other VMs while the version in force is not confirmed

Cause: a VM asked the first reader that answered and no one else, whatever that reader knew. A reader that has lost the store answers promptly with an old version, so all VMs behind it waited until it had met a VM that knew more, one random VM a second. An answer was taken for knowledge. Change: a comparison round ends when the version in force is confirmed, not when someone has answered. Otherwise it goes on at once with the other readers and two random VMs. The reader that confirmed the version is asked first from then on. VMs that watch the store widen their round when their reads fail or their confirmation is older than two watch requests. Pulling a document has a time of its own, outside that of the comparison. Why it works: each step towards the store heals by itself, so a version passes two steps within two rounds as long as any VM that is asked knows it.

--- a/internal/follow/confirm.go
+++ b/internal/follow/confirm.go
@@ -54,14 +54,16 @@
 	}
 }
 
-// confirm records that a version was the newest at a time, if it is still in force. from
-// is the address of the VM that said so.
-func (f *Follower) confirm(v ident.Version, at time.Time, from string) {
+// confirm records that a version was the newest at a time, and reports whether it is still
+// in force. from is the address of the VM that said so.
+func (f *Follower) confirm(v ident.Version, at time.Time, from string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if v == f.Version() {
-		f.setConfirmed(at, from)
+	if v != f.Version() {
+		return false
 	}
+	f.setConfirmed(at, from)
+	return true
 }
 
 // setConfirmed moves confirmedAt on. The caller holds f.mu, under which the version in
@@ -72,6 +74,18 @@
 	}
 }
 
+// isUnconfirmed reports whether the last confirmation is older than it gets while the
+// store and the readers answer.
+func (f *Follower) isUnconfirmed() bool {
+	if !f.watches() {
+		return f.unconfirmedAge() > maxAnswerAge
+	}
+	// A confirmation is as old as the watch request that brought it, and stays the last one
+	// for as long again.
+	const answerMargin = 300 * time.Millisecond
+	return !f.StoreUp() || f.unconfirmedAge() > 2*f.cfg.WatchTimeout()+answerMargin
+}
+
 func (f *Follower) unconfirmedAge() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -4,9 +4,9 @@
 //
 // In a large fleet only a few VMs watch the store. The others compare versions with
 // the reader VMs that Config.Readers names, and learn with each comparison as of when
-// their version was the newest. A VM whose version has not been confirmed for
-// maxUnconfirmedAge reads the store itself, so that readers which are dead, frozen or
-// cut off delay a version by no more than that.
+// their version was the newest. A reader that answers may have lost the store itself: a
+// VM whose version is not confirmed then asks its other readers and random VMs, and
+// after maxUnconfirmedAge reads the store.
 //
 // The version in force never decreases, whatever the source of a catalogue. A store that
 // was restored from an older copy may show a lower one for a while; this confirms nothing.
@@ -49,6 +49,13 @@
 	// readerInterval is the interval at which a VM that does not watch the store
 	// compares versions with a reader.
 	readerInterval = 700 * time.Millisecond
+	// unconfirmedFanout is the number of random VMs that are asked at once while the
+	// version in force is not confirmed.
+	unconfirmedFanout = 2
+	// maxAnswerAge is the age that a confirmation has at the most when it comes through two
+	// readers that work: two watch requests of ReaderWatchTimeout, an interval, and the
+	// ways between them.
+	maxAnswerAge = 3 * time.Second
 	// maxUnconfirmedAge exceeds the age of a confirmation that passes through two
 	// readers: two watch requests of ReaderWatchTimeout, and two intervals.
 	maxUnconfirmedAge = 4200 * time.Millisecond
@@ -62,9 +69,9 @@
 	roleTimeout = 2 * time.Second
 	// callTimeout bounds a call to another VM or to the store.
 	callTimeout = time.Second
-	// readerTimeout bounds a comparison with a reader, so that the next one is asked
-	// in time if it does not answer.
-	readerTimeout = 400 * time.Millisecond
+	// compareTimeout bounds a comparison, so that others are asked in time if a VM does not
+	// answer.
+	compareTimeout = 400 * time.Millisecond
 	// storeRetryDelay is the delay before the store is read again after a watch
 	// ended or a read failed, with a jitter of up to a half so that the calls of
 	// VMs spread out.
@@ -104,6 +111,9 @@
 	// versions, in order of preference; none if this VM watches the store itself. known
 	// is false while that is not decided.
 	Readers func() (addresses []string, known bool)
+	// WatchTimeout, unless nil, returns how long the store holds a watch of this VM; nil
+	// means ReaderWatchTimeout.
+	WatchTimeout func() time.Duration
 	// Clock returns the time by which the age of a confirmation is measured; nil means
 	// time.Now. Machines that can be suspended need a clock that includes the time of
 	// suspension.
@@ -127,6 +137,8 @@
 	// was the newest in the store, and confirmedFrom the source of that knowledge.
 	confirmedAt   time.Time
 	confirmedFrom string
+	// reader is the address of the reader that last confirmed the version in force.
+	reader string
 	// lateReported is set while the last line was catalogue_unconfirmed.
 	lateReported bool
 	// storeUp is set when the last read of the store succeeded.
@@ -153,6 +165,9 @@
 	if cfg.Readers == nil {
 		cfg.Readers = func() ([]string, bool) { return nil, true }
 	}
+	if cfg.WatchTimeout == nil {
+		cfg.WatchTimeout = func() time.Duration { return ReaderWatchTimeout }
+	}
 	f := &Follower{cfg: cfg, changed: make(chan struct{}), newVersion: make(chan struct{}, 1), started: cfg.Clock()}
 	f.evacuation.state.Within, f.evacuation.resumed = cfg.EvacuateWithin, make(chan struct{})
 	return f
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,8 +15,7 @@
 	"chervilspan.example/pkg/ident"
 )
 
-// gossip compares versions with other VMs until ctx is cancelled: with a reader, or
-// with random VMs if this VM watches the store or reaches no reader.
+// gossip compares versions with other VMs until ctx is cancelled.
 func (f *Follower) gossip(ctx context.Context) {
 	t := time.NewTimer(f.gossipDelay())
 	defer t.Stop()
@@ -28,9 +28,7 @@
 		case <-f.newVersion:
 			n = gossipFanout
 		}
-		if !f.compareWithReader(ctx) {
-			f.compareWithOthers(ctx, n)
-		}
+		f.compareRound(ctx, n)
 		f.reportUnconfirmed()
 		t.Reset(f.gossipDelay())
 	}
@@ -46,41 +44,73 @@
 	return d*9/10 + rand.N(d/5)
 }
 
-// compareWithReader compares versions with the first reader that answers, and reports
-// whether one did.
-func (f *Follower) compareWithReader(ctx context.Context) bool {
-	readers, _ := f.cfg.Readers()
+// compareRound compares versions with one reader, or with n random VMs if this VM watches
+// the store. If the version in force is not confirmed then, it goes on with the other
+// readers and with random VMs: the answer of a VM that has lost the store itself proves
+// nothing.
+func (f *Follower) compareRound(ctx context.Context, n int) {
+	readers := f.rankReaders()
+	if len(readers) > 0 {
+		f.compareWithReader(ctx, readers[0])
+		readers, n = readers[1:], 0
+	}
+	if f.isUnconfirmed() {
+		n = unconfirmedFanout
+	} else if n == 0 {
+		return
+	}
+	var wg sync.WaitGroup
 	for _, address := range readers {
-		if f.compare(ctx, address, readerTimeout) {
-			return true
-		}
+		wg.Go(func() { f.compareWithReader(ctx, address) })
+	}
+	for _, address := range f.randomVMs(n) {
+		wg.Go(func() { f.compare(ctx, address) })
 	}
-	return false
+	wg.Wait()
 }
 
-// compareWithOthers compares versions with n random VMs.
-func (f *Follower) compareWithOthers(ctx context.Context, n int) {
+// rankReaders returns the readers in the order in which to ask them: first the one that
+// last confirmed the version in force.
+func (f *Follower) rankReaders() []string {
+	readers, _ := f.cfg.Readers()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if i := slices.Index(readers, f.reader); i > 0 {
+		return slices.Concat([]string{f.reader}, readers[:i], readers[i+1:])
+	}
+	return readers
+}
+
+// compareWithReader compares versions with a reader, which is asked first from now on if
+// it confirms the version in force.
+func (f *Follower) compareWithReader(ctx context.Context, address string) {
+	if f.compare(ctx, address) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.reader = address
+	}
+}
+
+// randomVMs returns the addresses of n other VMs.
+func (f *Follower) randomVMs(n int) []string {
 	all := f.cfg.Fleet.Addresses()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	var wg sync.WaitGroup
-	for _, address := range all[:min(n, len(all))] {
-		wg.Go(func() { f.compare(ctx, address, callTimeout) })
-	}
-	wg.Wait()
+	return all[:min(n, len(all))]
 }
 
 // compare sends the version in force to a VM, pulls the VM's catalogue if that is
-// newer, and takes over its confirmation. It reports whether the VM answered. Errors
-// are ignored: the next round asks again or asks another VM.
-func (f *Follower) compare(ctx context.Context, address string, timeout time.Duration) bool {
+// newer, and takes over its confirmation. It reports whether the VM knew no more than
+// maxAnswerAge ago that the version now in force is the newest. Errors are ignored: as
+// long as the version is not confirmed, a round asks other VMs.
+func (f *Follower) compare(ctx context.Context, address string) bool {
 	c, err := f.cfg.Peers.Client(address)
 	if err != nil {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	call, cancel := context.WithTimeout(ctx, compareTimeout)
 	defer cancel()
 	asked := f.cfg.Clock()
-	r, err := c.PushCatalogue(ctx, &peerpb.PushCatalogueRequest{Version: uint64(f.Version()), Vm: string(f.cfg.VM), Evacuation: f.evacuationMessage()})
+	r, err := c.PushCatalogue(call, &peerpb.PushCatalogueRequest{Version: uint64(f.Version()), Vm: string(f.cfg.VM), Evacuation: f.evacuationMessage()})
 	if err != nil {
 		return false
 	}
@@ -91,17 +121,19 @@
 	f.mu.Lock()
 	f.compared = true
 	f.mu.Unlock()
-	if age := r.GetConfirmedAgeMs(); age > 0 {
-		at := asked.Add(-time.Duration(age) * time.Millisecond)
-		f.confirm(ident.Version(r.GetVersion()), at, address)
-		f.confirmEvacuation(zones, at)
+	age := time.Duration(r.GetConfirmedAgeMs()) * time.Millisecond
+	if age <= 0 {
+		return false
 	}
-	return true
+	f.confirmEvacuation(zones, asked.Add(-age))
+	return f.confirm(ident.Version(r.GetVersion()), asked.Add(-age), address) && age <= maxAnswerAge
 }
 
 // pull fetches a newer catalogue from the VM at an address, verifies its hash and applies
 // it.
 func (f *Follower) pull(ctx context.Context, c peerpb.PeerClient, address string) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	r, err := c.GetCatalogue(ctx, &peerpb.GetCatalogueRequest{HaveVersion: uint64(f.Version())})
 	if err != nil || len(r.GetDocument()) == 0 {
 		return // the next comparison tries again
--- a/internal/node/inforce_test.go
+++ b/internal/node/inforce_test.go
@@ -35,6 +35,7 @@
 	simStableWindow = 6 * time.Second
 	simWatchHold    = time.Second
 	simLeaseTTL     = 10 * time.Second
+	simListPeriod   = 2500 * time.Millisecond
 	simWarmup       = 12 * time.Second
 	simLength       = 50 * time.Second
 	simCheckPeriod  = 100 * time.Millisecond
@@ -134,6 +135,46 @@
 	return v
 }
 
+// simView is what a VM knows of the other VMs.
+type simView struct {
+	fleet *simFleet
+	self  member.Info
+
+	mu     sync.Mutex
+	readAt time.Duration
+	list   []member.Info
+	table  readerTable
+}
+
+// live returns the list of VMs, which is read again after simListPeriod.
+func (v *simView) live() []member.Info {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.list == nil || v.fleet.now()-v.readAt >= simListPeriod {
+		if list := v.fleet.listFor(v.self.VM); !slices.Equal(list, v.list) {
+			v.list = list
+		}
+		v.readAt = v.fleet.now()
+	}
+	return v.list
+}
+
+// Addresses implements follow.Fleet.
+func (v *simView) Addresses() []string {
+	var out []string
+	for _, m := range v.live() {
+		if m.VM != v.self.VM {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
+
+// readers returns the addresses of the readers to ask.
+func (v *simView) readers() ([]string, bool) {
+	return v.table.addressesFor(v.self, v.live()), true
+}
+
 // listFor returns the list of VMs that a VM has: those whose leases had not ended when it
 // last read it.
 func (s *simFleet) listFor(vm ident.VM) []member.Info {
@@ -291,23 +332,6 @@
 	return reply, c.reach(ctx)
 }
 
-// simList is a VM's list of VMs.
-type simList struct {
-	fleet *simFleet
-	self  member.Info
-}
-
-// Addresses implements follow.Fleet.
-func (l simList) Addresses() []string {
-	var out []string
-	for _, m := range l.fleet.listFor(l.self.VM) {
-		if m.VM != l.self.VM {
-			out = append(out, m.Address)
-		}
-	}
-	return out
-}
-
 func newSimFleet(vms int, disruptions func([]member.Info) []disruption) *simFleet {
 	s := &simFleet{
 		live: fleetOf(vms), followers: map[string]*follow.Follower{}, started: time.Now(),
@@ -315,14 +339,14 @@
 	}
 	s.disruptions = disruptions(s.live)
 	for _, m := range s.live {
+		view := &simView{fleet: s, self: m}
 		s.followers[m.Address] = follow.New(follow.Config{
 			Store: simStore{fleet: s, self: m}, Key: "config", VM: m.VM, Within: simWithin,
 			Decode: func(raw []byte) (*catal.Catalogue, error) {
 				v, err := strconv.ParseUint(string(raw), 10, 64)
 				return &catal.Catalogue{Version: ident.Version(v)}, err
 			},
-			Fleet: simList{fleet: s, self: m}, Peers: simPeers{fleet: s, self: m},
-			Readers: func() ([]string, bool) { return readersFor(m, s.listFor(m.VM)), true },
+			Fleet: view, Peers: simPeers{fleet: s, self: m}, Readers: view.readers,
 		})
 	}
 	return s
--- a/internal/node/lists.go
+++ b/internal/node/lists.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"chervilspan.example/internal/follow"
 	"chervilspan.example/pkg/ident"
@@ -21,6 +22,10 @@
 	// maxDirectReaders is the number of VMs up to which each reads the store itself:
 	// relayed lists are older, and so few VMs make few calls.
 	maxDirectReaders = 16
+	// directWatchTimeout is how long the store may hold a watch where each VM reads the
+	// store itself. A shorter time costs more calls, a longer one detects a dead connection
+	// later.
+	directWatchTimeout = 3 * time.Second
 )
 
 // readerTable caches the readers that this VM asks, for one list of VMs.
@@ -88,17 +93,20 @@
 	return n.readerAddresses(), n.fleet.ListComplete()
 }
 
-// updateWatchTimeout sets how long the store may hold this VM's watch. A VM from which
-// others learn of versions looks for a silent watch more often.
-func (n *Node) updateWatchTimeout() {
-	if n.adapters.SetWatchTimeout == nil {
-		return
-	}
+// watchTimeout returns how long the store may hold this VM's watch. A VM from which others
+// learn of versions looks for a silent watch more often.
+func (n *Node) watchTimeout() time.Duration {
 	if len(n.fleet.Live()) > maxDirectReaders {
-		n.adapters.SetWatchTimeout(follow.ReaderWatchTimeout)
-		return
+		return follow.ReaderWatchTimeout
+	}
+	return directWatchTimeout
+}
+
+// updateWatchTimeout sets how long the store may hold this VM's watch.
+func (n *Node) updateWatchTimeout() {
+	if n.adapters.SetWatchTimeout != nil {
+		n.adapters.SetWatchTimeout(n.watchTimeout())
 	}
-	n.adapters.SetWatchTimeout(0)
 }
 
 // listVMs returns the store's entries of VMs, read directly or by a reader.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,8 +41,7 @@
 	StoreCounts func() (calls map[string]uint64, failures uint64)
 	// Usage, unless nil, counts the bytes that the VM sends and receives.
 	Usage *usage.Table
-	// SetWatchTimeout, unless nil, sets how long the store may hold a watch; 0 means
-	// the adapter's default.
+	// SetWatchTimeout, unless nil, sets how long the store may hold a watch.
 	SetWatchTimeout func(time.Duration)
 	Promoter        lead.Promoter
 	Dialer          dbpool.Dialer
@@ -135,7 +134,7 @@
 	n.fleet = fleet.New(fleet.Config{Self: self, Store: a.Store, Seeds: s.Seeds, FirstStart: s.FirstStart, Log: log, OnChange: func() { n.limiter.TriggerRefresh() }, ListEntries: n.listVMs})
 	n.follower = follow.New(follow.Config{
 		Store: a.Store, Key: a.CatalogueKey, Decode: a.DecodeCatalogue, VM: s.VM, Fleet: n.fleet, Peers: n.peers, Log: log,
-		Readers: n.catalogueReaders, Clock: uptime.Now, Within: s.ConfigWithin(),
+		Readers: n.catalogueReaders, WatchTimeout: n.watchTimeout, Clock: uptime.Now, Within: s.ConfigWithin(),
 		EvacuateWithin: s.EvacuateWithin(), EvacuatePrefix: a.EvacuatePrefix, KnowsZone: n.knowsZone,
 	})
 	n.setColdGuard()
