Fetch a newer version from the VM that tells of it

Cause: a VM that heard of a newer version, from the VM that compared with it, asked its own reader for it, or a random VM. If these did not have it, the word was lost: versions went down from the readers, never up to them. Change: the VM that told is asked first. Why it works: the first VM that has read a version itself passes it to its reader, that one to the reader of its region, and so to all behind them.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -81,6 +81,8 @@
 // Fleet returns the addresses of other VMs, which may be outdated.
 type Fleet interface {
 	Addresses() []string
+	// Address returns the address of a VM, "" if it is not known.
+	Address(ident.VM) string
 }
 
 // Peers returns clients of other VMs by address.
@@ -137,6 +139,9 @@
 	// was the newest in the store, and confirmedFrom the source of that knowledge.
 	confirmedAt   time.Time
 	confirmedFrom string
+	// ahead is the VM that last told of a version above the one in force, until it is
+	// asked for it.
+	ahead ident.VM
 	// reader is the address of the reader that last confirmed the version in force.
 	reader string
 	// lateReported is set while the last line was catalogue_unconfirmed.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -65,6 +65,9 @@
 
 func (a addresses) Addresses() []string { return append([]string(nil), a...) }
 
+// Address implements Fleet. The name of a VM is its address.
+func (a addresses) Address(vm ident.VM) string { return string(vm) }
+
 func decode(raw []byte) (*catal.Catalogue, error) {
 	v, err := strconv.ParseUint(string(raw), 10, 64)
 	return &catal.Catalogue{Version: ident.Version(v)}, err
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -44,11 +44,14 @@
 	return d*9/10 + rand.N(d/5)
 }
 
-// compareRound compares versions with one reader, or with n random VMs if this VM watches
-// the store. If the version in force is not confirmed then, it goes on with the other
+// compareRound compares versions with the VM that told of a newer one, if any, then with
+// one reader, or with n random VMs if this VM watches the store. If the version in force is not confirmed then, it goes on with the other
 // readers and with random VMs: the answer of a VM that has lost the store itself proves
 // nothing.
 func (f *Follower) compareRound(ctx context.Context, n int) {
+	if address := f.takeAhead(); address != "" {
+		f.compare(ctx, address)
+	}
 	readers := f.rankReaders()
 	if len(readers) > 0 {
 		f.compareWithReader(ctx, readers[0])
@@ -69,6 +72,19 @@
 	wg.Wait()
 }
 
+// takeAhead returns the address of the VM that told of a newer version, "" if there is
+// none to be asked.
+func (f *Follower) takeAhead() string {
+	f.mu.Lock()
+	vm := f.ahead
+	f.ahead = ""
+	f.mu.Unlock()
+	if vm == "" {
+		return ""
+	}
+	return f.cfg.Fleet.Address(vm)
+}
+
 // rankReaders returns the readers in the order in which to ask them: first the one that
 // last confirmed the version in force.
 func (f *Follower) rankReaders() []string {
@@ -161,10 +177,13 @@
 	return &peerpb.GetCatalogueReply{Version: uint64(c.Version), Document: doc, Sha256: sum[:]}, nil
 }
 
-// PushCatalogue implements peer.Catalogue. A VM that receives a higher version
-// starts a round of gossip at once.
+// PushCatalogue implements peer.Catalogue. A VM that hears of a higher version asks the
+// caller for it at once.
 func (f *Follower) PushCatalogue(_ context.Context, r *peerpb.PushCatalogueRequest) (*peerpb.PushCatalogueReply, error) {
 	if ident.Version(r.GetVersion()) > f.Version() {
+		f.mu.Lock()
+		f.ahead = ident.VM(r.GetVm())
+		f.mu.Unlock()
 		select {
 		case f.newVersion <- struct{}{}:
 		default:
--- a/internal/follow/reader_test.go
+++ b/internal/follow/reader_test.go
@@ -193,6 +193,19 @@
 	})
 }
 
+// TestNewerCaller guards against a VM that hears of a newer version from a VM which compares
+// with it, and looks for that version only at its own readers, which do not have it.
+func TestNewerCaller(t *testing.T) {
+	runChain(t, 6, func(is *is.I, c *chain) {
+		c.put(is, "3")
+		time.Sleep(3 * time.Second)
+		c.vms[5].Apply(&catal.Catalogue{Version: 5}, "peer")
+		time.Sleep(time.Second)
+		is.Equal(c.vms[1].Version(), ident.Version(5)) // the reader that VM 5 compares with
+		is.Equal(c.vms[0].Version(), ident.Version(5)) // the reader of that
+	})
+}
+
 // TestConfirmedVersion guards against the word of a VM about an older version that
 // confirms a newer one.
 func TestConfirmedVersion(t *testing.T) {
--- a/internal/node/inforce_test.go
+++ b/internal/node/inforce_test.go
@@ -170,6 +170,16 @@
 	return out
 }
 
+// Address implements follow.Fleet.
+func (v *simView) Address(vm ident.VM) string {
+	for _, m := range v.live() {
+		if m.VM == vm {
+			return m.Address
+		}
+	}
+	return ""
+}
+
 // readers returns the addresses of the readers to ask.
 func (v *simView) readers() ([]string, bool) {
 	return v.table.addressesFor(v.self, v.live()), true
