Read the store soon after it answers again

Cause: a VM that does not watch the store waited 4.2 s after a failed read of its own and 8 s after each further one, all VMs in step, while a version must be in force after 6 s and a VM counts as in touch 6 s after an outage. Change: the delays follow from the time within which a version must be in force (4 s of 6 s, 7 s of 9 s); a read that timed out once is repeated after 0.5 s, as its connection may have gone silent; the first delays differ by a half, so that one VM of many finds the store back early and tells the others. A round of comparisons that ends without a confirmation leads to a read at once. Evidence: TestReadAfterOutage failed before (after an outage of 8 s) and passes. The test now also has VMs that reach only the store, and lists of VMs as of before an outage (a list read during one left a VM alone in the test's own model). The price: in an outage a VM reads every 4 s instead of every 8 s.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -6,7 +6,7 @@
 // the reader VMs that Config.Readers names, and learn with each comparison as of when
 // their version was the newest. A reader that answers may have lost the store itself: a
 // VM whose version is not confirmed then asks its other readers and random VMs, and
-// after maxUnconfirmedAge reads the store.
+// reads the store if none of them can confirm it.
 //
 // The version in force never decreases, whatever the source of a catalogue. A store that
 // was restored from an older copy may show a lower one for a while; this confirms nothing.
@@ -56,12 +56,12 @@
 	// readers that work: two watch requests of ReaderWatchTimeout, an interval, and the
 	// ways between them.
 	maxAnswerAge = 3 * time.Second
-	// maxUnconfirmedAge exceeds the age of a confirmation that passes through two
-	// readers: two watch requests of ReaderWatchTimeout, and two intervals.
+	// maxUnconfirmedAge is the age of a confirmation after which a VM reads the store
+	// itself in any case. It exceeds maxAnswerAge by an interval and a comparison that gets
+	// no answer.
 	maxUnconfirmedAge = 4200 * time.Millisecond
-	// maxReadBackoff bounds the delay between own reads of the store while it does not
-	// answer this VM.
-	maxReadBackoff = 8 * time.Second
+	// minReadBackoff is the shortest delay after an own read of the store that failed.
+	minReadBackoff = 500 * time.Millisecond
 	// roleInterval is the interval at which a VM checks whether it is to watch.
 	roleInterval = 200 * time.Millisecond
 	// roleTimeout is how long a VM that does not know yet whether it is to watch the
@@ -146,6 +146,9 @@
 	reader string
 	// lateReported is set while the last line was catalogue_unconfirmed.
 	lateReported bool
+	// roundFailed is set while the last round of comparisons has not confirmed the version
+	// in force.
+	roundFailed atomic.Bool
 	// storeUp is set when the last read of the store succeeded.
 	storeUp atomic.Bool
 	// storeVersion is the version that the store last showed this VM.
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -29,6 +29,7 @@
 			n = gossipFanout
 		}
 		f.compareRound(ctx, n)
+		f.roundFailed.Store(f.isUnconfirmed())
 		f.reportUnconfirmed()
 		t.Reset(f.gossipDelay())
 	}
--- a/internal/follow/watch.go
+++ b/internal/follow/watch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -16,26 +17,53 @@
 // followStore reads the key, and watches it if this VM is to do so, until ctx is
 // cancelled.
 func (f *Follower) followStore(ctx context.Context) {
-	backoff := maxUnconfirmedAge
+	failures := 0
 	for ctx.Err() == nil {
 		rev, err := f.readStore(ctx)
 		f.setStoreUp(err)
+		if failures++; err == nil {
+			failures = 0
+		}
 		switch {
 		case f.awaitRole(ctx):
 			if err == nil {
 				f.watchStore(ctx, rev)
 			}
 			wait.For(ctx, storeRetryDelay/2+rand.N(storeRetryDelay))
-		case err == nil && !f.storeIsOlder():
-			backoff = maxUnconfirmedAge
-			f.awaitUnconfirmed(ctx, 0)
+		case err != nil:
+			f.awaitUnconfirmed(ctx, f.readBackoff(failures, err))
+		case f.storeIsOlder():
+			// The store answers, and will show a newer version only once one is written.
+			f.awaitUnconfirmed(ctx, f.maxReadDelay())
 		default:
-			f.awaitUnconfirmed(ctx, backoff)
-			backoff = min(2*backoff, maxReadBackoff)
+			f.awaitUnconfirmed(ctx, 0)
 		}
 	}
 }
 
+// maxReadDelay returns the longest delay between own reads of the store while nothing
+// confirms the version in force. Once the store answers again, what is left of
+// Config.Within is enough for a read that fails by its timeout and another one.
+func (f *Follower) maxReadDelay() time.Duration {
+	return max(minReadBackoff, f.cfg.Within-2*callTimeout)
+}
+
+// readBackoff returns the delay after a number of own reads of the store that failed, the
+// last with err. The first delays differ by up to a half, so that the VMs of a fleet,
+// which all lose the store at once, find out at different times that it is back; the first
+// of them tells the others.
+func (f *Follower) readBackoff(failures int, err error) time.Duration {
+	longest := f.maxReadDelay()
+	spread := longest / 8
+	switch {
+	case failures == 1 && errors.Is(err, context.DeadlineExceeded):
+		return minReadBackoff // perhaps only the connection has gone silent
+	case failures <= 2:
+		spread = longest / 2
+	}
+	return longest - rand.N(spread)
+}
+
 // watches reports whether this VM watches the store.
 func (f *Follower) watches() bool {
 	readers, _ := f.cfg.Readers()
@@ -82,18 +110,24 @@
 	})
 }
 
-// awaitUnconfirmed returns when the version in force has not been confirmed for
-// maxUnconfirmedAge, but not before minDelay has passed, or when this VM is to watch
-// the store.
+// awaitUnconfirmed returns when the version in force needs a read of the store to be
+// confirmed, but not before minDelay has passed, or when this VM is to watch the store.
 func (f *Follower) awaitUnconfirmed(ctx context.Context, minDelay time.Duration) {
 	end := time.Now().Add(minDelay)
 	for wait.For(ctx, roleInterval) && !f.watches() {
-		if time.Now().After(end) && f.unconfirmedAge() > maxUnconfirmedAge {
+		if time.Now().After(end) && f.needsRead() {
 			return
 		}
 	}
 }
 
+// needsRead reports whether no other VM has confirmed the version in force: a round of
+// comparisons has ended without, or none has ended for long.
+func (f *Follower) needsRead() bool {
+	age := f.unconfirmedAge()
+	return age > maxUnconfirmedAge || age > maxAnswerAge && f.roundFailed.Load()
+}
+
 // storeIsOlder reports whether the store last showed an older version than the one in
 // force.
 func (f *Follower) storeIsOlder() bool {
--- a/internal/node/inforce_test.go
+++ b/internal/node/inforce_test.go
@@ -52,6 +52,8 @@
 	// storeCut VMs get no answer from the store, cutOff VMs none from anyone.
 	storeCut trouble = "cut from the store"
 	cutOff   trouble = "cut off"
+	// apart VMs reach the store, but no other VM.
+	apart trouble = "cut from other VMs"
 	// storeDown is an outage of the store.
 	storeDown trouble = "store down"
 )
@@ -190,9 +192,12 @@
 func (s *simFleet) listFor(vm ident.VM) []member.Info {
 	lastHeard := func(vm ident.VM, now time.Duration) time.Duration {
 		heard := now
-		for _, d := range s.disruptions {
-			if d.hits(vm, now, now+1) {
-				heard = min(heard, d.from)
+		for again := true; again; {
+			again = false
+			for _, d := range s.disruptions {
+				if d.trouble != apart && d.hits(vm, heard, heard+1) {
+					heard, again = d.from-1, true
+				}
 			}
 		}
 		return heard
@@ -314,7 +319,7 @@
 		delay = simRegionDelay
 	}
 	time.Sleep(delay)
-	if c.fleet.suffers(c.from.VM, cutOff) || c.fleet.suffers(c.to.VM, cutOff) {
+	if c.fleet.suffers(c.from.VM, cutOff, apart) || c.fleet.suffers(c.to.VM, cutOff, apart) {
 		<-ctx.Done()
 	}
 	return ctx.Err()
@@ -431,7 +436,9 @@
 	for range 1 + r.IntN(3) {
 		d := disruption{from: simWarmup + seconds(0, 14)}
 		d.to = d.from + seconds(1, 14)
-		switch r.IntN(6) {
+		switch r.IntN(7) {
+		case 6:
+			d.trouble, d.vms = apart, someOf(r, live, 0.5*r.Float64())
 		case 0, 1, 2:
 			d.trouble, d.vms = turnedAway, someOf(r, live, 0.2+0.5*r.Float64())
 		case 3:
@@ -502,3 +509,25 @@
 		})
 	}
 }
+
+// TestReadAfterOutage guards against a VM that waits too long after a failed read of the
+// store: nobody else can tell it of a version that is written once an outage is over.
+func TestReadAfterOutage(t *testing.T) {
+	for length := 4 * time.Second; length < 20*time.Second; length += time.Second {
+		synctest.Test(t, func(t *testing.T) {
+			end := simWarmup + length
+			s := newSimFleet(24, func(live []member.Info) []disruption {
+				alone := live[0].VM
+				for _, m := range live {
+					if len(readersFor(m, live)) > 0 {
+						alone = m.VM
+					}
+				}
+				return []disruption{{storeDown, nil, simWarmup, end}, {apart, allBut(live, alone), simWarmup, simLength}}
+			})
+			if breach := s.run(t.Context(), []time.Duration{end, end + 7*time.Second}); breach != "" {
+				t.Errorf("after an outage of %v: %s", length, breach)
+			}
+		})
+	}
+}
