Pass on a version that a VM had to read itself, and ask silent VMs last

What callers saw: versions that came late where most VMs were in trouble. Cause: a VM that does not watch the store and has to read a version itself told only its reader of it, though that reader had just shown that it lacks it; and VMs that did not answer were asked again in each round, at 400 ms each. Evidence: TestFanout, TestUnansweredLast.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -33,6 +33,7 @@
 	"github.com/rs/zerolog"
 
 	"chervilspan.example/internal/evlog"
+	"chervilspan.example/internal/peer"
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/access"
 	"chervilspan.example/pkg/catal"
@@ -72,6 +73,9 @@
 	// compareTimeout bounds a comparison, so that others are asked in time if a VM does not
 	// answer.
 	compareTimeout = 400 * time.Millisecond
+	// avoidPeriod is how long a VM that did not answer a comparison is asked only after
+	// others.
+	avoidPeriod = 2 * time.Second
 	// storeRetryDelay is the delay before the store is read again after a watch
 	// ended or a read failed, with a jitter of up to a half so that the calls of
 	// VMs spread out.
@@ -142,6 +146,8 @@
 	// ahead is the VM that last told of a version above the one in force, until it is
 	// asked for it.
 	ahead ident.VM
+	// avoid has the addresses of VMs that did not answer a comparison.
+	avoid peer.AvoidList
 	// reader is the address of the reader that last confirmed the version in force.
 	reader string
 	// lateReported is set while the last line was catalogue_unconfirmed.
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
@@ -20,15 +21,15 @@
 	t := time.NewTimer(f.gossipDelay())
 	defer t.Stop()
 	for {
-		n := 1
+		newVersion := false
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		case <-f.newVersion:
-			n = gossipFanout
+			newVersion = true
 		}
-		f.compareRound(ctx, n)
+		f.compareRound(ctx, newVersion)
 		f.roundFailed.Store(f.isUnconfirmed())
 		f.reportUnconfirmed()
 		t.Reset(f.gossipDelay())
@@ -45,22 +46,20 @@
 	return d*9/10 + rand.N(d/5)
 }
 
-// compareRound compares versions with the VM that told of a newer one, if any, then with
-// one reader, or with n random VMs if this VM watches the store. If the version in force is not confirmed then, it goes on with the other
-// readers and with random VMs: the answer of a VM that has lost the store itself proves
-// nothing.
-func (f *Follower) compareRound(ctx context.Context, n int) {
+// compareRound compares versions with the VM that told of a newer one, if any, with one
+// reader, and with as many random VMs as fanout says. Unless that is none, it goes on
+// with the other readers too.
+func (f *Follower) compareRound(ctx context.Context, newVersion bool) {
 	if address := f.takeAhead(); address != "" {
 		f.compare(ctx, address)
 	}
 	readers := f.rankReaders()
 	if len(readers) > 0 {
 		f.compareWithReader(ctx, readers[0])
-		readers, n = readers[1:], 0
+		readers = readers[1:]
 	}
-	if f.isUnconfirmed() {
-		n = unconfirmedFanout
-	} else if n == 0 {
+	n := f.fanout(newVersion)
+	if n == 0 {
 		return
 	}
 	var wg sync.WaitGroup
@@ -73,6 +72,22 @@
 	wg.Wait()
 }
 
+// fanout returns the number of random VMs with which to compare versions, 0 if the
+// comparison with a reader is enough. It is not while the version in force is not
+// confirmed: the answer of a reader that has lost the store itself proves nothing.
+func (f *Follower) fanout(newVersion bool) int {
+	watches := f.watches()
+	switch {
+	case f.isUnconfirmed():
+		return unconfirmedFanout
+	case newVersion && (watches || f.Confirmation().From == FromStore):
+		return gossipFanout // others may have no way to it but this VM
+	case watches:
+		return 1
+	}
+	return 0
+}
+
 // takeAhead returns the address of the VM that told of a newer version, "" if there is
 // none to be asked.
 func (f *Follower) takeAhead() string {
@@ -87,15 +102,22 @@
 }
 
 // rankReaders returns the readers in the order in which to ask them: first the one that
-// last confirmed the version in force.
+// last confirmed the version in force, last those that did not answer a moment ago.
 func (f *Follower) rankReaders() []string {
 	readers, _ := f.cfg.Readers()
 	f.mu.Lock()
-	defer f.mu.Unlock()
-	if i := slices.Index(readers, f.reader); i > 0 {
-		return slices.Concat([]string{f.reader}, readers[:i], readers[i+1:])
+	last := f.reader
+	f.mu.Unlock()
+	rank := func(address string) int {
+		switch {
+		case f.avoid.Has(address):
+			return 2
+		case address != last:
+			return 1
+		}
+		return 0
 	}
-	return readers
+	return slices.SortedStableFunc(slices.Values(readers), func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
 }
 
 // compareWithReader compares versions with a reader, which is asked first from now on if
@@ -108,10 +130,20 @@
 	}
 }
 
-// randomVMs returns the addresses of n other VMs.
+// randomVMs returns the addresses of n other VMs, of those that answered last if there are
+// so many.
 func (f *Follower) randomVMs(n int) []string {
 	all := f.cfg.Fleet.Addresses()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	slices.SortStableFunc(all, func(a, b string) int {
+		switch avoidA, avoidB := f.avoid.Has(a), f.avoid.Has(b); {
+		case avoidA == avoidB:
+			return 0
+		case avoidA:
+			return 1
+		}
+		return -1
+	})
 	return all[:min(n, len(all))]
 }
 
@@ -129,6 +161,7 @@
 	asked := f.cfg.Clock()
 	r, err := c.PushCatalogue(call, &peerpb.PushCatalogueRequest{Version: uint64(f.Version()), Vm: string(f.cfg.VM), Evacuation: f.evacuationMessage()})
 	if err != nil {
+		f.avoid.Add(address, avoidPeriod)
 		return false
 	}
 	zones := f.receiveEvacuation(r.GetEvacuation()) // before a version by which the VM may start to serve
--- a/internal/follow/reader_test.go
+++ b/internal/follow/reader_test.go
@@ -193,6 +193,48 @@
 	})
 }
 
+// TestFanout guards against a VM that had to read a version itself and does not pass it on,
+// against one that is content with an answer which confirms nothing, and against messages
+// to random VMs while readers do their work.
+func TestFanout(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	f := New(Config{Clock: func() time.Time { return now }, Readers: func() ([]string, bool) { return []string{"1"}, true }})
+	f.Apply(&catal.Catalogue{Version: 5}, "1")
+	is.Equal(f.fanout(false), unconfirmedFanout)
+	f.confirm(5, now, "1")
+	is.Equal(f.fanout(false), 0)
+	is.Equal(f.fanout(true), 0)
+	now = now.Add(maxAnswerAge + time.Millisecond)
+	is.Equal(f.fanout(false), unconfirmedFanout)
+	f.recordStoreVersion(5)
+	f.confirmFromStore(now)
+	is.Equal(f.fanout(false), 0)
+	is.Equal(f.fanout(true), gossipFanout)
+}
+
+// TestUnansweredLast guards against VMs that do not answer and are asked again before
+// others.
+func TestUnansweredLast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all := addresses{"1", "2", "3"}
+		f := New(Config{Fleet: all, Peers: network{}, Readers: func() ([]string, bool) { return all, true }})
+		f.reader = "2"
+		is.Equal(f.rankReaders(), []string{"2", "1", "3"})
+		f.compare(t.Context(), "2")
+		is.Equal(f.rankReaders(), []string{"2", "1", "3"}) // there was no connection for a call to fail
+		f.avoid.Add("2", avoidPeriod)
+		f.avoid.Add("1", avoidPeriod)
+		is.Equal(f.rankReaders(), []string{"3", "1", "2"})
+		for range 20 {
+			is.Equal(f.randomVMs(1), []string{"3"})
+		}
+		time.Sleep(avoidPeriod)
+		is.Equal(f.rankReaders(), []string{"2", "1", "3"})
+	})
+}
+
 // TestNewerCaller guards against a VM that hears of a newer version from a VM which compares
 // with it, and looks for that version only at its own readers, which do not have it.
 func TestNewerCaller(t *testing.T) {
