Order the reports of a database by the store's revision

Cause: reports were ordered only by the numbers that they state themselves. An entry of another writer under a database's id with higher numbers was kept over all later reports of the database, which stayed out of use, and one that named another group left the database in use in its own. Change: within an epoch of the store, the entry with the higher revision counts; across epochs the stated numbers do, as before. A database that the list has under another group counts as missing from its own. Evidence: TestOddReport failed with each of the two rules taken out (the bogus address stayed; the database stayed in use) and passes. Tests of roster and platform/e2e pass.

--- a/internal/disco/disco.go
+++ b/internal/disco/disco.go
@@ -154,6 +154,7 @@
 				p.logSkipped(e, err)
 				continue
 			}
+			r.Revision = e.Revision
 			d = decodedEntry{e.Revision, r}
 		}
 		decoded[e.Key] = d
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/store"
 )
 
 const (
@@ -42,6 +43,9 @@
 	// reports of one process.
 	ProcessStart int64
 	Sequence     int64
+	// Revision is that of the entry in the store, 0 if it is not known. It orders the
+	// reports of one epoch, whatever these say of themselves.
+	Revision store.Revision
 	// ColdLeft is for how long after the report the database is cold; 0 means that
 	// it is warm.
 	ColdLeft time.Duration
@@ -63,6 +67,9 @@
 
 // supersedes reports whether e replaces o, an entry of the same id.
 func (e Entry) supersedes(o Entry) bool {
+	if e.Revision != 0 && o.Revision != 0 && e.Revision.Epoch() == o.Revision.Epoch() {
+		return e.Revision > o.Revision
+	}
 	return cmp.Or(cmp.Compare(e.ProcessStart, o.ProcessStart), cmp.Compare(e.Sequence, o.Sequence)) > 0
 }
 
@@ -125,15 +132,15 @@
 	if !t.loaded {
 		t.loaded, t.firstRead = true, now
 	}
-	seen := make(map[ident.Target]bool, len(entries))
+	seen := make(map[ident.Target]ident.Group, len(entries))
 	for _, e := range entries {
-		seen[e.ID] = true
+		seen[e.ID] = e.Group
 		t.setEntry(e, now)
 	}
 	grace := !t.lastOutage.IsZero() && now.Sub(t.lastOutage) < outageGracePeriod
-	for _, g := range t.groups {
+	for gid, g := range t.groups {
 		for id, m := range g.members {
-			if seen[id] {
+			if group, ok := seen[id]; ok && group == gid {
 				if !m.MissingSince.IsZero() {
 					m.MissingSince, g.usable = time.Time{}, nil
 				}
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/store"
 )
 
 var epoch = time.Unix(1_000, 0)
@@ -116,3 +117,30 @@
 	tab.RecordAnswer("g", "a")
 	is.True(tab.UsableMembers("g")[0].Reachable(at(200)))
 }
+
+// TestOddReport guards against an entry of another writer under a database's id that
+// outlasts the database's own later reports, because its numbers are higher or it names
+// another group.
+func TestOddReport(t *testing.T) {
+	is := is.New(t)
+	var tab Table
+	now := time.Now()
+	own := Entry{ID: "a", Group: "g", Address: "x", ProcessStart: 5, Sequence: 3, Revision: store.NewRevision(1, 10)}
+	tab.Update([]Entry{own}, now)
+	odd := own
+	odd.Address, odd.Sequence, odd.ProcessStart, odd.Revision = "y", 1<<50, 1<<50, store.NewRevision(1, 11)
+	tab.Update([]Entry{odd}, now)
+	own.Sequence, own.Revision = 4, store.NewRevision(1, 12)
+	tab.Update([]Entry{own}, now)
+	is.Equal(tab.UsableMembers("g")[0].Address, "x")
+	tab.Merge([]Entry{odd}, now) // from a list that is stale
+	is.Equal(tab.UsableMembers("g")[0].Address, "x")
+	restored := own
+	restored.Sequence, restored.Address, restored.Revision = 2, "z", store.NewRevision(2, 7)
+	tab.Update([]Entry{restored}, now)
+	is.Equal(tab.UsableMembers("g")[0].Address, "x") // an older report, of a restored store
+	odd = own
+	odd.Group, odd.Revision = "h", store.NewRevision(1, 13)
+	tab.Update([]Entry{odd}, now)
+	is.Equal(len(tab.UsableMembers("g")), 0)
+}
