Count a version as checked only by a VM that is not behind

Cause: after a restoration of the store, a starting VM becomes ready once another VM has answered a comparison. An answer of a VM without a version, or with an older one, counted too: again an answer was taken for knowledge. Change: the answer counts if its version is not below that in force.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -159,7 +159,8 @@
 	storeUp atomic.Bool
 	// storeVersion is the version that the store last showed this VM.
 	storeVersion ident.Version
-	// compared is set once another VM has answered a comparison of versions.
+	// compared is set once another VM that was not behind has answered a comparison of
+	// versions.
 	compared bool
 	// olderLogged is the version in force of the last catalogue_older line.
 	olderLogged ident.Version
@@ -213,7 +214,8 @@
 	return f.changed
 }
 
-// Compared reports whether another VM has answered a comparison of versions.
+// Compared reports whether another VM that was not behind this one has answered a
+// comparison of versions.
 func (f *Follower) Compared() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -168,9 +168,11 @@
 	if ident.Version(r.GetVersion()) > f.Version() {
 		f.pull(ctx, c, address)
 	}
-	f.mu.Lock()
-	f.compared = true
-	f.mu.Unlock()
+	if v := ident.Version(r.GetVersion()); v > 0 && v >= f.Version() {
+		f.mu.Lock()
+		f.compared = true
+		f.mu.Unlock()
+	}
 	age := time.Duration(r.GetConfirmedAgeMs()) * time.Millisecond
 	if age <= 0 {
 		return false
--- a/internal/follow/reader_test.go
+++ b/internal/follow/reader_test.go
@@ -235,6 +235,24 @@
 	})
 }
 
+// TestCompared guards against a starting VM that counts its version as checked by another one
+// which has none, or an older one.
+func TestCompared(t *testing.T) {
+	is := is.New(t)
+	other := New(Config{})
+	f := New(Config{Peers: network{"1": other}})
+	f.compare(t.Context(), "1")
+	is.True(!f.Compared())
+	f.Apply(&catal.Catalogue{Version: 5}, FromStore)
+	other.Apply(&catal.Catalogue{Version: 4}, FromStore)
+	f.compare(t.Context(), "1")
+	is.True(!f.Compared())
+	other.Apply(&catal.Catalogue{Version: 6}, FromStore)
+	f.compare(t.Context(), "1")
+	is.True(f.Compared())
+	is.Equal(f.Version(), ident.Version(6))
+}
+
 // TestNewerCaller guards against a VM that hears of a newer version from a VM which compares
 // with it, and looks for that version only at its own readers, which do not have it.
 func TestNewerCaller(t *testing.T) {
