Notice a silent watch before it times out

What callers saw: nothing yet; found by working out the budget of a version in fleets of up to 16 VMs, where each VM watches the store. Cause: a VM whose watch had gone silent looked for versions elsewhere only after the watch had timed out (3.7 s) and a read had failed (1 s), or its confirmation was older than two watches; until then it asked one random VM a second. Change: it does so 0.4 s after the watch should have been answered. Evidence: TestSilentWatch failed without the change and passes.

--- a/internal/follow/confirm.go
+++ b/internal/follow/confirm.go
@@ -49,6 +49,7 @@
 func (f *Follower) confirmFromStore(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.heardAt = f.cfg.Clock()
 	if f.storeVersion >= f.Version() {
 		f.setConfirmed(at, FromStore)
 	}
@@ -82,8 +83,18 @@
 	}
 	// A confirmation is as old as the watch request that brought it, and stays the last one
 	// for as long again.
-	const answerMargin = 300 * time.Millisecond
-	return !f.StoreUp() || f.unconfirmedAge() > 2*f.cfg.WatchTimeout()+answerMargin
+	wait := f.cfg.WatchTimeout()
+	return !f.StoreUp() || f.silence() > wait+answerMargin || f.unconfirmedAge() > 2*wait+answerMargin
+}
+
+// answerMargin is the time that an answer of the store takes at most while all is well.
+const answerMargin = 400 * time.Millisecond
+
+// silence returns the time since the store last answered this VM.
+func (f *Follower) silence() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cfg.Clock().Sub(f.heardAt)
 }
 
 func (f *Follower) unconfirmedAge() time.Duration {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -150,6 +150,8 @@
 	avoid peer.AvoidList
 	// reader is the address of the reader that last confirmed the version in force.
 	reader string
+	// heardAt is when the store last answered a read or watch of this VM.
+	heardAt time.Time
 	// lateReported is set while the last line was catalogue_unconfirmed.
 	lateReported bool
 	// roundFailed is set while the last round of comparisons has not confirmed the version
--- a/internal/follow/reader_test.go
+++ b/internal/follow/reader_test.go
@@ -213,6 +213,23 @@
 	is.Equal(f.fanout(true), gossipFanout)
 }
 
+// TestSilentWatch guards against a VM that watches the store and notices only by the timeout
+// of its watch that the store has gone silent for it, while others know a newer version.
+func TestSilentWatch(t *testing.T) {
+	is := is.New(t)
+	now := time.Now()
+	f := New(Config{Clock: func() time.Time { return now }, WatchTimeout: func() time.Duration { return 3 * time.Second }})
+	f.setStoreUp(nil)
+	f.Apply(&catal.Catalogue{Version: 5}, FromStore)
+	f.recordStoreVersion(5)
+	f.confirmFromStore(now.Add(-3 * time.Second))
+	is.Equal(f.fanout(false), 1)
+	now = now.Add(3 * time.Second)
+	is.Equal(f.fanout(false), 1)
+	now = now.Add(answerMargin + time.Millisecond)
+	is.Equal(f.fanout(false), unconfirmedFanout)
+}
+
 // TestUnansweredLast guards against VMs that do not answer and are asked again before
 // others.
 func TestUnansweredLast(t *testing.T) {
