Ignore an impossible age of a confirmation

Cause: the age, in milliseconds, was multiplied without a check; one that is too large could overflow to a confirmation of this moment, or of the future. Evidence: TestImpossibleAge failed before and passes.

--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -173,14 +173,19 @@
 		f.compared = true
 		f.mu.Unlock()
 	}
-	age := time.Duration(r.GetConfirmedAgeMs()) * time.Millisecond
-	if age <= 0 {
+	ms := r.GetConfirmedAgeMs()
+	if ms == 0 || ms > maxAgeMS {
 		return false
 	}
+	age := time.Duration(ms) * time.Millisecond
 	f.confirmEvacuation(zones, asked.Add(-age))
 	return f.confirm(ident.Version(r.GetVersion()), asked.Add(-age), address) && age <= maxAnswerAge
 }
 
+// maxAgeMS is the greatest age of a confirmation that is used, a day; the product of a much
+// greater one with its unit overflows to any age.
+const maxAgeMS = 86_400_000
+
 // pull fetches a newer catalogue from the VM at an address, verifies its hash and applies
 // it.
 func (f *Follower) pull(ctx context.Context, c peerpb.PeerClient, address string) {
--- a/internal/follow/reader_test.go
+++ b/internal/follow/reader_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -13,6 +14,7 @@
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
 
 	"chervilspan.example/internal/linktest"
 	"chervilspan.example/internal/proto/peerpb"
@@ -252,6 +254,30 @@
 	})
 }
 
+// ageing is a VM that answers each comparison with an age.
+type ageing struct {
+	peerpb.PeerClient
+	age uint64
+}
+
+func (a ageing) Client(string) (peerpb.PeerClient, error) { return a, nil }
+
+func (a ageing) PushCatalogue(context.Context, *peerpb.PushCatalogueRequest, ...grpc.CallOption) (*peerpb.PushCatalogueReply, error) {
+	return &peerpb.PushCatalogueReply{Version: 5, ConfirmedAgeMs: a.age}, nil
+}
+
+// TestImpossibleAge guards against an age from another VM that is so large that it overflows
+// to a new confirmation.
+func TestImpossibleAge(t *testing.T) {
+	is := is.New(t)
+	for _, age := range []uint64{math.MaxUint64, math.MaxInt64, 18446744073710, 36893488147420} {
+		f := New(Config{Peers: ageing{age: age}})
+		f.Apply(&catal.Catalogue{Version: 5}, FromStore)
+		is.True(!f.compare(t.Context(), "1"))
+		is.Equal(f.Confirmation().From, "")
+	}
+}
+
 // TestCompared guards against a starting VM that counts its version as checked by another one
 // which has none, or an older one.
 func TestCompared(t *testing.T) {
