--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,7 +16,6 @@
 	"cmp"
 	"context"
 	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -235,20 +234,13 @@
 	return refreshPeriod*4/5 + rand.N(refreshPeriod*2/5)
 }
 
-// refresh keeps the entry and reads the list. A VM that the store turns away can't do the
-// former, but reads the list through other VMs.
 func (f *Fleet) refresh(ctx context.Context) error {
-	err := callWithTimeout(ctx, f.keepEntry)
-	if err != nil && !f.ListComplete() {
-		return err
-	}
-	return errors.Join(err, callWithTimeout(ctx, f.updateList))
-}
-
-func callWithTimeout(ctx context.Context, call func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return call(ctx)
+	if err := f.keepEntry(ctx); err != nil {
+		return err
+	}
+	return f.updateList(ctx)
 }
 
 // keepEntry renews the lease, or writes the entry under a new lease when there is
