--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
