--- a/internal/node/millis.go
+++ b/internal/node/millis.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Milliseconds is a duration in a settings file: a number, or a string with a number. A
@@ -11,6 +12,11 @@
 // the deployment does not have the value; these mean 0.
 type Milliseconds float64
 
+// Duration returns m as a time.Duration.
+func (m Milliseconds) Duration() time.Duration {
+	return time.Duration(float64(m) * float64(time.Millisecond))
+}
+
 // UnmarshalJSON implements json.Unmarshaler.
 func (m *Milliseconds) UnmarshalJSON(raw []byte) error {
 	text := string(raw)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -68,12 +68,12 @@
 
 // EvacuateWithin returns the time within which the evacuation of a zone must be in force.
 func (s *Settings) EvacuateWithin() time.Duration {
-	return time.Duration(float64(s.EvacuateMS) * float64(time.Millisecond))
+	return s.EvacuateMS.Duration()
 }
 
 // ConfigWithin returns the time within which a version of the catalogue must be in force.
 func (s *Settings) ConfigWithin() time.Duration {
-	return time.Duration(float64(s.ConfigMS) * float64(time.Millisecond))
+	return s.ConfigMS.Duration()
 }
 
 // maxWithinMS is the greatest value of EvacuateMS and of ConfigMS, an hour.
