--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -42,6 +42,8 @@
 	// acked has the entries whose commits were acknowledged.
 	acked []entry
 	lost  int
+	// answeredAt has when the database answered a long read, by its id.
+	answeredAt map[string]time.Time
 	// highestToken is the highest generation number that the platform has seen.
 	highestToken int64
 }
@@ -211,10 +213,20 @@
 
 func (s *session) done(sig string) { _, _ = fmt.Fprintf(s.w, "DONE %s\r\n", sig) }
 
-func (s *session) work() {
+// longPrefix begins the names of items that take longWork to read, in place of workTime.
+const (
+	longPrefix = "long"
+	longWork   = 1950 * time.Millisecond
+)
+
+func (s *session) work(key string) {
 	s.d.slots <- struct{}{}
+	defer func() { <-s.d.slots }()
+	if strings.HasPrefix(key, longPrefix) {
+		time.Sleep(longWork)
+		return
+	}
 	time.Sleep(workTime)
-	<-s.d.slots
 }
 
 func (s *session) leads() bool {
@@ -266,20 +278,24 @@
 		case floor != "" && !s.has(floor):
 			s.fail("LAGGING")
 		default:
-			s.work()
+			s.work(f[1])
 			_, _ = fmt.Fprintf(s.w, "ROW %s\r\n", s.value(f[1]))
 			s.done("sig." + s.d.id + "." + id)
+			if strings.HasPrefix(f[1], longPrefix) {
+				s.d.g.rec.add("%s has run %s and answers", s.d.id, id)
+				s.d.g.answered(id)
+			}
 		}
 	case "WRITE":
 		switch {
 		case !s.leads():
 			s.fail("READONLY")
 		case s.open:
-			s.work()
+			s.work(f[1])
 			s.writes[f[1]] = f[2]
 			s.done("sig." + s.d.id + "." + id)
 		default:
-			s.work()
+			s.work(f[1])
 			s.finish(id, map[string]string{f[1]: f[2]})
 		}
 	case "SET", "CLOSE":
@@ -309,7 +325,7 @@
 	case len(writes) == 0:
 		s.done("sig." + s.d.id + "." + id)
 	default:
-		s.work()
+		s.work("")
 		s.finish(id, writes)
 	}
 }
@@ -370,6 +386,16 @@
 	return ""
 }
 
+// answered records that a database answers a long read.
+func (g *group) answered(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.answeredAt == nil {
+		g.answeredAt = map[string]time.Time{}
+	}
+	g.answeredAt[id] = time.Now()
+}
+
 // replicateForever sends the primary's log to the replicas that receive.
 func (g *group) replicateForever() {
 	for {
--- a/review/standin/late.go
+++ b/review/standin/late.go
@@ -6,7 +6,7 @@
 )
 
 // cases has the cases by name.
-var cases = map[string]func(*deployment, bool) int{"late-promotion": latePromotion}
+var cases = map[string]func(*deployment, bool) int{"late-promotion": latePromotion, "early-exit": earlyExit}
 
 // Times of the case. The limits are those of the pages; see claim.txt.
 const (
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -137,7 +137,9 @@
 	callers  string
 	ready    string
 	peers    string
-	cmd      *exec.Cmd
+	// start starts the process; cmd is the one that was started last.
+	start func() error
+	cmd   *exec.Cmd
 }
 
 // free returns an unused address of an IP.
@@ -150,6 +152,9 @@
 	return l.Addr().String(), nil
 }
 
+// memoryMB is the memory of a machine.
+const memoryMB = 284
+
 var zones = map[string]string{"z1": "r1", "z2": "r1", "z3": "r2"}
 
 // startVMs starts one VM in each zone.
@@ -172,7 +177,7 @@
 		raw, err := json.Marshal(map[string]any{
 			"vm": v.name, "zone": zone, "region": zones[zone], "zones": zones, "callers": v.callers, "ready": v.ready, "peers": v.peers,
 			"seeds": seeds, "store": store, "platform": platform, "fenced_promotions": true, "first_start": true,
-			"rate_excess": map[string]any{"window_s": 5, "part": 0.1, "tokens": 20}, "config_ms": "4000", "memory_mb": 284, "grace_s": 6,
+			"rate_excess": map[string]any{"window_s": 5, "part": 0.1, "tokens": 20}, "config_ms": "4000", "memory_mb": memoryMB, "grace_s": 6,
 		})
 		if err != nil {
 			return vms, err
@@ -185,10 +190,13 @@
 		if err != nil {
 			return vms, err
 		}
-		v.cmd = exec.Command(bin, "--settings", path)
-		v.cmd.Stdout, v.cmd.Stderr = out, out
-		v.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-		if err := v.cmd.Start(); err != nil {
+		v.start = func() error {
+			v.cmd = exec.Command(bin, "--settings", path)
+			v.cmd.Stdout, v.cmd.Stderr = out, out
+			v.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+			return v.cmd.Start()
+		}
+		if err := v.start(); err != nil {
 			return vms, err
 		}
 	}
@@ -222,6 +230,9 @@
 		if kind != "primary" {
 			r["MaxStalenessMs"] = 1500
 		}
+		if kind == "bounded_staleness" {
+			r["TimeoutMs"], r["TargetLatencyMs"] = 3000, 1500
+		}
 		routes = append(routes, r)
 	}
 	raw, _ := json.Marshal(map[string]any{
@@ -238,6 +249,7 @@
 	x.g = &group{name: "svc", rec: rec, term: 1}
 	for i := range 3 {
 		d := &database{g: x.g, id: fmt.Sprintf("i-%c", 'a'+i), zone: fmt.Sprintf("z%d", i+1), address: fmt.Sprintf("127.2.%d.2:0", i+1), slots: make(chan struct{}, slotCount)}
+		d.log, d.receivedAt = []entry{{term: 1, number: 1, writes: map[string]string{"item0": "v0"}}}, []time.Time{time.Now()}
 		x.g.dbs = append(x.g.dbs, d)
 		if err := d.start(); err != nil {
 			return x, err
