--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -50,22 +50,21 @@
 
 // database is one database of a group.
 type database struct {
-	g           *group
-	id, zone    string
-	address     string
-	slots       chan struct{}
-	log         []entry
-	receivedAt  []time.Time
-	applied     int
-	paused      bool
-	pauseTerm   int64
-	down        bool
-	born        int64
-	sequence    int
-	listener    net.Listener
-	conns       map[net.Conn]bool
-	connsByKind int
-	downSince   time.Time
+	g          *group
+	id, zone   string
+	address    string
+	slots      chan struct{}
+	log        []entry
+	receivedAt []time.Time
+	applied    int
+	paused     bool
+	pauseTerm  int64
+	down       bool
+	born       int64
+	sequence   int
+	listener   net.Listener
+	conns      map[net.Conn]bool
+	downSince  time.Time
 }
 
 // start opens the database's listener. Fences do not outlast a restart.
@@ -125,7 +124,6 @@
 	failed   bool
 	writes   map[string]string
 	prepared map[string]string
-	firstID  string
 }
 
 func (d *database) session(c net.Conn, full bool) {
