Wait for databases that may hold the only copy of a commit

Cause: mayHoldCommit did not count a replica that had left, though the primary alone had the commits that it had acknowledged. A failover allows one missing answer, the crashed primary's, and promoted the replica without them.

Change: an in-sync set for each group in the store has the databases that may hold acknowledged commits, two of which have each commit. A database leaves it only when another of the set has the primary's log. All of the set but one have to answer. Databases that are gone and not in the set are no longer asked. Without a working primary, a group waits up to 20 s for databases that are missing.

TestLeftReplica and TestJoinedReplicaHolds failed before (one promotion, none expected).

--- a/internal/lead/doc.go
+++ b/internal/lead/doc.go
@@ -22,9 +22,10 @@
 //  3. Each replica's log is a prefix of the primary's, so the highest position
 //     among all replicas covers every acknowledged commit.
 //
-// A promotion therefore needs an answer from each replica that may hold an
-// acknowledged commit, unless the list of databases has lacked that replica for
-// missingReplicaTimeout. Before the promotion call is sent, the claim's expiry is
+// A promotion therefore needs an answer from all databases but one that may hold an
+// acknowledged commit. These are the group's in-sync set, which lies in the store: each
+// acknowledged commit is in the logs of two of them. A database that is gone stays in
+// the set until another one is seen to have the primary's log. Before the promotion call is sent, the claim's expiry is
 // checked against Config.Clock, which has to count the time that the machine was
 // suspended. A call without an answer may still be carried out later, so the
 // replicas stay fenced until a later failover, which has a higher token,
--- a/internal/lead/errors.go
+++ b/internal/lead/errors.go
@@ -29,6 +29,8 @@
 	// KindNotPromoted means that the promoted database has not become the primary
 	// in time.
 	KindNotPromoted
+	// KindConflict means that another VM has changed an in-sync set meanwhile.
+	KindConflict
 	// KindRestored means that the store was restored from an older copy, and may have
 	// forgotten a claim that has not expired.
 	KindRestored
@@ -50,6 +52,7 @@
 	KindOtherPrimary: "it leads already", KindListIncomplete: "the list of databases may be incomplete",
 	KindPrimaryWorks: "another VM is in contact with the primary", KindNoSuccessor: "no replica in service has the log of the primary",
 	KindNotPromoted: "the promoted database has not become the primary in time",
+	KindConflict:    "another VM has changed it meanwhile",
 	KindRestored:    "the store may have forgotten the claim of another VM",
 }
 
--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -22,6 +22,8 @@
 	old   ident.Target
 	why   reason
 	claim *heldClaim
+	// set is the group's in-sync set, empty if it has none.
+	set inSyncSet
 	// fenced has the databases that may be fenced, and answers what those answered that
 	// are.
 	fenced  []roster.Member
@@ -42,6 +44,9 @@
 	}
 	f := &failover{mon: mon, st: st, old: old, why: why, claim: c}
 	defer f.end()
+	if err := f.readSet(ctx); err != nil {
+		return err
+	}
 	best, err := f.chooseSuccessor(ctx)
 	if err != nil {
 		return err
@@ -101,6 +106,32 @@
 	return nil
 }
 
+// readSet reads the group's in-sync set and adds the listed databases to it.
+func (f *failover) readSet(ctx context.Context) error {
+	if !f.mon.keepsSet(f.st.id) {
+		return nil
+	}
+	s, err := f.mon.readSet(ctx, f.st.id)
+	if err != nil {
+		return err
+	}
+	if joined := s.with(f.mon.listedTargets(f.st.id)); len(joined.Targets) > len(s.Targets) {
+		if s, err = f.mon.writeSet(ctx, f.st.id, s, joined); err != nil {
+			return err
+		}
+	}
+	f.set = s.inSyncSet
+	return nil
+}
+
+// members returns the databases of the group that a failover has to ask: those that are
+// listed, and those that may hold an acknowledged commit.
+func (f *failover) members() []roster.Member {
+	return slices.DeleteFunc(f.mon.cfg.Roster.AllMembers(f.st.id), func(m roster.Member) bool {
+		return !m.MissingSince.IsZero() && len(f.set.Targets) > 0 && !f.set.has(m.ID)
+	})
+}
+
 // chooseSuccessor returns the database to promote, after it has made sure that no
 // commit which that database lacks can be acknowledged any more.
 func (f *failover) chooseSuccessor(ctx context.Context) (best roster.Member, err error) {
@@ -154,6 +185,9 @@
 	switch {
 	case planned && all:
 		err = f.fenceForTransfer(ctx, best, replies)
+	case planned && missingCount(replies) > 1:
+		// After the demotion, the primary's answer would not be enough for a promotion.
+		return best, f.error("status", KindNoAnswer, id)
 	case planned:
 		return f.prepareDemoted(ctx, primary, replies)
 	case all:
@@ -188,7 +222,7 @@
 		return best, err
 	}
 	var joined []roster.Member
-	for _, m := range f.mon.cfg.Roster.AllMembers(f.st.id) {
+	for _, m := range f.members() {
 		if !slices.ContainsFunc(replies, func(r reply) bool { return r.member.ID == m.ID }) {
 			joined = append(joined, m)
 		}
@@ -207,7 +241,7 @@
 
 // collectStatuses asks every database of the group for its status.
 func (f *failover) collectStatuses() ([]reply, error) {
-	replies := f.mon.controlAll(dbop.Statement{Kind: dbop.Status}, f.mon.cfg.Roster.AllMembers(f.st.id))
+	replies := f.mon.controlAll(dbop.Statement{Kind: dbop.Status}, f.members())
 	if f.mon.cfg.Unfenced {
 		f.mon.demoteOlder(replies)
 	}
--- a/internal/lead/fixture_test.go
+++ b/internal/lead/fixture_test.go
@@ -155,3 +155,13 @@
 	e.Leaving, e.Sequence = true, e.Sequence+int64(time.Hour)
 	f.cluster.Roster().Merge([]roster.Entry{e}, time.Now())
 }
+
+func target(id string) ident.Target { return ident.Target(id) }
+
+func targets(ids ...string) []ident.Target {
+	out := make([]ident.Target, len(ids))
+	for i, id := range ids {
+		out[i] = target(id)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lead/insync.go
@@ -0,0 +1,250 @@
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/roster"
+	"chervilspan.example/pkg/store"
+	"chervilspan.example/pkg/wait"
+)
+
+const (
+	// syncInterval is the interval between comparisons of the in-sync sets with the list
+	// of databases. These take no calls while the two agree.
+	syncInterval = 250 * time.Millisecond
+	// syncRetryDelay is the delay after a change of an in-sync set that failed, or that
+	// has to wait for a replica.
+	syncRetryDelay = time.Second
+)
+
+// inSyncSet has the databases of a group that may hold acknowledged commits. It lies in
+// the store without a lease, so that VMs which have just started know of databases that
+// are missing from the list. Every acknowledged commit is in the logs of at least two
+// databases of the set, as a commit is acknowledged with one replica: a database joins
+// the set when it is listed, and leaves it only when the log of the primary, as of a
+// moment after it was gone, is on another one of the set.
+type inSyncSet struct {
+	Targets []ident.Target `json:"targets"`
+}
+
+// has reports whether a database is in the set.
+func (s inSyncSet) has(id ident.Target) bool { return slices.Contains(s.Targets, id) }
+
+// with returns the set with further databases.
+func (s inSyncSet) with(ids []ident.Target) inSyncSet {
+	s.Targets = append(slices.Clone(s.Targets), ids...)
+	slices.Sort(s.Targets)
+	s.Targets = slices.Compact(s.Targets)
+	return s
+}
+
+// without returns the set without some databases.
+func (s inSyncSet) without(ids []ident.Target) inSyncSet {
+	s.Targets = slices.DeleteFunc(slices.Clone(s.Targets), func(id ident.Target) bool { return slices.Contains(ids, id) })
+	return s
+}
+
+// storedSet is an in-sync set as last read from the store; the revision is 0 if there was
+// none.
+type storedSet struct {
+	inSyncSet
+	revision store.Revision
+}
+
+// setKey returns the key of a group's in-sync set.
+func setKey(g ident.Group) string { return "insync/" + string(g) }
+
+// keepsSet reports whether a group has an in-sync set: its commits are acknowledged with
+// a replica.
+func (mon *Monitor) keepsSet(g ident.Group) bool { return mon.cfg.SyncReplicas(g) > 0 }
+
+// readSet reads the in-sync set of a group.
+func (mon *Monitor) readSet(ctx context.Context, g ident.Group) (storedSet, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e, err := store.Read(ctx, mon.cfg.Store, setKey(g))
+	if err != nil {
+		return storedSet{}, &Error{Op: "read in-sync set", Kind: KindStore, Group: g, Err: err}
+	}
+	return decodeSet(g, e)
+}
+
+func decodeSet(g ident.Group, e store.Entry) (storedSet, error) {
+	s := storedSet{revision: e.Revision}
+	if e.Revision == 0 {
+		return s, nil
+	}
+	if err := json.Unmarshal(e.Value, &s.inSyncSet); err != nil {
+		return s, &Error{Op: "read in-sync set", Kind: KindStore, Group: g, Err: err}
+	}
+	return s, nil
+}
+
+// writeSet replaces an in-sync set, unless it was changed since it was read.
+func (mon *Monitor) writeSet(ctx context.Context, g ident.Group, old storedSet, s inSyncSet) (storedSet, error) {
+	const op = "write in-sync set"
+	raw, err := json.Marshal(s)
+	if err != nil {
+		return old, &Error{Op: op, Kind: KindStore, Group: g, Err: err}
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	res, err := store.Swap(ctx, mon.cfg.Store, store.Write{Key: setKey(g), Value: raw, Expected: old.revision})
+	switch {
+	case err != nil:
+		return old, &Error{Op: op, Kind: KindStore, Group: g, Err: err}
+	case !res.Done:
+		return old, &Error{Op: op, Kind: KindConflict, Group: g}
+	}
+	return storedSet{s, res.Current.Revision}, nil
+}
+
+// listedTargets returns the databases of a group that are listed.
+func (mon *Monitor) listedTargets(g ident.Group) []ident.Target {
+	var out []ident.Target
+	for _, m := range mon.cfg.Roster.AllMembers(g) {
+		if m.MissingSince.IsZero() {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+// runInSync keeps the in-sync sets of the groups for which this VM is the first by
+// Config.Rank, until ctx ends.
+func (mon *Monitor) runInSync(ctx context.Context) {
+	for wait.For(ctx, syncInterval) {
+		mon.mu.Lock()
+		groups := make([]*groupState, 0, len(mon.groups))
+		for _, st := range mon.groups {
+			groups = append(groups, st)
+		}
+		mon.mu.Unlock()
+		for _, st := range groups {
+			if mon.needsSync(st) {
+				mon.wg.Go(func() { mon.syncSet(ctx, st) })
+			}
+		}
+	}
+}
+
+// needsSync reports whether the in-sync set of a group has to be changed or read again,
+// and marks the group as being synchronized if so.
+func (mon *Monitor) needsSync(st *groupState) bool {
+	listed, now := mon.listedTargets(st.id), time.Now()
+	first := mon.cfg.Rank(st.id) == 0
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	if !first {
+		st.knownSet = nil // another VM keeps it
+		return false
+	}
+	if st.syncing || now.Before(st.syncAt) || len(listed) == 0 || !mon.keepsSet(st.id) {
+		return false
+	}
+	if !slices.Equal(listed, st.syncedWith) {
+		st.knownSet = nil
+	}
+	agrees := st.knownSet != nil && slices.Equal(listed, st.knownSet.Targets)
+	st.syncing = !agrees
+	return !agrees
+}
+
+// syncSet adds the listed databases of a group to its in-sync set, and removes those that
+// are gone and have left no commit behind that only one other database holds.
+func (mon *Monitor) syncSet(ctx context.Context, st *groupState) {
+	listed := mon.listedTargets(st.id)
+	s, err := mon.updateSet(ctx, st, listed)
+	if err != nil {
+		mon.logInSyncFailed(st.id, err)
+	}
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.syncing = false
+	st.knownSet, st.syncedWith = nil, listed
+	if err == nil {
+		st.knownSet = &s
+	}
+	if err != nil || !slices.Equal(s.Targets, listed) {
+		st.syncAt = time.Now().Add(syncRetryDelay)
+	}
+}
+
+func (mon *Monitor) updateSet(ctx context.Context, st *groupState, listed []ident.Target) (storedSet, error) {
+	s, err := mon.readSet(ctx, st.id)
+	if err != nil {
+		return s, err
+	}
+	if joined := s.with(listed); len(joined.Targets) > len(s.Targets) {
+		if s, err = mon.writeSet(ctx, st.id, s, joined); err != nil {
+			return s, err
+		}
+	}
+	gone := mon.goneTargets(st, s.inSyncSet, time.Now())
+	if len(gone) == 0 || !mon.heldWithout(ctx, st, s.without(gone), gone) {
+		return s, nil
+	}
+	remaining := s.without(gone)
+	if s, err = mon.writeSet(ctx, st.id, s, remaining); err == nil {
+		mon.logInSyncRemoved(st.id, gone)
+	}
+	return s, err
+}
+
+// goneTargets returns the databases of a set that are gone: they left as planned, or have
+// been missing from the list for goneTimeout.
+func (mon *Monitor) goneTargets(st *groupState, s inSyncSet, now time.Time) []ident.Target {
+	var out []ident.Target
+	for _, m := range mon.unlistedMembers(st, s) {
+		if m.Leaving || now.Sub(m.MissingSince) >= goneTimeout {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+// heldWithout reports whether a set without the databases that are gone still has every
+// acknowledged commit in two logs: the primary's log of this moment is on another database
+// of the set. One that answers is not gone.
+func (mon *Monitor) heldWithout(ctx context.Context, st *groupState, remaining inSyncSet, gone []ident.Target) bool {
+	var asked, staying []roster.Member
+	for _, m := range mon.cfg.Roster.AllMembers(st.id) {
+		if slices.Contains(gone, m.ID) || remaining.has(m.ID) {
+			asked = append(asked, m)
+		}
+	}
+	replies := mon.controlAll(dbop.Statement{Kind: dbop.Status}, asked)
+	for _, id := range gone {
+		if hasAnswered(replies, id) {
+			return false
+		}
+	}
+	primary, ok := primaryOf(replies)
+	if !ok {
+		return false
+	}
+	for _, m := range answeredReplicas(replies) {
+		if remaining.has(m.ID) && m.ID != primary.member.ID {
+			staying = append(staying, m)
+		}
+	}
+	_, ok = mon.awaitPosition(ctx, st.id, staying, primary.status.Received)
+	return ok
+}
+
+// unlistedMembers returns the databases of a set that are not listed.
+func (mon *Monitor) unlistedMembers(st *groupState, s inSyncSet) []roster.Member {
+	var out []roster.Member
+	for _, id := range s.Targets {
+		m, known := mon.cfg.Roster.Member(st.id, id)
+		if known && !m.MissingSince.IsZero() {
+			out = append(out, m)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lead/insync_test.go
@@ -0,0 +1,98 @@
+package lead_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilspan.example/internal/linktest"
+)
+
+// setIndex gives databases a log of n entries.
+func (f *fixture) setIndex(n uint64, ids ...string) {
+	for _, id := range ids {
+		f.cluster.Update(target(id), func(d *linktest.DB) { d.Index = n })
+	}
+}
+
+// leave ends a database as planned.
+func (f *fixture) leave(id string) {
+	f.markLeaving(target(id))
+	time.Sleep(time.Second)
+	f.remove(target(id))
+}
+
+// TestLeftReplica guards against a promotion without a commit that only the crashed
+// primary has, since the replica that acknowledged it has left as planned.
+func TestLeftReplica(t *testing.T) {
+	run(t, 2, func(is *is.I, f *fixture) {
+		f.setIndex(9, "a", "b")
+		f.leave("b")
+		time.Sleep(3 * time.Second)
+		f.remove("a")
+		time.Sleep(10 * time.Second)
+		is.Equal(len(f.promotions()), 0)
+		f.cluster.Update("a", func(d *linktest.DB) { d.Removed = false })
+		f.cluster.UpdateRoster()
+		time.Sleep(3 * time.Second)
+		is.Equal(len(f.promotions()), 0) // the primary is back with its log
+	})
+}
+
+// TestLeftReplicaForgotten guards against a failover that waits for a replica which has
+// left although another one has its log by now.
+func TestLeftReplicaForgotten(t *testing.T) {
+	run(t, 2, func(is *is.I, f *fixture) {
+		f.setIndex(9, "a", "b")
+		f.leave("b")
+		time.Sleep(time.Second)
+		f.setIndex(9, "c")
+		time.Sleep(3 * time.Second)
+		f.remove("a")
+		time.Sleep(3 * time.Second)
+		is.Equal(f.promotions(), []string{"promote c"})
+	})
+}
+
+// TestJoinedReplicaHolds guards against a promotion without a commit that the crashed
+// primary and a replica which joined a moment ago have.
+func TestJoinedReplicaHolds(t *testing.T) {
+	runWith(t, 2, &fixture{joining: targets("d")}, func(is *is.I, f *fixture) {
+		f.cluster.Update("d", func(d *linktest.DB) { d.Removed, d.Index = false, 9 })
+		f.setIndex(9, "a")
+		f.cluster.UpdateRoster()
+		time.Sleep(time.Second)
+		f.remove("d")
+		f.remove("a")
+		time.Sleep(10 * time.Second)
+		is.Equal(len(f.promotions()), 0)
+	})
+}
+
+// TestLostDatabases guards against a group that stays without a primary for ever when two
+// of its databases never come back.
+func TestLostDatabases(t *testing.T) {
+	run(t, 2, func(is *is.I, f *fixture) {
+		f.remove("a")
+		f.remove("b")
+		time.Sleep(30 * time.Second)
+		is.Equal(f.promotions(), []string{"promote c"})
+	})
+}
+
+// TestSteadyInSync guards against calls to the store while the list of databases and the
+// in-sync set agree.
+func TestSteadyInSync(t *testing.T) {
+	run(t, 3, func(is *is.I, f *fixture) {
+		f.leave("b")
+		time.Sleep(5 * time.Second)
+		calls := f.store.CallCount()
+		time.Sleep(time.Minute)
+		is.Equal(f.store.CallCount(), calls)
+		is.Equal(strings.Count(f.log.String(), "insync_removed"), 1)
+		is.True(!slices.Contains(f.promotions(), "promote b"))
+	})
+}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -129,6 +129,13 @@
 	// probeRequested is true if a statement has gone unanswered since the primary
 	// was last probed.
 	probeRequested bool
+	// knownSet is the group's in-sync set as this VM last read or wrote it, nil if it has
+	// to be read again; syncedWith has the databases that were listed then. syncing is
+	// set while it is being changed, syncAt the earliest time of the next change.
+	knownSet   *storedSet
+	syncedWith []ident.Target
+	syncing    bool
+	syncAt     time.Time
 }
 
 // New returns a Monitor without groups.
@@ -156,7 +163,7 @@
 		mon.startMonitoring(st)
 	}
 	mon.mu.Unlock()
-	<-ctx.Done()
+	mon.runInSync(ctx)
 	mon.wg.Wait()
 }
 
--- a/internal/lead/log.go
+++ b/internal/lead/log.go
@@ -50,3 +50,11 @@
 func (mon *Monitor) logClaimUnreleased(err error) {
 	evlog.At(mon.cfg.Log, evlog.ClaimUnreleased).Err(err).Send()
 }
+
+func (mon *Monitor) logInSyncRemoved(g ident.Group, ids []ident.Target) {
+	evlog.At(mon.cfg.Log, evlog.InSyncRemoved).Str("group", string(g)).Any("targets", ids).Send()
+}
+
+func (mon *Monitor) logInSyncFailed(g ident.Group, err error) {
+	evlog.At(mon.cfg.Log, evlog.InSyncFailed).Str("group", string(g)).Err(err).Send()
+}
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -18,26 +18,21 @@
 	status      dbpool.Status
 }
 
-// missingReplicaTimeout is how long a replica must have been missing from the list
-// of databases before a promotion proceeds without its answer. A replica that
-// crashed is back with its log in less time.
-const missingReplicaTimeout = 8 * time.Second
-
-// mayHoldCommit reports whether a database that did not answer may hold an
-// acknowledged commit that no other has. One that has left as planned held no such
-// commit. primaryWorks reports whether the primary answered: it may then have
-// commits acknowledged by a replica that it alone reaches, however long that replica
-// has been missing from the list.
-func mayHoldCommit(m *roster.Member, primaryWorks bool) bool {
-	if m.MissingSince.IsZero() {
-		return true
-	}
-	return !m.Leaving && (primaryWorks || time.Since(m.MissingSince) < missingReplicaTimeout)
-}
-
-// enoughAnswered reports whether enough databases answered for a promotion, and
-// returns one that is missing otherwise. If the primary answered, all others must
-// have answered too. If not, one missing answer is allowed: the primary's.
+const (
+	// goneTimeout is how long a database must have been missing from the list before it
+	// counts as gone. One that crashed is back with its log in less time.
+	goneTimeout = 8 * time.Second
+	// lostTimeout is how long all databases that do not answer must have been missing
+	// from the list before a promotion proceeds without two of them. Commits that only
+	// they hold are lost then, which is the last resort for a group whose databases are
+	// gone for good.
+	lostTimeout = 20 * time.Second
+)
+
+// enoughAnswered reports whether enough databases of the in-sync set answered for a
+// promotion, and returns one that is missing otherwise. If the primary answered, all
+// others must have answered too, since it goes on having commits acknowledged. If not,
+// one missing answer is allowed, as each commit is in two logs.
 func enoughAnswered(replies []reply) (ident.Target, bool) {
 	maxMissing, primaryWorks := 1, false
 	for _, r := range replies {
@@ -46,14 +41,31 @@
 		}
 	}
 	var missing ident.Target
-	missingCount := 0
+	lost := !primaryWorks
 	for _, r := range replies {
-		if !r.answered && mayHoldCommit(&r.member, primaryWorks) {
+		if !r.answered {
 			missing = r.member.ID
-			missingCount++
+			lost = lost && isLost(&r.member)
 		}
 	}
-	return missing, missingCount <= maxMissing
+	return missing, missingCount(replies) <= maxMissing || lost
+}
+
+// missingCount returns the number of databases that did not answer.
+func missingCount(replies []reply) int {
+	n := 0
+	for _, r := range replies {
+		if !r.answered {
+			n++
+		}
+	}
+	return n
+}
+
+// isLost reports whether a database has been missing from the list for so long that it is
+// not waited for any more.
+func isLost(m *roster.Member) bool {
+	return !m.MissingSince.IsZero() && time.Since(m.MissingSince) >= lostTimeout
 }
 
 // otherPrimary returns a database other than old that reports being the primary.
--- a/internal/lead/replies_test.go
+++ b/internal/lead/replies_test.go
@@ -26,7 +26,9 @@
 // on a database that did not answer.
 func TestEnoughAnswered(t *testing.T) {
 	gone := missingReply("c")
-	gone.member.MissingSince = time.Now().Add(-missingReplicaTimeout - time.Second)
+	gone.member.MissingSince = time.Now().Add(-lostTimeout - time.Second)
+	lostPrimary := missingReply("a")
+	lostPrimary.member.MissingSince = gone.member.MissingSince
 	lately := missingReply("c")
 	lately.member.MissingSince = time.Now().Add(-time.Second)
 	left := lately
@@ -40,8 +42,9 @@
 		"a replica is silent":            {[]reply{answeredReply("a", 1, true), answeredReply("b", 1, false), missingReply("c")}, false},
 		"primary and replica are silent": {[]reply{missingReply("a"), answeredReply("b", 1, false), missingReply("c")}, false},
 		"the replica crashed just now":   {[]reply{missingReply("a"), answeredReply("b", 1, false), lately}, false},
-		"the replica left as planned":    {[]reply{missingReply("a"), answeredReply("b", 1, false), left}, true},
-		"the replica is gone":            {[]reply{missingReply("a"), answeredReply("b", 1, false), gone}, true},
+		"the replica left as planned":    {[]reply{missingReply("a"), answeredReply("b", 1, false), left}, false},
+		"the replica is gone":            {[]reply{missingReply("a"), answeredReply("b", 1, false), gone}, false},
+		"both are gone":                  {[]reply{lostPrimary, answeredReply("b", 1, false), gone}, true},
 		"gone, but the primary works":    {[]reply{answeredReply("a", 1, true), answeredReply("b", 1, false), gone}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/lead/transfer.go
+++ b/internal/lead/transfer.go
@@ -19,7 +19,7 @@
 // missing from the list. It stays in service and has the log that the primary had when
 // it was asked; without such a replica nothing changes.
 func (f *failover) awaitSuccessor(ctx context.Context, primary *reply, replies []reply) (roster.Member, error) {
-	best, ok := f.awaitPosition(ctx, f.successors(replies), primary.status.Received)
+	best, ok := f.mon.awaitPosition(ctx, f.st.id, f.successors(replies), primary.status.Received)
 	if !ok {
 		return best, f.error("catch up", KindNoSuccessor, best.ID)
 	}
@@ -35,7 +35,7 @@
 	if err != nil {
 		return err
 	}
-	if _, ok := f.awaitPosition(ctx, []roster.Member{best}, highestReceived(fenced)); !ok {
+	if _, ok := f.mon.awaitPosition(ctx, f.st.id, []roster.Member{best}, highestReceived(fenced)); !ok {
 		return f.error("catch up", KindNoSuccessor, best.ID)
 	}
 	_, err = f.fence([]roster.Member{best}, term)
@@ -65,16 +65,16 @@
 // awaitPosition waits until a database has received the log up to a position, and
 // returns the preferred one of those that have. ok is false if there is none within
 // catchUpTimeout.
-func (f *failover) awaitPosition(ctx context.Context, ms []roster.Member, pos ident.Position) (best roster.Member, ok bool) {
+func (mon *Monitor) awaitPosition(ctx context.Context, g ident.Group, ms []roster.Member, pos ident.Position) (best roster.Member, ok bool) {
 	end := time.Now().Add(catchUpTimeout)
 	for {
 		var current []reply
-		for _, r := range f.mon.controlAll(dbop.Statement{Kind: dbop.Status}, ms) {
+		for _, r := range mon.controlAll(dbop.Statement{Kind: dbop.Status}, ms) {
 			if r.answered && !r.status.Received.Less(pos) {
 				current = append(current, r)
 			}
 		}
-		if best, ok = bestPlaced(current, f.mon.placement(f.st.id)); ok {
+		if best, ok = bestPlaced(current, mon.placement(g)); ok {
 			return best, true
 		}
 		if !time.Now().Before(end) || !wait.For(ctx, pollInterval) {
