Count databases that a VM has never seen as holders of commits

Cause: a VM knew the holders of commits only from the list that it had read itself. After a restart the list lacks those that have been silent for 3.6 s, and ListComplete does not tell.

Change: databases of the stored in-sync set that this VM has not seen in the list count as missing, from when it first learned of them. The fixture's start of a VM is a method of its own.

TestRestartedVM failed before (one promotion, none expected).

--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -132,6 +132,18 @@
 	})
 }
 
+// unknownMembers returns missing replies for the databases of the in-sync set of which
+// this VM has seen no entry.
+func (f *failover) unknownMembers() []reply {
+	var out []reply
+	for _, m := range f.mon.unlistedMembers(f.st, f.set, time.Now()) {
+		if _, known := f.mon.cfg.Roster.Member(f.st.id, m.ID); !known {
+			out = append(out, reply{member: m})
+		}
+	}
+	return out
+}
+
 // chooseSuccessor returns the database to promote, after it has made sure that no
 // commit which that database lacks can be acknowledged any more.
 func (f *failover) chooseSuccessor(ctx context.Context) (best roster.Member, err error) {
@@ -241,7 +253,7 @@
 
 // collectStatuses asks every database of the group for its status.
 func (f *failover) collectStatuses() ([]reply, error) {
-	replies := f.mon.controlAll(dbop.Statement{Kind: dbop.Status}, f.members())
+	replies := append(f.mon.controlAll(dbop.Statement{Kind: dbop.Status}, f.members()), f.unknownMembers()...)
 	if f.mon.cfg.Unfenced {
 		f.mon.demoteOlder(replies)
 	}
--- a/internal/lead/fixture_test.go
+++ b/internal/lead/fixture_test.go
@@ -29,6 +29,10 @@
 	promoter *linktest.Promoter
 	monitors []*lead.Monitor
 	log      bytes.Buffer
+	logger   zerolog.Logger
+	// ctx ends the VMs, running waits for them.
+	ctx     context.Context
+	running sync.WaitGroup
 	// refresh, unless nil, is called when a VM reads the list before a failover.
 	refresh func()
 	// joining has databases that are not there at the start.
@@ -86,27 +90,9 @@
 		fx.cluster.SetFormerGoesOn(fx.unfenced)
 		fx.promoter = &linktest.Promoter{Cluster: fx.cluster}
 		ctx, cancel := context.WithCancel(t.Context())
-		var wg sync.WaitGroup
-		log := zerolog.New(zerolog.SyncWriter(&fx.log))
-		for i := range n {
-			pools := &dbpool.Pools{Dialer: fx.cluster, Roster: fx.cluster.Roster(), ConnLimit: func(*roster.Member) int { return 4 }}
-			mon := lead.New(lead.Config{
-				VM: ident.VM(rune('x' + i)), Roster: fx.cluster.Roster(), Pools: pools, Store: fx.store, Promoter: fx.promoter,
-				Epochs:    epoch.New(epoch.Config{Store: fx.store, Lifetimes: []time.Duration{lead.ClaimTTL}}),
-				Peers:     peers{fx, i},
-				Evacuated: func(z ident.Zone) bool { _, ok := fx.evacuated.Load(z); return ok },
-				Rank:      func(ident.Group) int { return i }, Clock: fx.now, Unfenced: fx.unfenced,
-				RefreshList: func(context.Context) error {
-					if fx.refresh != nil {
-						fx.refresh()
-					}
-					return nil
-				},
-				Log: log,
-			})
-			mon.Watch([]ident.Group{"g"})
-			fx.monitors = append(fx.monitors, mon)
-			wg.Go(func() { mon.Run(ctx) })
+		fx.ctx, fx.logger = ctx, zerolog.New(zerolog.SyncWriter(&fx.log))
+		for range n {
+			fx.startVM(fx.cluster.Roster())
 		}
 		updates := time.NewTicker(time.Second)
 		go func() {
@@ -123,11 +109,34 @@
 		f(is.New(t), fx)
 		updates.Stop()
 		cancel()
-		wg.Wait()
+		fx.running.Wait()
 		time.Sleep(time.Second) // for calls that release claims
 	})
 }
 
+// startVM starts a VM with a table of the databases.
+func (f *fixture) startVM(table *roster.Table) {
+	i := len(f.monitors)
+	pools := &dbpool.Pools{Dialer: f.cluster, Roster: table, ConnLimit: func(*roster.Member) int { return 4 }}
+	mon := lead.New(lead.Config{
+		VM: ident.VM(rune('x' + i)), Roster: table, Pools: pools, Store: f.store, Promoter: f.promoter,
+		Epochs:    epoch.New(epoch.Config{Store: f.store, Lifetimes: []time.Duration{lead.ClaimTTL}}),
+		Peers:     peers{f, i},
+		Evacuated: func(z ident.Zone) bool { _, ok := f.evacuated.Load(z); return ok },
+		Rank:      func(ident.Group) int { return i }, Clock: f.now, Unfenced: f.unfenced,
+		RefreshList: func(context.Context) error {
+			if f.refresh != nil {
+				f.refresh()
+			}
+			return nil
+		},
+		Log: f.logger,
+	})
+	mon.Watch([]ident.Group{"g"})
+	f.monitors = append(f.monitors, mon)
+	f.running.Go(func() { mon.Run(f.ctx) })
+}
+
 func (f *fixture) promotions() []string {
 	return slices.DeleteFunc(f.cluster.ControlLog(), func(s string) bool { return !strings.HasPrefix(s, "promote") })
 }
--- a/internal/lead/insync.go
+++ b/internal/lead/insync.go
@@ -200,7 +200,7 @@
 // been missing from the list for goneTimeout.
 func (mon *Monitor) goneTargets(st *groupState, s inSyncSet, now time.Time) []ident.Target {
 	var out []ident.Target
-	for _, m := range mon.unlistedMembers(st, s) {
+	for _, m := range mon.unlistedMembers(st, s, now) {
 		if m.Leaving || now.Sub(m.MissingSince) >= goneTimeout {
 			out = append(out, m.ID)
 		}
@@ -237,14 +237,34 @@
 	return ok
 }
 
-// unlistedMembers returns the databases of a set that are not listed.
-func (mon *Monitor) unlistedMembers(st *groupState, s inSyncSet) []roster.Member {
+// unlistedMembers returns the databases of a set that are not listed. This VM may know
+// nothing but the id of one that was missing before it started.
+func (mon *Monitor) unlistedMembers(st *groupState, s inSyncSet, now time.Time) []roster.Member {
 	var out []roster.Member
 	for _, id := range s.Targets {
 		m, known := mon.cfg.Roster.Member(st.id, id)
-		if known && !m.MissingSince.IsZero() {
+		if !known {
+			m = roster.Member{Entry: roster.Entry{ID: id, Group: st.id}, MissingSince: st.unknownSince(id, now)}
+		}
+		if !m.MissingSince.IsZero() {
 			out = append(out, m)
 		}
 	}
 	return out
 }
+
+// unknownSince returns when a database of the in-sync set was first found that this VM
+// has not seen in the list.
+func (st *groupState) unknownSince(id ident.Target, now time.Time) time.Time {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	since, ok := st.unknown[id]
+	if !ok {
+		if st.unknown == nil {
+			st.unknown = map[ident.Target]time.Time{}
+		}
+		since = now
+		st.unknown[id] = now
+	}
+	return since
+}
--- a/internal/lead/insync_test.go
+++ b/internal/lead/insync_test.go
@@ -4,11 +4,13 @@
 	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
 	"chervilspan.example/internal/linktest"
+	"chervilspan.example/pkg/roster"
 )
 
 // setIndex gives databases a log of n entries.
@@ -92,7 +94,29 @@
 		calls := f.store.CallCount()
 		time.Sleep(time.Minute)
 		is.Equal(f.store.CallCount(), calls)
+		synctest.Wait() // orders the log after the goroutines that wrote it
 		is.Equal(strings.Count(f.log.String(), "insync_removed"), 1)
 		is.True(!slices.Contains(f.promotions(), "promote b"))
 	})
 }
+
+// TestRestartedVM guards against a promotion by a VM that has started while two of three
+// databases are missing from the list, and takes the third for the only one.
+func TestRestartedVM(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		f.setIndex(9, "a", "b")
+		f.remove("a")
+		f.remove("b")
+		table := &roster.Table{}
+		f.startVM(table)
+		for range 10 {
+			table.Update([]roster.Entry{{ID: "c", Group: "g", Address: "c", Slots: 4, ProcessStart: 1}}, time.Now())
+			time.Sleep(time.Second)
+		}
+		is.Equal(len(f.promotions()), 0)
+		f.cluster.Update("a", func(d *linktest.DB) { d.Removed = false })
+		f.cluster.UpdateRoster()
+		time.Sleep(3 * time.Second)
+		is.Equal(len(f.promotions()), 0)
+	})
+}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -136,6 +136,9 @@
 	syncedWith []ident.Target
 	syncing    bool
 	syncAt     time.Time
+	// unknown has since when databases of the in-sync set are known of which this VM has
+	// seen no entry.
+	unknown map[ident.Target]time.Time
 }
 
 // New returns a Monitor without groups.
