Lift fences that an interrupted failover has left

Cause: fences outlive the claim under which they were set. Stalled writes and replicas that do not catch up, their effects, were taken for faults of the primary; a stalled primary was replaced by a replica without its log.

Change: a VM that holds the claim and finds fences above the term of a working primary has the platform refuse older promotion calls, by one for that primary, and lifts the fences when an older call would have taken effect. A stalled primary stays then. Fences above a new primary's term are lifted after the promotion. The fake platform leaves a call for the present primary without effect, as the pages say, and keeps fences above the new term, which the pages leave open.

TestLeftFencesStalled, TestLeftFencesPlanned and TestLeftFencesSettled failed before; TestStaleFencesAfterPromotion fails without liftStale.

--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -36,6 +36,10 @@
 	expiresAt time.Time
 	// promotionSent is true once a promotion call may have been sent.
 	promotionSent bool
+	// unfenceUnanswered is true once an Unfence got no answer. The claim is then left to
+	// expire: the statement may still be carried out, and must not lift a fence of the
+	// next claim.
+	unfenceUnanswered bool
 }
 
 // allowsCall reports whether a promotion call, or the end of a fence, may still be sent.
--- a/internal/lead/doc.go
+++ b/internal/lead/doc.go
@@ -31,6 +31,10 @@
 // replicas stay fenced until a later failover, which has a higher token,
 // supersedes it.
 //
+// Fences that a VM leaves when it freezes or dies are lifted by the next one that holds the
+// claim while the primary works, after a call for that primary has made the platform refuse
+// the calls of the VM before.
+//
 // A primary that answers is demoted before another database is promoted, since one that
 // joins the group after the fences is not fenced. One that is leaving, missing from the
 // list or in an evacuated zone is replaced only by a replica in service that has its log,
--- a/internal/lead/errors.go
+++ b/internal/lead/errors.go
@@ -31,6 +31,9 @@
 	KindNotPromoted
 	// KindConflict means that another VM has changed an in-sync set meanwhile.
 	KindConflict
+	// KindSettled means that the primary's replicas had been left fenced, and that it need
+	// not be replaced now that the fences are lifted.
+	KindSettled
 	// KindRestored means that the store was restored from an older copy, and may have
 	// forgotten a claim that has not expired.
 	KindRestored
@@ -53,6 +56,7 @@
 	KindPrimaryWorks: "another VM is in contact with the primary", KindNoSuccessor: "no replica in service has the log of the primary",
 	KindNotPromoted: "the promoted database has not become the primary in time",
 	KindConflict:    "another VM has changed it meanwhile",
+	KindSettled:     "its replicas had been left fenced",
 	KindRestored:    "the store may have forgotten the claim of another VM",
 }
 
--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -62,33 +62,20 @@
 	if !f.demoted {
 		mon.demoteFormer(st, old, best)
 	}
+	f.liftStale(best)
 	return nil
 }
 
-// end lifts the fences if no promotion call was sent, and releases the claim. A
-// claim with an unanswered Unfence is left to expire: the statement may still be
-// carried out, and must not lift a fence of the next claim.
+// end lifts the fences if no promotion call was sent, and releases the claim. When the
+// claim may expire too soon, the replicas stay fenced: another VM may rely on fences of
+// its own, and lifts them if the primary works.
 func (f *failover) end() {
-	if !f.claim.promotionSent && !f.unfence() {
-		return
+	if !f.claim.promotionSent && len(f.fenced) > 0 {
+		f.liftFences(f.fenced)
 	}
-	f.mon.releaseClaim(f.claim)
-}
-
-// unfence lets replicas accept entries again. It reports whether no Unfence is left
-// unanswered. When the claim may expire too soon, the replicas stay fenced: another
-// VM may rely on fences of its own, and a primary whose commits get no
-// acknowledgement is replaced in any case.
-func (f *failover) unfence() bool {
-	if len(f.fenced) == 0 || !f.mon.allowsCall(f.claim) {
-		return true
-	}
-	for _, r := range f.mon.controlAll(dbop.Statement{Kind: dbop.Unfence}, f.fenced) {
-		if r.outstanding {
-			return false
-		}
+	if !f.claim.unfenceUnanswered {
+		f.mon.releaseClaim(f.claim)
 	}
-	return true
 }
 
 // refreshList makes sure that every database of a group is known.
@@ -187,6 +174,12 @@
 // primary before the promotion: a database that joins the group after the fences could
 // acknowledge its commits until the promotion takes effect.
 func (f *failover) replaceWorking(ctx context.Context, primary *reply, replies []reply) (best roster.Member, err error) {
+	switch settled, err := f.settle(ctx, primary, replies); {
+	case err != nil:
+		return best, err
+	case settled && f.why == reasonStalled:
+		return best, f.error("status", KindSettled, primary.member.ID)
+	}
 	id, all := enoughAnswered(replies)
 	planned := f.why == reasonLeaving || f.why == reasonMissing || f.why == reasonEvacuated
 	if planned {
@@ -325,8 +318,7 @@
 func (mon *Monitor) awaitPromoted(ctx context.Context, st *groupState, m roster.Member) bool {
 	end := time.Now().Add(promotionTimeout)
 	for time.Now().Before(end) {
-		code, err := mon.tryBegin(st, &m)
-		if err == nil && code == dbop.OK {
+		if mon.leads(st, &m) {
 			return true
 		}
 		if !wait.For(ctx, pollInterval) {
--- a/internal/lead/log.go
+++ b/internal/lead/log.go
@@ -5,6 +5,7 @@
 
 	"chervilspan.example/internal/evlog"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/roster"
 	"chervilspan.example/pkg/store"
 )
 
@@ -58,3 +59,11 @@
 func (mon *Monitor) logInSyncFailed(g ident.Group, err error) {
 	evlog.At(mon.cfg.Log, evlog.InSyncFailed).Str("group", string(g)).Err(err).Send()
 }
+
+func (mon *Monitor) logFencesLifted(g ident.Group, ms []roster.Member) {
+	ids := make([]string, len(ms))
+	for i, m := range ms {
+		ids[i] = string(m.ID)
+	}
+	evlog.At(mon.cfg.Log, evlog.FencesLifted).Str("group", string(g)).Strs("targets", ids).Send()
+}
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -179,6 +179,12 @@
 	return a.Code, err
 }
 
+// leads reports whether a database accepts the start of a read-write transaction.
+func (mon *Monitor) leads(st *groupState, m *roster.Member) bool {
+	code, err := mon.tryBegin(st, m)
+	return err == nil && code == dbop.OK
+}
+
 // askBegin begins and rolls back a read-write transaction, which takes no slot. It
 // returns the answer to the start and when that was sent, by Config.Clock. timeout bounds
 // the wait for the answer.
@@ -255,7 +261,7 @@
 	if !ok {
 		return false
 	}
-	if code, err := mon.tryBegin(st, &m); err != nil || code != dbop.OK {
+	if !mon.leads(st, &m) {
 		return false
 	}
 	pos, _ := st.positions.Latest()
--- a/internal/linktest/linktest.go
+++ b/internal/linktest/linktest.go
@@ -178,11 +178,21 @@
 			continue
 		}
 		d.Primary = d.ID == id
-		d.Term, d.FenceTerm = c.term, 0
+		d.Term = c.term
+		if d.Primary || d.FenceTerm <= c.term {
+			d.FenceTerm = 0
+		}
 	}
 	c.controlLog = append(c.controlLog, "promote "+string(id))
 }
 
+// isPrimary reports whether a database is the primary of the present term.
+func (c *Cluster) isPrimary(id ident.Target) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.dbs[id].Primary && c.dbs[id].Term == c.term
+}
+
 // ControlLog returns the control statements and promotions so far, in order, as
 // "kind target".
 func (c *Cluster) ControlLog() []string {
--- a/internal/linktest/store.go
+++ b/internal/linktest/store.go
@@ -339,7 +339,9 @@
 	case p.Ignore:
 		return lead.Promoted, nil
 	}
-	p.Cluster.Promote(id)
+	if !p.Cluster.isPrimary(id) {
+		p.Cluster.Promote(id)
+	}
 	return lead.Promoted, nil
 }
 
