--- a/internal/lead/settle.go
+++ b/internal/lead/settle.go
@@ -35,6 +35,9 @@
 		return false, f.error("unfence", KindClaimExpired, "")
 	}
 	f.mon.logFencesLifted(f.st.id, left)
+	for i := range replies {
+		replies[i].status.FenceTerm = 0 // later fences need not be above the former ones
+	}
 	return true, nil
 }
 
