Close promotion calls that got no answer

Cause: a call without an answer ends only when one with a higher token is accepted. That was left to a later failover, of which there was none once the primary worked again. Only the VM that had sent the call knew of it. A replica that restarts is not fenced any more.

Change: a call is written to the store with the in-sync set before it is sent. While it is open and the primary works, the sender or the VM that keeps the set fences all replicas, calls the platform for the present primary, and lifts the fences. Fences are not lifted while a call is open. The fake platform can carry calls out late, and counts the tokens of calls that it carried out, not of lost ones.

TestLateCall and TestLateCallOfDeadVM failed before.

--- a/internal/lead/doc.go
+++ b/internal/lead/doc.go
@@ -27,13 +27,13 @@
 // acknowledged commit is in the logs of two of them. A database that is gone stays in
 // the set until another one is seen to have the primary's log. Before the promotion call is sent, the claim's expiry is
 // checked against Config.Clock, which has to count the time that the machine was
-// suspended. A call without an answer may still be carried out later, so the
-// replicas stay fenced until a later failover, which has a higher token,
-// supersedes it.
+// suspended. A call without an answer may still be carried out later. It is
+// written to the store before it is sent, and the replicas stay fenced until a call with a
+// higher token has been accepted: that of a later failover, or, when the primary is back,
+// one for the present primary, which changes nothing.
 //
 // Fences that a VM leaves when it freezes or dies are lifted by the next one that holds the
-// claim while the primary works, after a call for that primary has made the platform refuse
-// the calls of the VM before.
+// claim while the primary works, after such a call.
 //
 // A primary that answers is demoted before another database is promoted, since one that
 // joins the group after the fences is not fenced. One that is leaving, missing from the
--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -23,7 +23,7 @@
 	why   reason
 	claim *heldClaim
 	// set is the group's in-sync set, empty if it has none.
-	set inSyncSet
+	set storedSet
 	// fenced has the databases that may be fenced, and answers what those answered that
 	// are.
 	fenced  []roster.Member
@@ -51,6 +51,9 @@
 	if err != nil {
 		return err
 	}
+	if err := f.recordCall(ctx, best.ID); err != nil {
+		return err
+	}
 	if err := mon.requestPromotion(ctx, st.id, best, c); err != nil {
 		return err
 	}
@@ -63,14 +66,15 @@
 		mon.demoteFormer(st, old, best)
 	}
 	f.liftStale(best)
+	f.recordSettled(ctx)
 	return nil
 }
 
-// end lifts the fences if no promotion call was sent, and releases the claim. When the
+// end lifts the fences if no promotion call is open, and releases the claim. When the
 // claim may expire too soon, the replicas stay fenced: another VM may rely on fences of
 // its own, and lifts them if the primary works.
 func (f *failover) end() {
-	if !f.claim.promotionSent && len(f.fenced) > 0 {
+	if !f.claim.promotionSent && !f.hasOpenCall() && len(f.fenced) > 0 {
 		f.liftFences(f.fenced)
 	}
 	if !f.claim.unfenceUnanswered {
@@ -94,21 +98,17 @@
 }
 
 // readSet reads the group's in-sync set and adds the listed databases to it.
-func (f *failover) readSet(ctx context.Context) error {
+func (f *failover) readSet(ctx context.Context) (err error) {
 	if !f.mon.keepsSet(f.st.id) {
 		return nil
 	}
-	s, err := f.mon.readSet(ctx, f.st.id)
-	if err != nil {
+	if f.set, err = f.mon.readSet(ctx, f.st.id); err != nil {
 		return err
 	}
-	if joined := s.with(f.mon.listedTargets(f.st.id)); len(joined.Targets) > len(s.Targets) {
-		if s, err = f.mon.writeSet(ctx, f.st.id, s, joined); err != nil {
-			return err
-		}
+	if joined := f.set.with(f.mon.listedTargets(f.st.id)); len(joined.Targets) > len(f.set.Targets) {
+		f.set, err = f.mon.writeSet(ctx, f.st.id, f.set, joined)
 	}
-	f.set = s.inSyncSet
-	return nil
+	return err
 }
 
 // members returns the databases of the group that a failover has to ask: those that are
@@ -123,7 +123,7 @@
 // this VM has seen no entry.
 func (f *failover) unknownMembers() []reply {
 	var out []reply
-	for _, m := range f.mon.unlistedMembers(f.st, f.set, time.Now()) {
+	for _, m := range f.mon.unlistedMembers(f.st, f.set.inSyncSet, time.Now()) {
 		if _, known := f.mon.cfg.Roster.Member(f.st.id, m.ID); !known {
 			out = append(out, reply{member: m})
 		}
@@ -139,6 +139,9 @@
 		return best, err
 	}
 	primary, works := answeringPrimary(replies, f.old)
+	if f.why == reasonUnsettled && !works {
+		return best, f.error("status", KindNoAnswer, f.old)
+	}
 	if works {
 		return f.replaceWorking(ctx, &primary, replies)
 	}
@@ -177,7 +180,7 @@
 	switch settled, err := f.settle(ctx, primary, replies); {
 	case err != nil:
 		return best, err
-	case settled && f.why == reasonStalled:
+	case settled && f.why == reasonStalled || f.why == reasonUnsettled:
 		return best, f.error("status", KindSettled, primary.member.ID)
 	}
 	id, all := enoughAnswered(replies)
--- a/internal/lead/fixture_test.go
+++ b/internal/lead/fixture_test.go
@@ -33,6 +33,10 @@
 	// ctx ends the VMs, running waits for them.
 	ctx     context.Context
 	running sync.WaitGroup
+	// kills ends single VMs; killed is the number of VMs that have been killed, the first
+	// ones by rank.
+	kills  []context.CancelFunc
+	killed atomic.Int32
 	// refresh, unless nil, is called when a VM reads the list before a failover.
 	refresh func()
 	// joining has databases that are not there at the start.
@@ -114,16 +118,23 @@
 	})
 }
 
+// killFirst kills the VM that is the first by rank.
+func (f *fixture) killFirst() {
+	f.kills[f.killed.Add(1)-1]()
+}
+
 // startVM starts a VM with a table of the databases.
 func (f *fixture) startVM(table *roster.Table) {
 	i := len(f.monitors)
+	ctx, kill := context.WithCancel(f.ctx)
+	f.kills = append(f.kills, kill)
 	pools := &dbpool.Pools{Dialer: f.cluster, Roster: table, ConnLimit: func(*roster.Member) int { return 4 }}
 	mon := lead.New(lead.Config{
 		VM: ident.VM(rune('x' + i)), Roster: table, Pools: pools, Store: f.store, Promoter: f.promoter,
 		Epochs:    epoch.New(epoch.Config{Store: f.store, Lifetimes: []time.Duration{lead.ClaimTTL}}),
 		Peers:     peers{f, i},
 		Evacuated: func(z ident.Zone) bool { _, ok := f.evacuated.Load(z); return ok },
-		Rank:      func(ident.Group) int { return i }, Clock: f.now, Unfenced: f.unfenced,
+		Rank:      func(ident.Group) int { return max(0, i-int(f.killed.Load())) }, Clock: f.now, Unfenced: f.unfenced,
 		RefreshList: func(context.Context) error {
 			if f.refresh != nil {
 				f.refresh()
@@ -134,7 +145,7 @@
 	})
 	mon.Watch([]ident.Group{"g"})
 	f.monitors = append(f.monitors, mon)
-	f.running.Go(func() { mon.Run(f.ctx) })
+	f.running.Go(func() { mon.Run(ctx) })
 }
 
 func (f *fixture) promotions() []string {
--- a/internal/lead/insync.go
+++ b/internal/lead/insync.go
@@ -30,6 +30,14 @@
 // moment after it was gone, is on another one of the set.
 type inSyncSet struct {
 	Targets []ident.Target `json:"targets"`
+	// Call is the last promotion call, unless it is known to be carried out or refused.
+	Call *sentCall `json:"call,omitempty"`
+}
+
+// sentCall is a promotion call that may still be carried out.
+type sentCall struct {
+	Token  store.Revision `json:"token"`
+	Target ident.Target   `json:"target"`
 }
 
 // has reports whether a database is in the set.
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -139,6 +139,8 @@
 	// unknown has since when databases of the in-sync set are known of which this VM has
 	// seen no entry.
 	unknown map[ident.Target]time.Time
+	// unsettled is set while a promotion call of this VM may still be carried out.
+	unsettled bool
 }
 
 // New returns a Monitor without groups.
@@ -291,6 +293,9 @@
 	if st.primary != id {
 		st.stalledWrites = 0
 	}
+	if st.primary != id || !st.failingSince.IsZero() {
+		st.knownSet = nil // another VM may have begun a failover
+	}
 	st.primary, st.confirmedAt = id, time.Now()
 	st.failingSince, st.failedDials = time.Time{}, 0
 	st.wakeWaiters()
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -73,6 +73,9 @@
 	reasonMissing   reason = "gone"
 	reasonNoPrimary reason = "none"
 	reasonEvacuated reason = "evacuated"
+	// reasonUnsettled means that the primary works, but an earlier promotion call may still
+	// be carried out. The group does not get another primary then.
+	reasonUnsettled reason = "unsettled"
 )
 
 // monitorGroup checks one group until ctx ends.
@@ -248,6 +251,8 @@
 		return reasonSilent
 	case st.stalledWrites >= minStalledWrites && st.primary == id && now.Sub(st.stallFailoverAt) > stallFailoverInterval:
 		return reasonStalled
+	case st.hasOpenCall():
+		return reasonUnsettled
 	}
 	return ""
 }
@@ -302,7 +307,9 @@
 		st.stallFailoverAt = time.Now()
 		st.mu.Unlock()
 	}
-	mon.logSuspected(st.id, old, why)
+	if why != reasonUnsettled {
+		mon.logSuspected(st.id, old, why)
+	}
 	if err := mon.failOver(ctx, st, old, why); err != nil {
 		mon.logAbandoned(st.id, err)
 		var e *Error
--- a/internal/lead/settle.go
+++ b/internal/lead/settle.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
 	"chervilspan.example/pkg/wait"
 )
@@ -14,6 +16,11 @@
 // for the present primary.
 const promotionDelay = 800 * time.Millisecond
 
+// fenceAboveCall is how far above the highest term replicas are fenced while an earlier
+// promotion call is open. The database that it names would lead the next term, and must
+// get no commit acknowledged by them.
+const fenceAboveCall = 2
+
 // settle ends what an earlier failover has left behind while the primary works: replicas
 // that were fenced and receive nothing from it. That failover may also have sent a
 // promotion call that is still to be carried out, against whose effect the fences protect.
@@ -21,9 +28,18 @@
 // then are the fences lifted. settled is false if there was nothing to end.
 func (f *failover) settle(ctx context.Context, primary *reply, replies []reply) (settled bool, err error) {
 	left := leftFenced(replies, primary)
-	if len(left) == 0 {
+	open := f.hasOpenCall()
+	if len(left) == 0 && !open {
 		return false, nil
 	}
+	if open {
+		// A replica that has restarted or joined since is not fenced. What it acknowledges
+		// would be lost if the earlier call were carried out before this one.
+		left = answeredReplicas(replies)
+		if _, err := f.fence(left, highestTerm(replies)+fenceAboveCall); err != nil {
+			return false, err
+		}
+	}
 	if err := f.mon.requestPromotion(ctx, f.st.id, primary.member, f.claim); err != nil {
 		return false, err
 	}
@@ -34,6 +50,8 @@
 	if !f.liftFences(left) {
 		return false, f.error("unfence", KindClaimExpired, "")
 	}
+	f.fenced = nil
+	f.recordSettled(ctx)
 	f.mon.logFencesLifted(f.st.id, left)
 	for i := range replies {
 		replies[i].status.FenceTerm = 0 // later fences need not be above the former ones
@@ -79,3 +97,80 @@
 		f.mon.logFencesLifted(f.st.id, left)
 	}
 }
+
+// recordCall writes to the store which database this attempt has promoted, before it sends
+// the call: if the call gets no answer, other VMs learn of it there.
+func (f *failover) recordCall(ctx context.Context, id ident.Target) error {
+	if !f.mon.keepsSet(f.st.id) {
+		return nil
+	}
+	if err := f.changeSet(ctx, func(s inSyncSet) inSyncSet {
+		s.Call = &sentCall{Token: f.claim.token, Target: id}
+		return s
+	}); err != nil {
+		return err
+	}
+	f.st.setUnsettled(true)
+	if !f.mon.allowsCall(f.claim) {
+		return f.error("record call", KindClaimExpired, id)
+	}
+	return nil
+}
+
+// changeSet changes the in-sync set. If another VM has changed it meanwhile, the change is
+// made again, unless there are databases in it that this attempt has not asked.
+func (f *failover) changeSet(ctx context.Context, change func(inSyncSet) inSyncSet) error {
+	s, err := f.mon.writeSet(ctx, f.st.id, f.set, change(f.set.inSyncSet))
+	var e *Error
+	if errors.As(err, &e) && e.Kind == KindConflict {
+		var current storedSet
+		if current, err = f.mon.readSet(ctx, f.st.id); err != nil {
+			return err
+		}
+		if len(f.set.with(current.Targets).Targets) > len(f.set.Targets) {
+			return e
+		}
+		s, err = f.mon.writeSet(ctx, f.st.id, current, change(current.inSyncSet))
+	}
+	if err == nil {
+		f.set = s
+	}
+	return err
+}
+
+// recordSettled writes to the store that no earlier promotion call is open. If that
+// fails, the group is settled once more.
+func (f *failover) recordSettled(ctx context.Context) {
+	if f.set.Call != nil {
+		if err := f.changeSet(ctx, func(s inSyncSet) inSyncSet {
+			s.Call = nil
+			return s
+		}); err != nil {
+			f.mon.logInSyncFailed(f.st.id, err)
+			return
+		}
+	}
+	f.st.setUnsettled(false)
+}
+
+// hasOpenCall reports whether an earlier promotion call may still be carried out, or one of
+// this attempt.
+func (f *failover) hasOpenCall() bool {
+	f.st.mu.Lock()
+	defer f.st.mu.Unlock()
+	return f.set.Call != nil || f.st.unsettled
+}
+
+// setUnsettled records whether a promotion call that this VM has sent may still be carried
+// out. The in-sync set is read again by the VM that keeps it.
+func (st *groupState) setUnsettled(unsettled bool) {
+	st.mu.Lock()
+	defer st.mu.Unlock()
+	st.unsettled, st.knownSet = unsettled, nil
+}
+
+// hasOpenCall reports whether a promotion call may still be carried out, as far as this VM
+// knows. The caller holds st.mu.
+func (st *groupState) hasOpenCall() bool {
+	return st.unsettled || st.knownSet != nil && st.knownSet.Call != nil
+}
--- a/internal/lead/settle_test.go
+++ b/internal/lead/settle_test.go
@@ -81,3 +81,61 @@
 		}
 	})
 }
+
+// awaitLateCall removes the primary and waits for a promotion call that gets no answer and
+// is carried out late. It returns the database that the call names.
+func (f *fixture) awaitLateCall(is *is.I, late time.Duration) string {
+	is.Helper()
+	f.promoter.SetLateBy(late)
+	f.setIndex(9, "a", "b", "c")
+	f.remove("a")
+	end := time.Now().Add(10 * time.Second)
+	for len(f.promoter.Tokens()) == 0 {
+		is.True(time.Now().Before(end)) // a call was made
+		time.Sleep(10 * time.Millisecond)
+	}
+	return "b" // the first of two equal ones
+}
+
+// TestLateCall guards against a promotion call without an answer that is carried out when
+// the primary is back: commits that it has had acknowledged since, by a replica that
+// restarted and is not fenced, would be lost.
+func TestLateCall(t *testing.T) {
+	for name, vms := range map[string]int{"one VM": 1, "three VMs": 3} {
+		t.Run(name, func(t *testing.T) {
+			run(t, vms, func(is *is.I, f *fixture) {
+				called := f.awaitLateCall(is, 9*time.Second)
+				f.cluster.Update("c", func(d *linktest.DB) { d.FenceTerm = 0 }) // it restarts
+				f.cluster.Update("a", func(d *linktest.DB) { d.Removed = false })
+				f.cluster.UpdateRoster()
+				time.Sleep(5 * time.Second)
+				f.promoter.SetLateBy(0)
+				time.Sleep(2500 * time.Millisecond)
+				f.setIndex(20, "a", "c")
+				time.Sleep(20 * time.Second)
+				is.True(!slices.Contains(f.promotions(), "promote "+called))
+				for _, id := range []string{"b", "c"} {
+					f.cluster.Update(target(id), func(d *linktest.DB) { is.Equal(d.FenceTerm, ident.Term(0)) })
+				}
+			})
+		})
+	}
+}
+
+// TestLateCallOfDeadVM guards against an open promotion call whose sender has died: the
+// next VM learns of it from the store.
+func TestLateCallOfDeadVM(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		called := f.awaitLateCall(is, 9*time.Second)
+		f.killFirst()
+		f.promoter.SetLateBy(0)
+		f.cluster.Update("c", func(d *linktest.DB) { d.FenceTerm = 0 })
+		f.cluster.Update("a", func(d *linktest.DB) { d.Removed = false })
+		f.cluster.UpdateRoster()
+		f.startVM(f.cluster.Roster())
+		time.Sleep(8 * time.Second)
+		f.setIndex(20, "a", "c")
+		time.Sleep(20 * time.Second)
+		is.True(!slices.Contains(f.promotions(), "promote "+called))
+	})
+}
--- a/internal/linktest/store.go
+++ b/internal/linktest/store.go
@@ -315,6 +315,8 @@
 	// LostCalls is the number of next calls that are not carried out and get no
 	// answer.
 	LostCalls int
+	// LateBy, unless 0, makes calls get no answer and be carried out so much later.
+	LateBy time.Duration
 	// Refuse makes every call be refused.
 	Refuse bool
 	// Ignore makes calls be accepted but not carried out.
@@ -322,27 +324,50 @@
 
 	mu     sync.Mutex
 	tokens []store.Revision
+	// highest is the highest token of a call that was carried out.
+	highest store.Revision
 }
 
 // Promote implements lead.Promoter.
 func (p *Promoter) Promote(_ context.Context, _ ident.Group, id ident.Target, token store.Revision) (lead.PromotionResult, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	old := len(p.tokens) > 0 && token < p.tokens[len(p.tokens)-1]
 	p.tokens = append(p.tokens, token)
 	switch {
 	case p.LostCalls > 0:
 		p.LostCalls--
 		return 0, errDown
-	case old || p.Refuse:
-		return lead.Refused, nil
+	case p.LateBy > 0:
+		time.AfterFunc(p.LateBy, func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.carryOut(id, token)
+		})
+		return 0, errDown
+	}
+	return p.carryOut(id, token), nil
+}
+
+// carryOut carries a call out unless one with a higher token was. The caller holds p.mu.
+func (p *Promoter) carryOut(id ident.Target, token store.Revision) lead.PromotionResult {
+	switch {
+	case token < p.highest || p.Refuse:
+		return lead.Refused
 	case p.Ignore:
-		return lead.Promoted, nil
+		return lead.Promoted
 	}
+	p.highest = token
 	if !p.Cluster.isPrimary(id) {
 		p.Cluster.Promote(id)
 	}
-	return lead.Promoted, nil
+	return lead.Promoted
+}
+
+// SetLateBy changes LateBy while calls may be made.
+func (p *Promoter) SetLateBy(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.LateBy = d
 }
 
 // Tokens returns the tokens of the calls so far.
