Refuse statements that still wait when a planned stop ends

Cause: a statement had its route's timeout, whatever was left of the stop. Reads that databases shed were tried again until the process ended.

Change: the engine is told by when statements have to be answered. That bounds their deadline, also of those received before the stop, so that one that waits is refused as not run.

TestStopRefusesWaiting failed before.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -26,6 +26,8 @@
 type Engine struct {
 	cfg   Config
 	phase atomic.Int32
+	// answersBy is when the last statements have to be answered; nil unless the VM stops.
+	answersBy atomic.Pointer[time.Time]
 	// started is when New was called.
 	started  time.Time
 	absences absences
@@ -120,6 +122,10 @@
 // transactions are rolled back.
 func (e *Engine) CloseAll() { e.enterPhase(closingAll) }
 
+// AnswerBy makes the engine answer every statement by a time: one that still waits for a
+// database then is refused as not run, in place of being cut off.
+func (e *Engine) AnswerBy(t time.Time) { e.answersBy.Store(&t) }
+
 func (e *Engine) enterPhase(p stopPhase) {
 	e.phase.Store(int32(p))
 	e.mu.Lock()
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -336,6 +337,32 @@
 	})
 }
 
+// TestStopRefusesWaiting guards against a planned stop that cuts off a statement which
+// waits for a database, without saying that it has not run: one that was received before
+// the stop, and one that came during it.
+func TestStopRefusesWaiting(t *testing.T) {
+	for name, before := range map[string]time.Duration{"before the stop": 100 * time.Millisecond, "during the stop": 0} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(t *testing.T, f *fixture) {
+				is := is.New(t)
+				s := f.open(t, "bounded")
+				for _, id := range []ident.Target{"a", "b", "c"} {
+					f.c.Update(id, func(d *linktest.DB) { d.AnswerCodes[dbop.Read] = slices.Repeat([]dbop.Code{dbop.Busy}, 500) })
+				}
+				end := time.Now().Add(before + 400*time.Millisecond)
+				if before == 0 {
+					f.e.AnswerBy(end)
+				} else {
+					time.AfterFunc(before, func() { f.e.AnswerBy(end) })
+				}
+				is.Equal(s.run(dbop.Read).Code, dbop.Busy)
+				is.True(!time.Now().After(end))
+				s.end()
+			})
+		})
+	}
+}
+
 // TestPrimaryReturns guards against operations that fail because a group has no
 // primary for a short time.
 func TestPrimaryReturns(t *testing.T) {
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -79,6 +80,8 @@
 	receivedAt time.Time
 	start      time.Time
 	deadline   time.Time
+	// answersBy is that of the Engine.
+	answersBy *atomic.Pointer[time.Time]
 	// offered is set when the statement was sent to a database.
 	offered bool
 	// mayHaveRun is set when a database may have run the statement.
@@ -97,7 +100,18 @@
 	lastCode dbop.Code
 }
 
-func (c *call) remaining() time.Duration { return time.Until(c.deadline) }
+// remaining returns the time until the deadline, or until the end of a planned stop. The
+// latter may begin while the statement waits.
+func (c *call) remaining() time.Duration {
+	d := time.Until(c.deadline)
+	if c.answersBy == nil {
+		return d
+	}
+	if end := c.answersBy.Load(); end != nil {
+		d = min(d, time.Until(*end))
+	}
+	return d
+}
 
 // Serve receives and answers statements until the session ends.
 func (s *Session) Serve() {
@@ -201,7 +215,7 @@
 
 // handle serves one statement.
 func (s *Session) handle(st dbop.Statement) dbop.Answer {
-	c := &call{st: st, start: time.Now(), receivedAt: s.e.cfg.Clock()}
+	c := &call{st: st, start: time.Now(), receivedAt: s.e.cfg.Clock(), answersBy: &s.e.answersBy}
 	a := s.dispatchGuarded(c)
 	if s.tx == nil {
 		a.State = dbop.Idle
@@ -237,6 +251,8 @@
 		timeout = defaultTimeout
 	}
 	c.deadline = c.start.Add(timeout)
+	timeout = c.remaining()
+	c.deadline = c.start.Add(timeout)
 	c.scheduling = s.scheduling(timeout)
 	if s.tx != nil {
 		return s.serveInTxn(c)
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -45,6 +45,7 @@
 	plan := planStop(time.Now(), time.Duration(n.gracePeriod.Load()))
 	n.stopping.Store(true)
 	n.lender.Stop()
+	n.engine.AnswerBy(plan.answersBy)
 	evlog.At(n.log, evlog.DrainStarted).Int("sessions", n.engine.Sessions()).Send()
 	time.Sleep(time.Until(plan.closeIdle))
 	n.engine.CloseIdle()
