Do not wait for databases that have left as planned

Cause: since the in-sync set tells which databases may hold a commit, a failover waited for all of them, also for those that had announced their end and never come back. A primary that was leaving was not demoted while two replicas were missing, though its own log then has all.

Change: the set has the databases that have reported that they leave. Missing ones among them are not waited for. With fenced promotions a demoted primary's own log is enough.

TestAllLeft and a case of TestEnoughAnswered failed before.

--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -105,8 +105,8 @@
 	if f.set, err = f.mon.readSet(ctx, f.st.id); err != nil {
 		return err
 	}
-	if joined := f.set.with(f.mon.listedTargets(f.st.id)); len(joined.Targets) > len(f.set.Targets) {
-		f.set, err = f.mon.writeSet(ctx, f.st.id, f.set, joined)
+	if present := f.mon.listedTargets(f.st.id); !f.set.covers(present) {
+		f.set, err = f.mon.writeSet(ctx, f.st.id, f.set, f.set.with(present))
 	}
 	return err
 }
@@ -114,9 +114,13 @@
 // members returns the databases of the group that a failover has to ask: those that are
 // listed, and those that may hold an acknowledged commit.
 func (f *failover) members() []roster.Member {
-	return slices.DeleteFunc(f.mon.cfg.Roster.AllMembers(f.st.id), func(m roster.Member) bool {
+	out := slices.DeleteFunc(f.mon.cfg.Roster.AllMembers(f.st.id), func(m roster.Member) bool {
 		return !m.MissingSince.IsZero() && len(f.set.Targets) > 0 && !f.set.has(m.ID)
 	})
+	for i := range out {
+		out[i].Leaving = out[i].Leaving || !out[i].MissingSince.IsZero() && slices.Contains(f.set.Leaving, out[i].ID)
+	}
+	return out
 }
 
 // unknownMembers returns missing replies for the databases of the in-sync set of which
@@ -193,7 +197,7 @@
 	switch {
 	case planned && all:
 		err = f.fenceForTransfer(ctx, best, replies)
-	case planned && missingCount(replies) > 1:
+	case planned && f.mon.cfg.Unfenced && missingCount(replies) > 1:
 		// After the demotion, the primary's answer would not be enough for a promotion.
 		return best, f.error("status", KindNoAnswer, id)
 	case planned:
--- a/internal/lead/insync.go
+++ b/internal/lead/insync.go
@@ -30,6 +30,9 @@
 // moment after it was gone, is on another one of the set.
 type inSyncSet struct {
 	Targets []ident.Target `json:"targets"`
+	// Leaving has those that have reported that they leave. Once missing from the list,
+	// they never come back.
+	Leaving []ident.Target `json:"leaving,omitempty"`
 	// Call is the last promotion call, unless it is known to be carried out or refused.
 	Call *sentCall `json:"call,omitempty"`
 }
@@ -43,20 +46,44 @@
 // has reports whether a database is in the set.
 func (s inSyncSet) has(id ident.Target) bool { return slices.Contains(s.Targets, id) }
 
-// with returns the set with further databases.
-func (s inSyncSet) with(ids []ident.Target) inSyncSet {
-	s.Targets = append(slices.Clone(s.Targets), ids...)
-	slices.Sort(s.Targets)
-	s.Targets = slices.Compact(s.Targets)
+// with returns the set with the databases that are listed.
+func (s inSyncSet) with(l listed) inSyncSet {
+	s.Targets = union(s.Targets, l.targets)
+	s.Leaving = union(s.Leaving, l.leaving)
 	return s
 }
 
+// covers reports whether all databases that are listed are in the set.
+func (s inSyncSet) covers(l listed) bool {
+	joined := s.with(l)
+	return len(joined.Targets) == len(s.Targets) && len(joined.Leaving) == len(s.Leaving)
+}
+
 // without returns the set without some databases.
 func (s inSyncSet) without(ids []ident.Target) inSyncSet {
-	s.Targets = slices.DeleteFunc(slices.Clone(s.Targets), func(id ident.Target) bool { return slices.Contains(ids, id) })
+	gone := func(id ident.Target) bool { return slices.Contains(ids, id) }
+	s.Targets = slices.DeleteFunc(slices.Clone(s.Targets), gone)
+	s.Leaving = slices.DeleteFunc(slices.Clone(s.Leaving), gone)
 	return s
 }
 
+// union returns the databases of a and b in order.
+func union(a, b []ident.Target) []ident.Target {
+	out := append(slices.Clone(a), b...)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// listed has the databases of a group that are listed, and those of them that leave, in
+// order.
+type listed struct {
+	targets, leaving []ident.Target
+}
+
+func (l listed) equal(o listed) bool {
+	return slices.Equal(l.targets, o.targets) && slices.Equal(l.leaving, o.leaving)
+}
+
 // storedSet is an in-sync set as last read from the store; the revision is 0 if there was
 // none.
 type storedSet struct {
@@ -113,11 +140,15 @@
 }
 
 // listedTargets returns the databases of a group that are listed.
-func (mon *Monitor) listedTargets(g ident.Group) []ident.Target {
-	var out []ident.Target
+func (mon *Monitor) listedTargets(g ident.Group) listed {
+	var out listed
 	for _, m := range mon.cfg.Roster.AllMembers(g) {
-		if m.MissingSince.IsZero() {
-			out = append(out, m.ID)
+		if !m.MissingSince.IsZero() {
+			continue
+		}
+		out.targets = append(out.targets, m.ID)
+		if m.Leaving {
+			out.leaving = append(out.leaving, m.ID)
 		}
 	}
 	return out
@@ -144,7 +175,7 @@
 // needsSync reports whether the in-sync set of a group has to be changed or read again,
 // and marks the group as being synchronized if so.
 func (mon *Monitor) needsSync(st *groupState) bool {
-	listed, now := mon.listedTargets(st.id), time.Now()
+	present, now := mon.listedTargets(st.id), time.Now()
 	first := mon.cfg.Rank(st.id) == 0
 	st.mu.Lock()
 	defer st.mu.Unlock()
@@ -152,13 +183,13 @@
 		st.knownSet = nil // another VM keeps it
 		return false
 	}
-	if st.syncing || now.Before(st.syncAt) || len(listed) == 0 || !mon.keepsSet(st.id) {
+	if st.syncing || now.Before(st.syncAt) || len(present.targets) == 0 || !mon.keepsSet(st.id) {
 		return false
 	}
-	if !slices.Equal(listed, st.syncedWith) {
+	if !present.equal(st.syncedWith) {
 		st.knownSet = nil
 	}
-	agrees := st.knownSet != nil && slices.Equal(listed, st.knownSet.Targets)
+	agrees := st.knownSet != nil && slices.Equal(present.targets, st.knownSet.Targets)
 	st.syncing = !agrees
 	return !agrees
 }
@@ -166,30 +197,33 @@
 // syncSet adds the listed databases of a group to its in-sync set, and removes those that
 // are gone and have left no commit behind that only one other database holds.
 func (mon *Monitor) syncSet(ctx context.Context, st *groupState) {
-	listed := mon.listedTargets(st.id)
-	s, err := mon.updateSet(ctx, st, listed)
+	present := mon.listedTargets(st.id)
+	s, err := mon.updateSet(ctx, st, present)
 	if err != nil {
 		mon.logInSyncFailed(st.id, err)
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.syncing = false
-	st.knownSet, st.syncedWith = nil, listed
+	st.knownSet, st.syncedWith = nil, present
 	if err == nil {
 		st.knownSet = &s
 	}
-	if err != nil || !slices.Equal(s.Targets, listed) {
+	if err != nil || !slices.Equal(s.Targets, present.targets) {
 		st.syncAt = time.Now().Add(syncRetryDelay)
 	}
 }
 
-func (mon *Monitor) updateSet(ctx context.Context, st *groupState, listed []ident.Target) (storedSet, error) {
+func (mon *Monitor) updateSet(ctx context.Context, st *groupState, present listed) (storedSet, error) {
 	s, err := mon.readSet(ctx, st.id)
 	if err != nil {
 		return s, err
 	}
-	if joined := s.with(listed); len(joined.Targets) > len(s.Targets) {
-		if s, err = mon.writeSet(ctx, st.id, s, joined); err != nil {
+	current := s.inSyncSet
+	// One that has started again under the id of one that left does not leave.
+	current.Leaving = slices.DeleteFunc(slices.Clone(s.Leaving), func(id ident.Target) bool { return slices.Contains(present.targets, id) })
+	if current = current.with(present); !slices.Equal(current.Targets, s.Targets) || !slices.Equal(current.Leaving, s.Leaving) {
+		if s, err = mon.writeSet(ctx, st.id, s, current); err != nil {
 			return s, err
 		}
 	}
@@ -254,6 +288,7 @@
 		if !known {
 			m = roster.Member{Entry: roster.Entry{ID: id, Group: st.id}, MissingSince: st.unknownSince(id, now)}
 		}
+		m.Leaving = m.Leaving || slices.Contains(s.Leaving, id)
 		if !m.MissingSince.IsZero() {
 			out = append(out, m)
 		}
--- a/internal/lead/insync_test.go
+++ b/internal/lead/insync_test.go
@@ -120,3 +120,22 @@
 		is.Equal(len(f.promotions()), 0)
 	})
 }
+
+// TestAllLeft guards against a group that waits for databases which never come back: the
+// primary and a replica have left as planned, and the VM that decides has started since.
+func TestAllLeft(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		f.cluster.Update("c", func(d *linktest.DB) { d.Index = 0 }) // no successor of the primary
+		f.leave("b")
+		f.leave("a")
+		f.cluster.UpdateRoster()
+		f.killFirst()
+		table := &roster.Table{}
+		f.startVM(table)
+		for range 7 {
+			table.Update([]roster.Entry{{ID: "c", Group: "g", Address: "c", Slots: 4, ProcessStart: 1}}, time.Now())
+			time.Sleep(time.Second)
+		}
+		is.Equal(f.promotions(), []string{"promote c"})
+	})
+}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -133,7 +133,7 @@
 	// to be read again; syncedWith has the databases that were listed then. syncing is
 	// set while it is being changed, syncAt the earliest time of the next change.
 	knownSet   *storedSet
-	syncedWith []ident.Target
+	syncedWith listed
 	syncing    bool
 	syncAt     time.Time
 	// unknown has since when databases of the in-sync set are known of which this VM has
--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -22,17 +22,18 @@
 	// goneTimeout is how long a database must have been missing from the list before it
 	// counts as gone. One that crashed is back with its log in less time.
 	goneTimeout = 8 * time.Second
-	// lostTimeout is how long all databases that do not answer must have been missing
-	// from the list before a promotion proceeds without two of them. Commits that only
-	// they hold are lost then, which is the last resort for a group whose databases are
-	// gone for good.
+	// lostTimeout is how long a database that has not left as planned must have been
+	// missing from the list before a promotion proceeds without it and a second one.
+	// Commits that only they hold are lost then, which is the last resort for a group
+	// whose databases are gone for good.
 	lostTimeout = 20 * time.Second
 )
 
 // enoughAnswered reports whether enough databases of the in-sync set answered for a
 // promotion, and returns one that is missing otherwise. If the primary answered, all
 // others must have answered too, since it goes on having commits acknowledged. If not,
-// one missing answer is allowed, as each commit is in two logs.
+// one missing answer is allowed, as each commit is in two logs; with more, those are waited
+// for that may come back.
 func enoughAnswered(replies []reply) (ident.Target, bool) {
 	maxMissing, primaryWorks := 1, false
 	for _, r := range replies {
@@ -62,10 +63,10 @@
 	return n
 }
 
-// isLost reports whether a database has been missing from the list for so long that it is
-// not waited for any more.
+// isLost reports whether a database that does not answer is not waited for: it has left as
+// planned, or has been missing from the list for too long.
 func isLost(m *roster.Member) bool {
-	return !m.MissingSince.IsZero() && time.Since(m.MissingSince) >= lostTimeout
+	return !m.MissingSince.IsZero() && (m.Leaving || time.Since(m.MissingSince) >= lostTimeout)
 }
 
 // otherPrimary returns a database other than old that reports being the primary.
--- a/internal/lead/replies_test.go
+++ b/internal/lead/replies_test.go
@@ -33,6 +33,8 @@
 	lately.member.MissingSince = time.Now().Add(-time.Second)
 	left := lately
 	left.member.Leaving = true
+	leftPrimary := left
+	leftPrimary.member.ID = "a"
 	for name, c := range map[string]struct {
 		replies []reply
 		ok      bool
@@ -44,6 +46,7 @@
 		"the replica crashed just now":   {[]reply{missingReply("a"), answeredReply("b", 1, false), lately}, false},
 		"the replica left as planned":    {[]reply{missingReply("a"), answeredReply("b", 1, false), left}, false},
 		"the replica is gone":            {[]reply{missingReply("a"), answeredReply("b", 1, false), gone}, false},
+		"both left as planned":           {[]reply{leftPrimary, answeredReply("b", 1, false), left}, true},
 		"both are gone":                  {[]reply{lostPrimary, answeredReply("b", 1, false), gone}, true},
 		"gone, but the primary works":    {[]reply{answeredReply("a", 1, true), answeredReply("b", 1, false), gone}, false},
 	} {
--- a/internal/lead/settle.go
+++ b/internal/lead/settle.go
@@ -127,7 +127,7 @@
 		if current, err = f.mon.readSet(ctx, f.st.id); err != nil {
 			return err
 		}
-		if len(f.set.with(current.Targets).Targets) > len(f.set.Targets) {
+		if !f.set.covers(listed{targets: current.Targets}) {
 			return e
 		}
 		s, err = f.mon.writeSet(ctx, f.st.id, current, change(current.inSyncSet))
--- a/internal/lead/transfer.go
+++ b/internal/lead/transfer.go
@@ -55,10 +55,12 @@
 	if replies, err = f.collectStatuses(); err != nil {
 		return best, err
 	}
-	id, ok := enoughAnswered(replies)
-	if !ok || !hasAnswered(replies, f.old) {
+	if id, ok := enoughAnswered(replies); !ok && f.mon.cfg.Unfenced {
 		return best, f.error("status", KindNoAnswer, id)
 	}
+	if !hasAnswered(replies, f.old) {
+		return best, f.error("status", KindNoAnswer, f.old)
+	}
 	return f.fenceAll(answeredReplicas(replies), nextTerm(replies))
 }
 
