Let a VM that stops finish its failovers and begin none

Cause: a stop waits for sessions and loans, not for the monitor, whose context ends with it.

Change: Monitor.Retire, from the end of the notice period on, and Monitor.AwaitIdle, which also waits for claims that are being released.

--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -104,7 +104,9 @@
 
 // releaseClaim ends a claim. If the call fails, the claim ends with its lease.
 func (mon *Monitor) releaseClaim(c *heldClaim) {
+	mon.running.Add(1)
 	go func() {
+		defer mon.end()
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 		defer cancel()
 		if err := mon.cfg.Store.RevokeLease(ctx, c.lease); err != nil {
--- a/internal/lead/insync.go
+++ b/internal/lead/insync.go
@@ -165,7 +165,7 @@
 		}
 		mon.mu.Unlock()
 		for _, st := range groups {
-			if mon.needsSync(st) {
+			if !mon.retired.Load() && mon.needsSync(st) {
 				mon.wg.Go(func() { mon.syncSet(ctx, st) })
 			}
 		}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -88,6 +89,10 @@
 type Monitor struct {
 	cfg Config
 
+	// retired is set by Retire; running counts the work that a planned stop waits for.
+	retired atomic.Bool
+	running atomic.Int32
+
 	mu     sync.Mutex
 	groups map[ident.Group]*groupState
 	ctx    context.Context
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -292,6 +292,10 @@
 	if rank > 0 && !wait.For(ctx, time.Duration(rank)*rankDelay) {
 		return retryDelay
 	}
+	if !mon.begin() {
+		return retryDelay
+	}
+	defer mon.end()
 	mon.checkPrimary(st, &noPrimarySince, true)
 	if mon.failoverReason(st, noPrimarySince) != why {
 		return 0
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -48,6 +48,7 @@
 	n.engine.AnswerBy(plan.answersBy)
 	evlog.At(n.log, evlog.DrainStarted).Int("sessions", n.engine.Sessions()).Send()
 	time.Sleep(time.Until(plan.closeIdle))
+	n.monitor.Retire() // a failover takes less than the rest
 	n.engine.CloseIdle()
 	if n.engine.Wait(plan.closeAll) > 0 {
 		n.engine.CloseAll()
@@ -59,6 +60,7 @@
 	}()
 	sessions := n.engine.Wait(plan.end)
 	n.lender.Wait(plan.end)
+	n.monitor.AwaitIdle(plan.end)
 	<-left
 	return sessions
 }
