Fail over without a complete list where the in-sync set is stored

Cause: a VM waits 3.5 s after its start, or after an outage of the list, until its list counts as complete. That kept it from promoting without databases that it had not seen. VMs that lived for 5 s spent most of it waiting.

Change: the in-sync set names these databases, so the delay applies only while there is none in the store.

TestStartedVMDecides failed before.

--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -82,15 +82,23 @@
 	}
 }
 
-// refreshList makes sure that every database of a group is known.
+// refreshList reads the list of databases. Where it is not read on demand, it has to be
+// complete already.
 func (mon *Monitor) refreshList(ctx context.Context, g ident.Group) error {
-	if mon.cfg.RefreshList != nil && mon.cfg.Roster.ListComplete(time.Now()) {
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		if err := mon.cfg.RefreshList(ctx); err != nil {
-			return &Error{Op: "list", Kind: KindStore, Group: g, Err: err}
-		}
+	if mon.cfg.RefreshList == nil {
+		return mon.checkListComplete(g)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := mon.cfg.RefreshList(ctx); err != nil {
+		return &Error{Op: "list", Kind: KindStore, Group: g, Err: err}
 	}
+	return nil
+}
+
+// checkListComplete returns an error if the list of databases may lack some that may hold
+// acknowledged commits.
+func (mon *Monitor) checkListComplete(g ident.Group) error {
 	if !mon.cfg.Roster.ListComplete(time.Now()) {
 		return &Error{Op: "check", Kind: KindListIncomplete, Group: g}
 	}
@@ -98,14 +106,20 @@
 }
 
 // readSet reads the group's in-sync set and adds the listed databases to it.
+// While there is none, only the list tells which databases may hold a commit.
 func (f *failover) readSet(ctx context.Context) (err error) {
 	if !f.mon.keepsSet(f.st.id) {
-		return nil
+		return f.mon.checkListComplete(f.st.id)
 	}
 	if f.set, err = f.mon.readSet(ctx, f.st.id); err != nil {
 		return err
 	}
-	if present := f.mon.listedTargets(f.st.id); !f.set.covers(present) {
+	if f.set.revision == 0 {
+		if f.set.inSyncSet, err = f.mon.firstSet(f.st.id); err != nil {
+			return err
+		}
+	}
+	if present := f.mon.listedTargets(f.st.id); f.set.revision == 0 || !f.set.covers(present) {
 		f.set, err = f.mon.writeSet(ctx, f.st.id, f.set, f.set.with(present))
 	}
 	return err
--- a/internal/lead/insync.go
+++ b/internal/lead/insync.go
@@ -183,6 +183,9 @@
 		st.knownSet = nil // another VM keeps it
 		return false
 	}
+	if st.noSet && !mon.cfg.Roster.ListComplete(now) {
+		return false
+	}
 	if st.syncing || now.Before(st.syncAt) || len(present.targets) == 0 || !mon.keepsSet(st.id) {
 		return false
 	}
@@ -205,6 +208,7 @@
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	st.syncing = false
+	st.noSet = err != nil && s.revision == 0
 	st.knownSet, st.syncedWith = nil, present
 	if err == nil {
 		st.knownSet = &s
@@ -219,10 +223,15 @@
 	if err != nil {
 		return s, err
 	}
+	if s.revision == 0 {
+		if s.inSyncSet, err = mon.firstSet(st.id); err != nil {
+			return s, err
+		}
+	}
 	current := s.inSyncSet
 	// One that has started again under the id of one that left does not leave.
 	current.Leaving = slices.DeleteFunc(slices.Clone(s.Leaving), func(id ident.Target) bool { return slices.Contains(present.targets, id) })
-	if current = current.with(present); !slices.Equal(current.Targets, s.Targets) || !slices.Equal(current.Leaving, s.Leaving) {
+	if current = current.with(present); s.revision == 0 || !slices.Equal(current.Targets, s.Targets) || !slices.Equal(current.Leaving, s.Leaving) {
 		if s, err = mon.writeSet(ctx, st.id, s, current); err != nil {
 			return s, err
 		}
@@ -238,6 +247,18 @@
 	return s, err
 }
 
+// firstSet returns the in-sync set of a group that has none in the store: all databases
+// that this VM knows, of a list that is complete.
+func (mon *Monitor) firstSet(g ident.Group) (s inSyncSet, err error) {
+	for _, m := range mon.cfg.Roster.AllMembers(g) {
+		s.Targets = append(s.Targets, m.ID)
+		if m.Leaving {
+			s.Leaving = append(s.Leaving, m.ID)
+		}
+	}
+	return s, mon.checkListComplete(g)
+}
+
 // goneTargets returns the databases of a set that are gone: they left as planned, or have
 // been missing from the list for goneTimeout.
 func (mon *Monitor) goneTargets(st *groupState, s inSyncSet, now time.Time) []ident.Target {
--- a/internal/lead/insync_test.go
+++ b/internal/lead/insync_test.go
@@ -139,3 +139,23 @@
 		is.Equal(f.promotions(), []string{"promote c"})
 	})
 }
+
+// TestStartedVMDecides guards against a group without a primary for as long as VMs restart
+// one after the other: a VM that has just started must not wait until its list counts as
+// complete, since the in-sync set has the databases that may hold a commit.
+func TestStartedVMDecides(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		time.Sleep(time.Second) // the set is stored
+		f.killFirst()
+		f.remove("a")
+		started := time.Now()
+		table := &roster.Table{}
+		table.Update([]roster.Entry{
+			{ID: "b", Group: "g", Address: "b", Slots: 4, ProcessStart: 1},
+			{ID: "c", Group: "g", Address: "c", Slots: 4, ProcessStart: 1},
+		}, time.Now())
+		f.startVM(table)
+		f.await(is, "promote")
+		is.True(time.Since(started) < 3*time.Second)
+	})
+}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -140,7 +140,9 @@
 	knownSet   *storedSet
 	syncedWith listed
 	syncing    bool
-	syncAt     time.Time
+	// noSet is set when there was no in-sync set in the store, or it could not be read.
+	noSet  bool
+	syncAt time.Time
 	// unknown has since when databases of the in-sync set are known of which this VM has
 	// seen no entry.
 	unknown map[ident.Target]time.Time
