Hand a leaving primary over in time after an interrupted attempt

Cause: the frozen VM's claim of 6 s, then a call for the present primary and a wait of 0.8 s before its fences were lifted.

Change: a claim lasts 5 s, of which 2 s are kept for a call and its effect (before 3 s): 1 s for the call, and less than 0.8 s until a promotion takes effect. Fences that are left without an open promotion call, as the store tells, are lifted at once.

TestLeftFencesNoCall failed before.

--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -11,13 +11,13 @@
 
 const (
 	// ClaimTTL is the lifetime of a claim. A VM that crashes while it holds one
-	// delays its successor by as much.
-	ClaimTTL = 6 * time.Second
+	// delays its successor by as much, which has to fit into the time after which a leaving
+	// primary must get no more requests, 7 s.
+	ClaimTTL = 5 * time.Second
 	// claimMargin is the least remaining lifetime of a claim when a promotion call
-	// or the end of a fence is sent. It covers the call and the time until the
-	// database is the primary. A successor that acts before then would not see the
+	// or the end of a fence is sent. It covers callTimeout and promotionDelay. A successor that acts before then would not see the
 	// new primary, and could roll back commits that it acknowledges.
-	claimMargin = 3 * time.Second
+	claimMargin = 2 * time.Second
 	// callTimeout bounds a call to the store or the platform.
 	callTimeout = time.Second
 )
--- a/internal/lead/settle.go
+++ b/internal/lead/settle.go
@@ -25,7 +25,8 @@
 // that were fenced and receive nothing from it. That failover may also have sent a
 // promotion call that is still to be carried out, against whose effect the fences protect.
 // A call for the present primary, which changes nothing, has the platform refuse it. Only
-// then are the fences lifted. settled is false if there was nothing to end.
+// then are the fences lifted. settled is false if there was nothing to end. A group whose
+// calls are not recorded is treated as if one were open.
 func (f *failover) settle(ctx context.Context, primary *reply, replies []reply) (settled bool, err error) {
 	left := leftFenced(replies, primary)
 	open := f.hasOpenCall()
@@ -40,12 +41,10 @@
 			return false, err
 		}
 	}
-	if err := f.requestPromotion(ctx, primary.member, nil); err != nil {
-		return false, err
-	}
-	f.claim.promotionSent = false // it was answered
-	if !wait.For(ctx, promotionDelay) || !f.mon.leads(f.st, &primary.member) {
-		return false, f.error("settle", KindNoAnswer, primary.member.ID)
+	if open || !f.mon.keepsSet(f.st.id) {
+		if err := f.supersedeCalls(ctx, primary); err != nil {
+			return false, err
+		}
 	}
 	if !f.liftFences(left) {
 		return false, f.error("unfence", KindClaimExpired, "")
@@ -59,6 +58,19 @@
 	return true, nil
 }
 
+// supersedeCalls makes the platform refuse all earlier promotion calls, by one for the
+// present primary, and waits until one that was accepted just before would have taken effect.
+func (f *failover) supersedeCalls(ctx context.Context, primary *reply) error {
+	if err := f.requestPromotion(ctx, primary.member, nil); err != nil {
+		return err
+	}
+	f.claim.promotionSent = false // it was answered
+	if !wait.For(ctx, promotionDelay) || !f.mon.leads(f.st, &primary.member) {
+		return f.error("settle", KindNoAnswer, primary.member.ID)
+	}
+	return nil
+}
+
 // leftFenced returns the replicas that accept no entries of the primary's term.
 func leftFenced(replies []reply, primary *reply) []roster.Member {
 	var out []roster.Member
--- a/internal/lead/settle_test.go
+++ b/internal/lead/settle_test.go
@@ -77,6 +77,20 @@
 	})
 }
 
+// TestLeftFencesNoCall guards against a leaving primary that is replaced too late: fences of
+// a VM that had sent no call are lifted at once.
+func TestLeftFencesNoCall(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		time.Sleep(time.Second) // the in-sync set is stored
+		f.leaveFenced("b", "c")
+		f.markLeaving("a")
+		start := time.Now()
+		f.await(is, "promote")
+		is.True(time.Since(start) < 800*time.Millisecond)
+		is.Equal(len(f.promoter.Tokens()), 1)
+	})
+}
+
 // TestStaleFencesAfterPromotion guards against replicas that stay fenced above the term of
 // the promoted database, because fences of an earlier failover were higher.
 func TestStaleFencesAfterPromotion(t *testing.T) {
