Take a promotion that was carried out without an answer for done

Since the databases are asked again before a promotion call is repeated, an attempt was given up when the database that it had named led already, and the group was settled without need.

Cause: any database that led ended the attempt. Change: the one that the call names does not; the same call is repeated and answered. TestCallCarriedOut failed before; TestUnansweredPromotion passes.

--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -54,7 +54,7 @@
 	if err := f.recordCall(ctx, best.ID); err != nil {
 		return err
 	}
-	if err := f.requestPromotion(ctx, best, f.fenceRestarted); err != nil {
+	if err := f.requestPromotion(ctx, best, func() error { return f.fenceRestarted(best.ID) }); err != nil {
 		return err
 	}
 	mon.cfg.Roster.DeposePrimary(st.id, old, time.Now())
@@ -347,13 +347,16 @@
 // fenceRestarted makes sure, after a promotion call got no answer, that the database chosen
 // still has every acknowledged commit. A primary that is back would have commits acknowledged
 // by replicas that have restarted or joined since they were fenced: it is not replaced, and
-// such replicas are fenced before it comes back.
-func (f *failover) fenceRestarted() error {
+// such replicas are fenced before it comes back. If the database chosen leads, the call was
+// carried out, and a repeated one will say so.
+func (f *failover) fenceRestarted(chosen ident.Target) error {
 	replies := f.mon.controlAll(dbop.Statement{Kind: dbop.Status}, f.members())
 	var unfenced []roster.Member
 	for _, r := range replies {
 		switch {
 		case !r.answered:
+		case r.status.Primary && r.member.ID == chosen:
+			return nil
 		case r.status.Primary:
 			return f.error("promote", KindOtherPrimary, r.member.ID)
 		case r.status.FenceTerm <= highestTerm(replies):
--- a/internal/lead/settle_test.go
+++ b/internal/lead/settle_test.go
@@ -185,3 +185,17 @@
 		f.cluster.Update("c", func(d *linktest.DB) { is.True(d.FenceTerm > d.Term) })
 	})
 }
+
+// TestCallCarriedOut guards against an attempt that is given up, and a group that is settled
+// without need, when the call got no answer but was carried out.
+func TestCallCarriedOut(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		called := f.awaitLateCall(is, 100*time.Millisecond)
+		f.promoter.SetLateBy(0)
+		time.Sleep(4 * time.Second)
+		is.Equal(f.promotions(), []string{"promote " + called})
+		tokens := f.promoter.Tokens()
+		is.Equal(len(tokens), 2)
+		is.Equal(tokens[0], tokens[1])
+	})
+}
