--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -15,7 +15,8 @@
 	// primary must get no more requests, 7 s.
 	ClaimTTL = 5 * time.Second
 	// claimMargin is the least remaining lifetime of a claim when a promotion call
-	// or the end of a fence is sent. It covers callTimeout and promotionDelay. A successor that acts before then would not see the
+	// or the end of a fence is sent. It covers callTimeout and promotionDelay. A
+	// successor that acts before then would not see the
 	// new primary, and could roll back commits that it acknowledges.
 	claimMargin = 2 * time.Second
 	// callTimeout bounds a call to the store or the platform.
--- a/internal/lead/doc.go
+++ b/internal/lead/doc.go
@@ -25,7 +25,8 @@
 // A promotion therefore needs an answer from all databases but one that may hold an
 // acknowledged commit. These are the group's in-sync set, which lies in the store: each
 // acknowledged commit is in the logs of two of them. A database that is gone stays in
-// the set until another one is seen to have the primary's log. Before the promotion call is sent, the claim's expiry is
+// the set until another one is seen to have the primary's log. Before the promotion
+// call is sent, the claim's expiry is
 // checked against Config.Clock, which has to count the time that the machine was
 // suspended. A call without an answer may still be carried out later. It is
 // written to the store before it is sent, and the replicas stay fenced until a call with a
@@ -33,7 +34,7 @@
 // one for the present primary, which changes nothing.
 //
 // Fences that a VM leaves when it freezes or dies are lifted by the next one that holds the
-// claim while the primary works, after such a call.
+// claim while the primary works, after such a call if one of the VM before is open.
 //
 // A primary that answers is demoted before another database is promoted, since one that
 // joins the group after the fences is not fenced. One that is leaving, missing from the
--- a/internal/lead/settle.go
+++ b/internal/lead/settle.go
@@ -25,8 +25,8 @@
 // that were fenced and receive nothing from it. That failover may also have sent a
 // promotion call that is still to be carried out, against whose effect the fences protect.
 // A call for the present primary, which changes nothing, has the platform refuse it. Only
-// then are the fences lifted. settled is false if there was nothing to end. A group whose
-// calls are not recorded is treated as if one were open.
+// then are the fences lifted. settled is false if there was nothing to end. Where calls are
+// not recorded, fences that were left stand for one.
 func (f *failover) settle(ctx context.Context, primary *reply, replies []reply) (settled bool, err error) {
 	left := leftFenced(replies, primary)
 	open := f.hasOpenCall()
