Log connections between VMs that go silent, and those that are lost

Change: peer_silent (158) when a call times out on a connection that was open all the while and brought nothing, once for each silence; peer_conn_lost (159) when a connection ends by an error of the network; counters peer_silences and peer_conns_lost. No logic changes.

--- a/internal/entry/assemble.go
+++ b/internal/entry/assemble.go
@@ -26,7 +26,7 @@
 func (d *Daemon) assemble(cfg *conf.Settings) {
 	d.clients = peer.NewCache(peer.CacheConfig{
 		Certificates: d.certs.peers, AllowLoopbackPlaintext: cfg.Peers.PlainText, Scope: d.metrics.Scope,
-		RegionOf: func(address string) ident.Region { return d.spread.RegionOf(address) },
+		RegionOf: func(address string) ident.Region { return d.spread.RegionOf(address) }, Log: d.log,
 	})
 	d.spread = spread.New(spread.Config{
 		Self: d.self(cfg), Seeds: cfg.Peers.Seeds, Store: d.store, Peers: d.clients, Topo: &d.topo,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -123,7 +123,7 @@
 	n := &Node{settings: s, adapters: a, log: log, roster: &roster.Table{}, metrics: metr.New(), startedAt: time.Now(), firstReady: make(chan struct{})}
 	n.gracePeriod.Store(int64(s.Grace()))
 	n.pools = &dbpool.Pools{Dialer: a.Dialer, Roster: n.roster, ConnLimit: n.connLimit, DialLimit: n.dialLimit, Learns: n.learnsSpeed}
-	n.peers = peer.NewCache(peer.CacheConfig{AllowPlaintext: true, Scope: n.metrics.Scope, Usage: a.Usage, ZoneOf: n.zoneOfAddress})
+	n.peers = peer.NewCache(peer.CacheConfig{AllowPlaintext: true, Scope: n.metrics.Scope, Usage: a.Usage, ZoneOf: n.zoneOfAddress, Log: log})
 	n.borrower = relay.NewClient(relay.Config{Lenders: n.lenderAddresses, Peers: n.peers, RecordSpeed: n.pools.RecordSpeed, Log: log})
 	n.pools.Lender = n.borrower
 	n.lender = &relay.Server{Pools: n.pools, ClassOf: n.classOf, Lends: n.isLent, Log: log}
--- a/internal/peer/cache.go
+++ b/internal/peer/cache.go
@@ -6,9 +6,11 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
@@ -45,6 +47,8 @@
 	// of calls. ZoneOf returns the zone of an address for it, "" while it isn't known.
 	Usage  *usage.Table
 	ZoneOf func(address string) ident.Zone
+	// Log receives the events of connections that go silent or are lost.
+	Log zerolog.Logger
 	// DialOptions are added to those of each connection.
 	DialOptions []grpc.DialOption
 }
@@ -65,6 +69,8 @@
 	// client was last requested, or a call started or ended.
 	activeCalls int
 	lastUsed    time.Time
+	// tracked is the last network connection that was opened.
+	tracked atomic.Pointer[trackedConn]
 }
 
 // connBufferBytes is the size of each buffer of a connection. A VM of a large fleet has
@@ -133,6 +139,7 @@
 	added := &cachedConn{lastUsed: now}
 	opts := append([]grpc.DialOption{
 		grpc.WithTransportCredentials(c.creds),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) { return c.dial(ctx, address, added) }),
 		grpc.WithStatsHandler(&statsHandler{cache: c, conn: added, address: address}),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
 		grpc.WithReadBufferSize(connBufferBytes),
@@ -147,9 +154,6 @@
 			MinConnectTimeout: time.Second,
 		}),
 	}, c.cfg.DialOptions...)
-	if c.cfg.Usage != nil {
-		opts = append(opts, grpc.WithContextDialer(c.dialCounted))
-	}
 	cc, err := grpc.NewClient("passthrough:///"+address, opts...)
 	if err != nil {
 		return nil, &Error{Op: "dial", Kind: KindInvalidAddress, Subject: address, Err: err}
@@ -159,16 +163,6 @@
 	return cc, nil
 }
 
-// dialCounted opens a connection whose bytes are counted.
-func (c *Cache) dialCounted(ctx context.Context, address string) (net.Conn, error) {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return c.cfg.Usage.Conn(conn, usage.Peers, func() ident.Zone { return c.zoneOf(address) }), nil
-}
-
 func (c *Cache) zoneOf(address string) ident.Zone {
 	if c.cfg.ZoneOf == nil {
 		return ""
--- a/internal/peer/count.go
+++ b/internal/peer/count.go
@@ -56,6 +56,7 @@
 		n.addCalls(1)
 	case *stats.End:
 		n.addCalls(-1)
+		n.reportSilence(s)
 	case *stats.OutPayload:
 		n.countBytes(ctx, "peer_sent_bytes", s.Payload, s.WireLength)
 	case *stats.InPayload:
