Break connections between VMs whose path has gone silent

Cause: an open connection may go silent for good while new ones work. A call between VMs ended by its timeout, but its connection stayed, and the next call took it again: readers, lenders and holders of tokens behind it were lost for as long as the kernel repeats its packets, some 15 minutes. gRPC's keep-alive of the calling side can't help: its shortest interval is 10 s.

Change: the kernel breaks such a connection once bytes are unacknowledged for 1 s; the next call opens a new one. The called side also probes idle connections, so that a lender doesn't keep a connection to a database for a borrower that is gone. The kernel of the other machine answers, so a slow process doesn't count as lost. The options are set by a package of their own, internal/tcpopt.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -13,10 +13,26 @@
 	"google.golang.org/grpc/status"
 
 	"chervilspan.example/internal/evlog"
+	"chervilspan.example/internal/tcpopt"
 	"chervilspan.example/internal/usage"
 	"chervilspan.example/pkg/ident"
 )
 
+// unacknowledgedTimeout is how long bytes sent to another VM may stay unacknowledged
+// before the connection is given up and the next call opens a new one. A lost packet is
+// sent again twice within it, also between regions.
+const unacknowledgedTimeout = time.Second
+
+var (
+	callerLoss = tcpopt.LossDetection{Unacknowledged: unacknowledgedTimeout}
+	// The called side may only wait, for the borrower of a connection to a database, and
+	// finds a lost path by probes alone.
+	calledLoss = tcpopt.LossDetection{
+		Unacknowledged: unacknowledgedTimeout,
+		KeepAlive:      net.KeepAliveConfig{Enable: true, Idle: 3 * time.Second, Interval: time.Second, Count: 2},
+	}
+)
+
 // trackedConn is a connection to another VM that records when it last brought bytes.
 type trackedConn struct {
 	net.Conn
@@ -48,8 +64,7 @@
 
 // dial opens a connection to a VM for a cached connection.
 func (c *Cache) dial(ctx context.Context, address string, conn *cachedConn) (net.Conn, error) {
-	var d net.Dialer
-	raw, err := d.DialContext(ctx, "tcp", address)
+	raw, err := callerLoss.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -135,7 +135,7 @@
 	if err := checkPlaintext("listen", l.Addr().String(), s.cfg.Certificates, s.cfg.AllowLoopbackPlaintext, s.cfg.AllowPlaintext); err != nil {
 		return err
 	}
-	return s.srv.Serve(l)
+	return s.srv.Serve(calledLoss.Listener(l))
 }
 
 // Stop waits for running calls to end, at most until ctx ends, and cancels the rest.
--- a/internal/peer/silent_test.go
+++ b/internal/peer/silent_test.go
@@ -55,6 +55,19 @@
 	is.NoErr(filterErr)
 }
 
+// awaitAcknowledged waits until the kernel of the other end has acknowledged all bytes.
+func awaitAcknowledged(t *testing.T, c net.Conn) {
+	t.Helper()
+	is := is.New(t)
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	is.NoErr(err)
+	for pending := 1; pending > 0; time.Sleep(time.Millisecond) {
+		var ioctlErr error
+		is.NoErr(raw.Control(func(fd uintptr) { pending, ioctlErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }))
+		is.NoErr(ioctlErr)
+	}
+}
+
 // silentPair is a client and a server with a connection that can be silenced.
 type silentPair struct {
 	cache    *Cache
@@ -146,6 +159,7 @@
 	is.NoErr(err)
 	_, err = st.Recv()
 	is.NoErr(err)
+	awaitAcknowledged(t, p.listener.accepted[0]) // only probes can find the loss then
 	p.silenceAll(t)
 	select {
 	case <-ended:
