Ask the VM that tells of a newer version at the address that it gives

Cause: a VM that is told of a newer version looked the teller up in its own list of VMs, by name, and forgot the message if the list lacked it. VMs that the store turns away can't read the list again; VMs that were cut off for longer than their lease are not in it. The former then list only each other, and are told and never ask.

Change: the message has the caller's address (a new field; VMs of an earlier release are looked up as before).

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -111,7 +111,9 @@
 	EvacuatePrefix string
 	KnowsZone      func(ident.Zone) bool
 	VM             ident.VM
-	Fleet          Fleet
+	// Address is that of this VM's peer service, by which a VM that is behind calls back.
+	Address string
+	Fleet   Fleet
 	Peers          Peers
 	// Readers, unless nil, returns the addresses of the VMs from which to learn of
 	// versions, in order of preference; none if this VM watches the store itself. known
@@ -143,9 +145,10 @@
 	// was the newest in the store, and confirmedFrom the source of that knowledge.
 	confirmedAt   time.Time
 	confirmedFrom string
-	// ahead is the VM that last told of a version above the one in force, until it is
-	// asked for it.
-	ahead ident.VM
+	// ahead is the VM that last told of a version above the one in force, and aheadAddress
+	// its address, until it is asked for it.
+	ahead        ident.VM
+	aheadAddress string
 	// avoid has the addresses of VMs that did not answer a comparison.
 	avoid peer.AvoidList
 	// reader is the address of the reader that last confirmed the version in force.
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -89,14 +89,14 @@
 }
 
 // takeAhead returns the address of the VM that told of a newer version, "" if there is
-// none to be asked.
+// none to be asked. Only VMs of an earlier release don't tell their address.
 func (f *Follower) takeAhead() string {
 	f.mu.Lock()
-	vm := f.ahead
-	f.ahead = ""
+	vm, address := f.ahead, f.aheadAddress
+	f.ahead, f.aheadAddress = "", ""
 	f.mu.Unlock()
-	if vm == "" {
-		return ""
+	if address != "" || vm == "" {
+		return address
 	}
 	return f.cfg.Fleet.Address(vm)
 }
@@ -159,7 +159,7 @@
 	call, cancel := context.WithTimeout(ctx, compareTimeout)
 	defer cancel()
 	asked := f.cfg.Clock()
-	r, err := c.PushCatalogue(call, &peerpb.PushCatalogueRequest{Version: uint64(f.Version()), Vm: string(f.cfg.VM), Evacuation: f.evacuationMessage()})
+	r, err := c.PushCatalogue(call, &peerpb.PushCatalogueRequest{Version: uint64(f.Version()), Vm: string(f.cfg.VM), Address: f.cfg.Address, Evacuation: f.evacuationMessage()})
 	if err != nil {
 		f.avoid.Add(address, avoidPeriod)
 		return false
@@ -219,11 +219,12 @@
 }
 
 // PushCatalogue implements peer.Catalogue. A VM that hears of a higher version asks the
-// caller for it at once.
+// caller for it at once, at the address that the caller gives: this VM's list of VMs may be
+// too old to have it.
 func (f *Follower) PushCatalogue(_ context.Context, r *peerpb.PushCatalogueRequest) (*peerpb.PushCatalogueReply, error) {
 	if ident.Version(r.GetVersion()) > f.Version() {
 		f.mu.Lock()
-		f.ahead = ident.VM(r.GetVm())
+		f.ahead, f.aheadAddress = ident.VM(r.GetVm()), r.GetAddress()
 		f.mu.Unlock()
 		select {
 		case f.newVersion <- struct{}{}:
--- a/internal/follow/reader_test.go
+++ b/internal/follow/reader_test.go
@@ -309,6 +309,18 @@
 	})
 }
 
+// TestUnlistedCaller guards against a VM that hears of a newer version from a VM which its
+// own list of VMs lacks, and does not ask that VM for it.
+func TestUnlistedCaller(t *testing.T) {
+	is := is.New(t)
+	f := New(Config{Fleet: addresses{}})
+	f.Apply(&catal.Catalogue{Version: 5}, "peer")
+	_, err := f.PushCatalogue(t.Context(), &peerpb.PushCatalogueRequest{Version: 6, Vm: "b", Address: "10.0.0.2:1"})
+	is.NoErr(err)
+	is.Equal(f.takeAhead(), "10.0.0.2:1")
+	is.Equal(f.takeAhead(), "")
+}
+
 // TestConfirmedVersion guards against the word of a VM about an older version that
 // confirms a newer one.
 func TestConfirmedVersion(t *testing.T) {
--- a/internal/node/inforce_test.go
+++ b/internal/node/inforce_test.go
@@ -356,7 +356,7 @@
 	for _, m := range s.live {
 		view := &simView{fleet: s, self: m}
 		s.followers[m.Address] = follow.New(follow.Config{
-			Store: simStore{fleet: s, self: m}, Key: "config", VM: m.VM, Within: simWithin,
+			Store: simStore{fleet: s, self: m}, Key: "config", VM: m.VM, Address: m.Address, Within: simWithin,
 			Decode: func(raw []byte) (*catal.Catalogue, error) {
 				v, err := strconv.ParseUint(string(raw), 10, 64)
 				return &catal.Catalogue{Version: ident.Version(v)}, err
@@ -510,6 +510,25 @@
 	}
 }
 
+// TestStaleLists guards against VMs that stay behind because the store turns them away and
+// their lists of VMs lack those that came back from a cut and have the version.
+func TestStaleLists(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newSimFleet(10, func(live []member.Info) []disruption {
+			away := map[ident.VM]bool{live[1].VM: true, live[6].VM: true, live[7].VM: true}
+			cut := map[ident.VM]bool{}
+			for _, m := range live {
+				cut[m.VM] = !away[m.VM]
+			}
+			healed := simWarmup + simLeaseTTL + 4*time.Second
+			return []disruption{{cutOff, cut, simWarmup, healed}, {turnedAway, away, healed - time.Second, simLength}}
+		})
+		if breach := s.run(t.Context(), []time.Duration{simWarmup + 17*time.Second}); breach != "" {
+			t.Error(breach)
+		}
+	})
+}
+
 // TestReadAfterOutage guards against a VM that waits too long after a failed read of the
 // store: nobody else can tell it of a version that is written once an outage is over.
 func TestReadAfterOutage(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,7 +133,7 @@
 	self := member.Info{VM: s.VM, Zone: s.Zone, Region: s.Region, Address: s.Peers}
 	n.fleet = fleet.New(fleet.Config{Self: self, Store: a.Store, Seeds: s.Seeds, FirstStart: s.FirstStart, Log: log, OnChange: func() { n.limiter.TriggerRefresh() }, ListEntries: n.listVMs})
 	n.follower = follow.New(follow.Config{
-		Store: a.Store, Key: a.CatalogueKey, Decode: a.DecodeCatalogue, VM: s.VM, Fleet: n.fleet, Peers: n.peers, Log: log,
+		Store: a.Store, Key: a.CatalogueKey, Decode: a.DecodeCatalogue, VM: s.VM, Address: s.Peers, Fleet: n.fleet, Peers: n.peers, Log: log,
 		Readers: n.catalogueReaders, WatchTimeout: n.watchTimeout, Clock: uptime.Now, Within: s.ConfigWithin(),
 		EvacuateWithin: s.EvacuateWithin(), EvacuatePrefix: a.EvacuatePrefix, KnowsZone: n.knowsZone,
 	})
