Widen the search for a newer version with each round that fails

Cause: a VM whose version is not confirmed asked its readers and two VMs at random in each round, the first reader before the others, and drew VMs again that had just answered without knowing more. With half of the VMs unreachable and most of the rest turned away by the store, six seconds were too short to draw one that knew.

The number stays bounded while nobody can confirm anything.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -50,9 +50,11 @@
 	// readerInterval is the interval at which a VM that does not watch the store
 	// compares versions with a reader.
 	readerInterval = 700 * time.Millisecond
-	// unconfirmedFanout is the number of random VMs that are asked at once while the
-	// version in force is not confirmed.
-	unconfirmedFanout = 2
+	// unconfirmedFanout is the number of random VMs that are asked at once when the version
+	// in force is not confirmed. It doubles with each round that fails, at most
+	// maxFanoutDoublings times: the few VMs that know more may be hard to find.
+	unconfirmedFanout  = 2
+	maxFanoutDoublings = 2
 	// maxAnswerAge is the age that a confirmation has at the most when it comes through two
 	// readers that work: two watch requests of ReaderWatchTimeout, an interval, and the
 	// ways between them.
@@ -114,7 +116,7 @@
 	// Address is that of this VM's peer service, by which a VM that is behind calls back.
 	Address string
 	Fleet   Fleet
-	Peers          Peers
+	Peers   Peers
 	// Readers, unless nil, returns the addresses of the VMs from which to learn of
 	// versions, in order of preference; none if this VM watches the store itself. known
 	// is false while that is not decided.
@@ -149,17 +151,18 @@
 	// its address, until it is asked for it.
 	ahead        ident.VM
 	aheadAddress string
-	// avoid has the addresses of VMs that did not answer a comparison.
-	avoid peer.AvoidList
+	// avoid has the addresses of VMs that did not answer a comparison, uninformed those of
+	// VMs that could not confirm the version.
+	avoid, uninformed peer.AvoidList
 	// reader is the address of the reader that last confirmed the version in force.
 	reader string
 	// heardAt is when the store last answered a read or watch of this VM.
 	heardAt time.Time
 	// lateReported is set while the last line was catalogue_unconfirmed.
 	lateReported bool
-	// roundFailed is set while the last round of comparisons has not confirmed the version
-	// in force.
-	roundFailed atomic.Bool
+	// failedRounds is the number of rounds of comparisons since the last one that confirmed
+	// the version in force.
+	failedRounds atomic.Int32
 	// storeUp is set when the last read of the store succeeded.
 	storeUp atomic.Bool
 	// storeVersion is the version that the store last showed this VM.
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -30,7 +30,11 @@
 			newVersion = true
 		}
 		f.compareRound(ctx, newVersion)
-		f.roundFailed.Store(f.isUnconfirmed())
+		if f.isUnconfirmed() {
+			f.failedRounds.Add(1)
+		} else {
+			f.failedRounds.Store(0)
+		}
 		f.reportUnconfirmed()
 		t.Reset(f.gossipDelay())
 	}
@@ -48,13 +52,13 @@
 
 // compareRound compares versions with the VM that told of a newer one, if any, with one
 // reader, and with as many random VMs as fanout says. Unless that is none, it goes on
-// with the other readers too.
+// with the other readers too; after a round that failed it asks all at once.
 func (f *Follower) compareRound(ctx context.Context, newVersion bool) {
 	if address := f.takeAhead(); address != "" {
 		f.compare(ctx, address)
 	}
 	readers := f.rankReaders()
-	if len(readers) > 0 {
+	if len(readers) > 0 && f.failedRounds.Load() == 0 {
 		f.compareWithReader(ctx, readers[0])
 		readers = readers[1:]
 	}
@@ -79,7 +83,7 @@
 	watches := f.watches()
 	switch {
 	case f.isUnconfirmed():
-		return unconfirmedFanout
+		return unconfirmedFanout << min(f.failedRounds.Load(), maxFanoutDoublings)
 	case newVersion && (watches || f.Confirmation().From == FromStore):
 		return gossipFanout // others may have no way to it but this VM
 	case watches:
@@ -130,20 +134,21 @@
 	}
 }
 
-// randomVMs returns the addresses of n other VMs, of those that answered last if there are
-// so many.
+// randomVMs returns the addresses of n other VMs. Those that could not confirm the version
+// a moment ago come after others, and those that did not answer come last.
 func (f *Follower) randomVMs(n int) []string {
 	all := f.cfg.Fleet.Addresses()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	slices.SortStableFunc(all, func(a, b string) int {
-		switch avoidA, avoidB := f.avoid.Has(a), f.avoid.Has(b); {
-		case avoidA == avoidB:
-			return 0
-		case avoidA:
+	rank := func(address string) int {
+		switch {
+		case f.avoid.Has(address):
+			return 2
+		case f.uninformed.Has(address):
 			return 1
 		}
-		return -1
-	})
+		return 0
+	}
+	slices.SortStableFunc(all, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
 	return all[:min(n, len(all))]
 }
 
@@ -173,13 +178,16 @@
 		f.compared = true
 		f.mu.Unlock()
 	}
-	ms := r.GetConfirmedAgeMs()
-	if ms == 0 || ms > maxAgeMS {
-		return false
+	confirmed := false
+	if ms := r.GetConfirmedAgeMs(); ms != 0 && ms <= maxAgeMS {
+		age := time.Duration(ms) * time.Millisecond
+		f.confirmEvacuation(zones, asked.Add(-age))
+		confirmed = f.confirm(ident.Version(r.GetVersion()), asked.Add(-age), address) && age <= maxAnswerAge
+	}
+	if !confirmed {
+		f.uninformed.Add(address, avoidPeriod)
 	}
-	age := time.Duration(ms) * time.Millisecond
-	f.confirmEvacuation(zones, asked.Add(-age))
-	return f.confirm(ident.Version(r.GetVersion()), asked.Add(-age), address) && age <= maxAnswerAge
+	return confirmed
 }
 
 // maxAgeMS is the greatest age of a confirmation that is used, a day; the product of a much
--- a/internal/follow/reader_test.go
+++ b/internal/follow/reader_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -215,6 +216,35 @@
 	is.Equal(f.fanout(true), gossipFanout)
 }
 
+// TestWideningSearch guards against a VM that draws the same few VMs again and again while
+// one that knows a newer version is never asked, and against a number of calls that grows
+// without an end while nobody can confirm a version.
+func TestWideningSearch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var all addresses
+		for i := range 20 {
+			all = append(all, strconv.Itoa(i))
+		}
+		f := New(Config{Fleet: all, Peers: ageing{}, Readers: func() ([]string, bool) { return []string{"r"}, true }})
+		f.Apply(&catal.Catalogue{Version: 5}, "r")
+		asked := map[string]bool{}
+		for _, want := range []int{2, 4, 8, 6} {
+			next := f.randomVMs(f.fanout(false))
+			next = next[:min(want, len(next))]
+			is.Equal(len(next), want)
+			for _, address := range next {
+				is.True(!asked[address])
+				asked[address] = true
+				is.True(!f.compare(t.Context(), address)) // age 0 confirms nothing
+			}
+			f.failedRounds.Add(1)
+		}
+		f.failedRounds.Store(1 << 30)
+		is.Equal(f.fanout(false), unconfirmedFanout<<maxFanoutDoublings)
+	})
+}
+
 // TestSilentWatch guards against a VM that watches the store and notices only by the timeout
 // of its watch that the store has gone silent for it, while others know a newer version.
 func TestSilentWatch(t *testing.T) {
--- a/internal/follow/watch.go
+++ b/internal/follow/watch.go
@@ -125,7 +125,7 @@
 // comparisons has ended without, or none has ended for long.
 func (f *Follower) needsRead() bool {
 	age := f.unconfirmedAge()
-	return age > maxUnconfirmedAge || age > maxAnswerAge && f.roundFailed.Load()
+	return age > maxUnconfirmedAge || age > maxAnswerAge && f.failedRounds.Load() > 0
 }
 
 // storeIsOlder reports whether the store last showed an older version than the one in
