Drop the idle streams to a lender that failed

Cause: up to 8 idle streams to a lender are kept. With their connection all are lost, and each failed another request and had the lender avoided for another 2 s.

Change: a lender's failure closes its idle streams.

Evidence: relay TestDropStreams failed before and passes.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -113,6 +113,7 @@
 	key, period, reason := address, failedAvoidPeriod, "failed"
 	switch err.Kind {
 	case dbpool.KindLenderFailed:
+		c.dropStreams(address)
 	case dbpool.KindClosed:
 		period, reason = stoppingAvoidPeriod, "stops"
 	case dbpool.KindUnreachable:
@@ -281,6 +282,17 @@
 	})
 }
 
+// dropStreams closes the idle streams to a lender that failed: with the connection, all of
+// them may be lost, and each would fail another request.
+func (c *Client) dropStreams(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.idleStreams[address] {
+		l.abort()
+	}
+	delete(c.idleStreams, address)
+}
+
 // keepStream keeps a stream for a later loan, or closes it when enough are idle.
 func (c *Client) keepStream(l *loan) {
 	l.usedAt = time.Now()
