Set the options for lost paths in one place

Three copies set TCP_USER_TIMEOUT and keep-alive: connections to targets of chervild, connections to databases of the platform, and now those between VMs. All use internal/tcpopt. No value changes; on other systems than Linux the option is left out, as before in internal/conns.

--- a/internal/conns/dial.go
+++ b/internal/conns/dial.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"net"
-	"runtime"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"chervilspan.example/internal/tcpopt"
 )
 
 const (
@@ -14,9 +14,6 @@
 	// system breaks a connection. With the system's default of some 15 minutes
 	// a statement would wait until its deadline.
 	userTimeout = time.Second
-	// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux, which
-	// package syscall does not define.
-	tcpUserTimeout = 0x12
 	// userTimeoutBytes is how much may be sent without an answer before the
 	// timeout is lifted. A receive buffer of the default size holds more. While
 	// the buffer is full the timeout runs, although the target is alive and only
@@ -28,22 +25,18 @@
 // within userTimeout when data was sent, else by keepalive.
 func dial(ctx context.Context, network, address string) (net.Conn, error) {
 	// One second is the minimum that the system accepts.
-	keepalive := net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
-	d := net.Dialer{KeepAliveConfig: keepalive}
-	c, err := d.DialContext(ctx, network, address)
+	loss := tcpopt.LossDetection{
+		Unacknowledged: userTimeout,
+		KeepAlive:      net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+	}
+	c, err := loss.Dial(ctx, network, address)
 	if err != nil {
 		return nil, err
 	}
-	t, ok := c.(*net.TCPConn)
-	if !ok || runtime.GOOS != "linux" {
-		return c, nil
+	if t, ok := c.(*net.TCPConn); ok {
+		return &userTimeoutConn{TCPConn: t}, nil
 	}
-	l := &userTimeoutConn{TCPConn: t}
-	if err := l.setUserTimeout(userTimeout); err != nil {
-		_ = c.Close()
-		return nil, err
-	}
-	return l, nil
+	return c, nil
 }
 
 // userTimeoutConn lifts the timeout for unacknowledged data while more than
@@ -57,7 +50,7 @@
 // Write implements io.Writer.
 func (l *userTimeoutConn) Write(p []byte) (int, error) {
 	if l.unanswered.Add(int64(len(p))) > userTimeoutBytes && l.lifted.CompareAndSwap(false, true) {
-		if err := l.setUserTimeout(0); err != nil {
+		if err := tcpopt.SetUserTimeout(l.TCPConn, 0); err != nil {
 			return 0, err
 		}
 	}
@@ -73,24 +66,7 @@
 	l.unanswered.Store(0)
 	if l.lifted.CompareAndSwap(true, false) {
 		// If the connection is already broken, the next call reports that.
-		_ = l.setUserTimeout(userTimeout)
+		_ = tcpopt.SetUserTimeout(l.TCPConn, userTimeout)
 	}
 	return n, err
 }
-
-// setUserTimeout sets the time that data may stay unacknowledged; 0 stands for
-// the system's default.
-func (l *userTimeoutConn) setUserTimeout(d time.Duration) error {
-	raw, err := l.SyscallConn()
-	if err != nil {
-		return err
-	}
-	var sockErr error
-	err = raw.Control(func(fd uintptr) {
-		sockErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return sockErr
-}
--- a/internal/conns/dial_test.go
+++ b/internal/conns/dial_test.go
@@ -12,6 +12,9 @@
 	"github.com/matryer/is"
 )
 
+// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux.
+const tcpUserTimeout = 0x12
+
 // TestUserTimeout guards against connections that stay open for minutes after
 // their path was lost, and against breaking one whose target is alive but has
 // not read a long message yet.
--- a/internal/tcpopt/tcpopt.go
+++ b/internal/tcpopt/tcpopt.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"net"
+	"runtime"
+	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
+// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux, which package syscall does
+// not define.
+const tcpUserTimeout = 0x12
+
 // LossDetection says how soon the loss of a connection's path is detected. The zero value
 // leaves the defaults of the system.
 type LossDetection struct {
@@ -64,15 +68,19 @@
 }
 
 // SetUserTimeout sets how long bytes sent on a connection may stay unacknowledged before
-// the kernel breaks it; 0 means the default of the system.
+// the kernel breaks it; 0 means the default of the system. Other systems than Linux have no
+// such option, and the call does nothing.
 func SetUserTimeout(c *net.TCPConn, d time.Duration) error {
+	if runtime.GOOS != "linux" {
+		return nil
+	}
 	raw, err := c.SyscallConn()
 	if err != nil {
 		return err
 	}
 	var sockErr error
 	err = raw.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		sockErr = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(d.Milliseconds()))
 	})
 	if err != nil {
 		return err
