Ask other VMs before a caller is refused by an unconfirmed version

Cause: "no such route" and "key not accepted" claim that the version in force is the newest. A VM answered so by a version that it had not been able to confirm for longer than the bound as readily as by one confirmed a moment ago.

Change: before such a refusal, a VM whose version has not been confirmed for three quarters of the bound asks other VMs at once and waits up to 0.7 s for a confirmation or a newer version, then decides. All callers share one wait; after a wait in vain they are refused at once for 2 s, so that wrong names cost little while the VM is cut off or the store is down. A VM whose version is confirmed in time answers as before.

Evidence: engine TestRefusedByOldCatalogue failed before and passes; follow TestAwaitConfirmation.

--- a/internal/engine/config.go
+++ b/internal/engine/config.go
@@ -102,18 +102,21 @@
 	RegionOf func(ident.Zone) ident.Region
 }
 
-// Config configures an Engine. All fields but CatalogueAge, ZoneStatus, Ramp, Ready, VMs,
+// Config configures an Engine. All fields but CatalogueAge, AwaitCatalogue, ZoneStatus, Ramp, Ready, VMs,
 // Clock, Meter and Log are required.
 type Config struct {
 	Access Access
 	// CatalogueAge, unless nil, returns how long ago the catalogue in force was last known
 	// to be the newest, for the log.
 	CatalogueAge func() time.Duration
-	Limiter      Limiter
-	Primaries    Primaries
-	Pools        *dbpool.Pools
-	Roster       *roster.Table
-	Place        Place
+	// AwaitCatalogue, unless nil, is called before a caller is refused by the catalogue in
+	// force. It may wait for a newer one, and reports whether it has waited.
+	AwaitCatalogue func() bool
+	Limiter        Limiter
+	Primaries      Primaries
+	Pools          *dbpool.Pools
+	Roster         *roster.Table
+	Place          Place
 	// ZoneStatus, unless nil, returns how the databases of a zone may be used now.
 	ZoneStatus func(ident.Zone) place.Status
 	// Ramp, unless nil, returns which part of the reads that could run at a database
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -271,6 +271,26 @@
 	})
 }
 
+// TestRefusedByOldCatalogue guards against a caller that is refused for a key or a route
+// which a newer catalogue has, when that can be had before the answer.
+func TestRefusedByOldCatalogue(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		is := is.New(t)
+		f.set(func(f *fixture) { f.newer = access.NewKeyIndex(catalogue(2, "another")) })
+		s, refusal := f.e.Open(engine.Login{Route: "session", Key: "another"}, newCaller())
+		is.True(refusal == nil)
+		s.Abort()
+		next := catalogue(3, "another")
+		next.Routes["added"] = next.Routes["session"]
+		f.set(func(f *fixture) { f.newer = access.NewKeyIndex(next) })
+		s, refusal = f.e.Open(engine.Login{Route: "added", Key: "another"}, newCaller())
+		is.True(refusal == nil)
+		s.Abort()
+		_, refusal = f.e.Open(engine.Login{Route: "added", Key: "key"}, newCaller())
+		is.Equal(refusal.Code, dbop.BadKey)
+	})
+}
+
 // TestRouteChange guards against a session that keeps the former group of its
 // route after a change of the catalogue, or changes it inside a transaction.
 func TestRouteChange(t *testing.T) {
--- a/internal/engine/fixture_test.go
+++ b/internal/engine/fixture_test.go
@@ -75,6 +75,8 @@
 	lender *pressedLender
 	mu     sync.Mutex
 	index  *access.KeyIndex
+	// newer, unless nil, is the index that a wait for a newer catalogue brings.
+	newer *access.KeyIndex
 	// overRate makes the limiter refuse all operations.
 	overRate bool
 	admitted int
@@ -99,6 +101,17 @@
 	return f.index
 }
 
+// awaitCatalogue puts the newer index in force, if there is one.
+func (f *fixture) awaitCatalogue() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.newer == nil {
+		return false
+	}
+	f.index, f.newer = f.newer, nil
+	return true
+}
+
 var errOverRate = errors.New("rate")
 
 func (f *fixture) Admit(context.Context, ident.Workspace) error {
@@ -204,7 +217,7 @@
 		wg.Go(func() { monitor.Run(ctx) })
 		fx.e = engine.New(engine.Config{
 			ZoneStatus: fx.zoneStatus,
-			Access:     fx, Limiter: fx, Primaries: monitor, Pools: pools, Roster: fx.c.Roster(),
+			Access:     fx, AwaitCatalogue: fx.awaitCatalogue, Limiter: fx, Primaries: monitor, Pools: pools, Roster: fx.c.Roster(),
 			Place: engine.Place{Zone: "z", RegionOf: func(z ident.Zone) ident.Region { return ident.Region(strings.TrimPrefix(string(z), "z")) }},
 		})
 		time.Sleep(2 * time.Second)
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -185,6 +185,10 @@
 		return nil
 	}
 	auth, err := idx.Identify(s.login.Route, s.login.Key)
+	if err != nil && s.e.cfg.AwaitCatalogue != nil && s.e.cfg.AwaitCatalogue() {
+		idx = s.e.cfg.Access.Index()
+		auth, err = idx.Identify(s.login.Route, s.login.Key)
+	}
 	if err != nil {
 		return &dbop.Answer{Code: loginCode(err), Text: err.Error()}
 	}
--- a/internal/follow/confirm.go
+++ b/internal/follow/confirm.go
@@ -13,9 +13,17 @@
 const (
 	// defaultWithin is Config.Within if that is 0.
 	defaultWithin = 9 * time.Second
-	// reportedFraction is the fraction of Config.Within after which a version that has
-	// not been confirmed is reported.
-	reportedFraction = 0.75
+	// lateFraction is the fraction of Config.Within after which a version that has not been
+	// confirmed is reported, and asked for before a caller is refused by it.
+	lateFraction = 0.75
+	// confirmTimeout is how long a caller that is to be refused waits. Callers give up when
+	// the answer to their first message takes 2 s.
+	confirmTimeout = 700 * time.Millisecond
+	// confirmPollInterval is how often it is checked meanwhile whether the version is confirmed.
+	confirmPollInterval = 20 * time.Millisecond
+	// confirmPause is how long callers are refused at once after a wait in vain: the VM is
+	// probably cut off, or the store is down for all.
+	confirmPause = 2 * time.Second
 )
 
 // Confirmation says as of when the version in force is known to have been the newest.
@@ -103,6 +111,55 @@
 	return f.cfg.Clock().Sub(f.oldestConfirmation(f.confirmedAt))
 }
 
+// isLate reports whether the version in force has not been confirmed for so long that a
+// newer one may soon have to be in force. The caller holds f.mu.
+func (f *Follower) isLate() bool {
+	c := f.confirmation()
+	return c.From != "" && c.Age > time.Duration(lateFraction*float64(f.cfg.Within))
+}
+
+// AwaitConfirmation is for a caller that is to be refused by the version in force. If that
+// has not been confirmed for a part of Config.Within, it asks other VMs at once and waits
+// until they confirm it or a newer one is in force, for up to confirmTimeout. It reports
+// whether it has waited. Callers that come meanwhile share the wait; those that come within
+// confirmPause of a wait in vain are not held.
+func (f *Follower) AwaitConfirmation() bool {
+	f.mu.Lock()
+	if !f.isLate() || f.cfg.Clock().Sub(f.confirmFailedAt) < confirmPause {
+		f.mu.Unlock()
+		return false
+	}
+	done := f.confirming
+	if done == nil {
+		done = make(chan struct{})
+		f.confirming = done
+		go f.askAtOnce(done)
+	}
+	f.mu.Unlock()
+	<-done
+	return true
+}
+
+// askAtOnce starts a round of comparisons, and closes done when it has confirmed the version
+// in force or confirmTimeout has passed.
+func (f *Follower) askAtOnce(done chan struct{}) {
+	f.startRound()
+	late := true
+	for end := time.Now().Add(confirmTimeout); late && time.Now().Before(end); {
+		time.Sleep(confirmPollInterval)
+		f.mu.Lock()
+		late = f.isLate()
+		f.mu.Unlock()
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if late {
+		f.confirmFailedAt = f.cfg.Clock()
+	}
+	f.confirming = nil
+	close(done)
+}
+
 // reportUnconfirmed logs when the version in force has not been confirmed for a part of
 // the time within which a new one must be in force, and when it is confirmed again.
 func (f *Follower) reportUnconfirmed() {
@@ -112,7 +169,7 @@
 	if c.From == "" {
 		return // the VM is starting
 	}
-	late := c.Age > time.Duration(reportedFraction*float64(f.cfg.Within))
+	late := f.isLate()
 	if late == f.lateReported {
 		return
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -158,6 +158,10 @@
 	reader string
 	// heardAt is when the store last answered a read or watch of this VM.
 	heardAt time.Time
+	// confirming is closed when the wait of callers for a confirmation ends, nil if none
+	// waits; confirmFailedAt is when such a wait last ended in vain.
+	confirming      chan struct{}
+	confirmFailedAt time.Time
 	// lateReported is set while the last line was catalogue_unconfirmed.
 	lateReported bool
 	// failedRounds is the number of rounds of comparisons since the last one that confirmed
@@ -172,7 +176,7 @@
 	compared bool
 	// olderLogged is the version in force of the last catalogue_older line.
 	olderLogged ident.Version
-	// newVersion is signalled to start a round of gossip at once.
+	// newVersion is signalled by startRound.
 	newVersion chan struct{}
 	// started is when New was called, by Config.Clock.
 	started    time.Time
@@ -247,11 +251,16 @@
 	f.changed = make(chan struct{})
 	evlog.At(f.cfg.Log, evlog.CatalogueTaken).Uint64("version", uint64(c.Version)).Str("from", from).
 		Dur("age", f.confirmation().Age).Send()
+	f.startRound()
+	return true
+}
+
+// startRound starts a round of comparisons at once.
+func (f *Follower) startRound() {
 	select {
 	case f.newVersion <- struct{}{}:
 	default:
 	}
-	return true
 }
 
 // Run follows the store and other VMs until ctx is cancelled.
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -234,10 +234,7 @@
 		f.mu.Lock()
 		f.ahead, f.aheadAddress = ident.VM(r.GetVm()), r.GetAddress()
 		f.mu.Unlock()
-		select {
-		case f.newVersion <- struct{}{}:
-		default:
-		}
+		f.startRound()
 	}
 	f.receiveEvacuation(r.GetEvacuation())
 	reply := &peerpb.PushCatalogueReply{Evacuation: f.evacuationMessage()}
--- a/internal/follow/reader_test.go
+++ b/internal/follow/reader_test.go
@@ -245,6 +245,35 @@
 	})
 }
 
+// TestAwaitConfirmation guards against a caller that is refused by a version which has not
+// been confirmed for long, while another VM knows a newer one, and against callers that wait
+// one after the other while nobody does.
+func TestAwaitConfirmation(t *testing.T) {
+	runChain(t, 4, func(is *is.I, c *chain) {
+		c.put(is, "3")
+		time.Sleep(3 * time.Second)
+		behind := c.vms[3]
+		is.True(!behind.AwaitConfirmation()) // confirmed a moment ago
+		for _, s := range c.stores {
+			s.SetDown(true)
+		}
+		time.Sleep(2 * defaultWithin)
+		start := time.Now()
+		is.True(behind.AwaitConfirmation())
+		is.True(time.Since(start) >= confirmTimeout)
+		is.True(!behind.AwaitConfirmation())
+		time.Sleep(confirmPause)
+		is.Equal(behind.Version(), ident.Version(3))
+		c.stores[0].SetDown(false)
+		put(is, c.stores[0], "4")
+		c.vms[0].Apply(&catal.Catalogue{Version: 4}, FromStore)
+		c.vms[0].recordStoreVersion(4)
+		c.vms[0].confirmFromStore(time.Now())
+		is.True(behind.AwaitConfirmation())
+		is.Equal(behind.Version(), ident.Version(4))
+	})
+}
+
 // TestSilentWatch guards against a VM that watches the store and notices only by the timeout
 // of its watch that the store has gone silent for it, while others know a newer version.
 func TestSilentWatch(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -156,7 +156,8 @@
 	n.lender.ZoneStatus = n.zoneStatus()
 	n.engine = engine.New(engine.Config{
 		ZoneStatus: n.lender.ZoneStatus,
-		Access:     n.follower, CatalogueAge: func() time.Duration { return n.follower.Confirmation().Age }, Limiter: n.limiter, Primaries: n.monitor, Pools: n.pools, Roster: n.roster,
+		Access:     n.follower, CatalogueAge: func() time.Duration { return n.follower.Confirmation().Age }, AwaitCatalogue: n.follower.AwaitConfirmation,
+		Limiter: n.limiter, Primaries: n.monitor, Pools: n.pools, Roster: n.roster,
 		Ready: n.firstReady, VMs: func() int { return len(n.fleet.Live()) }, Ramp: n.coldRamp(),
 		Place: engine.Place{Zone: s.Zone, Region: s.Region, RegionOf: n.regionOf},
 		Clock: uptime.Now,
