--- a/internal/node/inforce_test.go
+++ b/internal/node/inforce_test.go
@@ -1,27 +1,16 @@
 package node
 
 import (
-	"context"
-	"errors"
 	"flag"
-	"fmt"
 	"math/rand/v2"
 	"slices"
-	"strconv"
-	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"google.golang.org/grpc"
-
-	"chervilspan.example/internal/follow"
-	"chervilspan.example/internal/proto/peerpb"
-	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/member"
 	"chervilspan.example/pkg/rendez"
-	"chervilspan.example/pkg/store"
 )
 
 var (
@@ -29,392 +18,6 @@
 	playSeed = flag.Uint64("inforce.seed", 1, "seed of the first play")
 )
 
-// Bounds of the deployments, and times of the simulated fleet.
-const (
-	simWithin       = 6 * time.Second
-	simStableWindow = 6 * time.Second
-	simWatchHold    = time.Second
-	simLeaseTTL     = 10 * time.Second
-	simListPeriod   = 2500 * time.Millisecond
-	simWarmup       = 12 * time.Second
-	simLength       = 50 * time.Second
-	simCheckPeriod  = 100 * time.Millisecond
-	simZoneDelay    = 1400 * time.Microsecond
-	simRegionDelay  = 30 * time.Millisecond
-)
-
-// trouble is the kind of a disruption.
-type trouble string
-
-const (
-	// turnedAway VMs get a refusal from the store for each call. They stay in touch.
-	turnedAway trouble = "turned away by the store"
-	// storeCut VMs get no answer from the store, cutOff VMs none from anyone.
-	storeCut trouble = "cut from the store"
-	cutOff   trouble = "cut off"
-	// apart VMs reach the store, but no other VM.
-	apart trouble = "cut from other VMs"
-	// storeDown is an outage of the store.
-	storeDown trouble = "store down"
-)
-
-// disruption is a trouble of some VMs from a time to another one, since the start.
-type disruption struct {
-	trouble  trouble
-	vms      map[ident.VM]bool
-	from, to time.Duration
-}
-
-func (d disruption) String() string {
-	return fmt.Sprintf("%s: %d VMs from %v to %v", d.trouble, len(d.vms), d.from, d.to)
-}
-
-// hits reports whether a VM is disrupted at some time of a span.
-func (d disruption) hits(vm ident.VM, from, to time.Duration) bool {
-	return (d.vms[vm] || d.trouble == storeDown) && from < d.to && to > d.from
-}
-
-// simFleet is a fleet of followers with a store, a network and disruptions. Its store has
-// nothing but the catalogue.
-type simFleet struct {
-	live        []member.Info
-	followers   map[string]*follow.Follower // by address
-	started     time.Time
-	disruptions []disruption
-
-	mu      sync.Mutex
-	version ident.Version
-	acked   map[ident.Version]time.Duration
-	changed chan struct{}
-}
-
-func (s *simFleet) now() time.Duration { return time.Since(s.started) }
-
-// suffers reports whether a VM has one of some troubles now.
-func (s *simFleet) suffers(vm ident.VM, troubles ...trouble) bool {
-	for _, d := range s.disruptions {
-		for _, t := range troubles {
-			if d.trouble == t && d.hits(vm, s.now(), s.now()+1) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
-// inTouch reports whether the rules with a time bound hold for a VM now.
-func (s *simFleet) inTouch(vm ident.VM) bool {
-	for _, d := range s.disruptions {
-		if d.trouble != turnedAway && d.hits(vm, s.now()-simStableWindow, s.now()) {
-			return false
-		}
-	}
-	return true
-}
-
-// write writes the next version, and reports whether the store took it.
-func (s *simFleet) write() bool {
-	if s.suffers("", storeDown) {
-		return false
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.version++
-	s.acked[s.version] = s.now()
-	close(s.changed)
-	s.changed = make(chan struct{})
-	return true
-}
-
-// required returns the version that must be in force on VMs that are in touch.
-func (s *simFleet) required() ident.Version {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	v := s.version
-	for v > 0 && s.acked[v] > s.now()-simWithin {
-		v--
-	}
-	return v
-}
-
-// simView is what a VM knows of the other VMs.
-type simView struct {
-	fleet *simFleet
-	self  member.Info
-
-	mu     sync.Mutex
-	readAt time.Duration
-	list   []member.Info
-	table  readerTable
-}
-
-// live returns the list of VMs, which is read again after simListPeriod.
-func (v *simView) live() []member.Info {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.list == nil || v.fleet.now()-v.readAt >= simListPeriod {
-		if list := v.fleet.listFor(v.self.VM); !slices.Equal(list, v.list) {
-			v.list = list
-		}
-		v.readAt = v.fleet.now()
-	}
-	return v.list
-}
-
-// Addresses implements follow.Fleet.
-func (v *simView) Addresses() []string {
-	var out []string
-	for _, m := range v.live() {
-		if m.VM != v.self.VM {
-			out = append(out, m.Address)
-		}
-	}
-	return out
-}
-
-// Address implements follow.Fleet.
-func (v *simView) Address(vm ident.VM) string {
-	for _, m := range v.live() {
-		if m.VM == vm {
-			return m.Address
-		}
-	}
-	return ""
-}
-
-// readers returns the addresses of the readers to ask.
-func (v *simView) readers() ([]string, bool) {
-	return v.table.addressesFor(v.self, v.live()), true
-}
-
-// listFor returns the list of VMs that a VM has: those whose leases had not ended when it
-// last read it.
-func (s *simFleet) listFor(vm ident.VM) []member.Info {
-	lastHeard := func(vm ident.VM, now time.Duration) time.Duration {
-		heard := now
-		for again := true; again; {
-			again = false
-			for _, d := range s.disruptions {
-				if d.trouble != apart && d.hits(vm, heard, heard+1) {
-					heard, again = d.from-1, true
-				}
-			}
-		}
-		return heard
-	}
-	readAt := lastHeard(vm, s.now())
-	var out []member.Info
-	for _, m := range s.live {
-		if m.VM == vm || readAt-lastHeard(m.VM, readAt) < simLeaseTTL {
-			out = append(out, m)
-		}
-	}
-	return out
-}
-
-// simStore is a VM's access to the store.
-type simStore struct {
-	store.Store
-	fleet *simFleet
-	self  member.Info
-}
-
-// reach waits for the way to the store, and reports whether the store serves the VM.
-func (s simStore) reach(ctx context.Context) error {
-	delay := simZoneDelay
-	if s.self.Region != "r1" {
-		delay = simRegionDelay
-	}
-	time.Sleep(delay)
-	switch {
-	case ctx.Err() != nil:
-		return ctx.Err()
-	case s.fleet.suffers(s.self.VM, turnedAway):
-		return errors.New("refused")
-	case s.fleet.suffers(s.self.VM, storeCut, cutOff, storeDown):
-		<-ctx.Done()
-		return ctx.Err()
-	}
-	return nil
-}
-
-func (s simStore) entry() store.Entry {
-	s.fleet.mu.Lock()
-	defer s.fleet.mu.Unlock()
-	v := s.fleet.version
-	return store.Entry{Key: "config", Value: []byte(strconv.Itoa(int(v))), Revision: store.NewRevision(1, int64(v)+1)}
-}
-
-// Get implements store.Store.
-func (s simStore) Get(ctx context.Context, _ string) (store.Entry, error) {
-	if err := s.reach(ctx); err != nil {
-		return store.Entry{}, err
-	}
-	return s.entry(), nil
-}
-
-// Watch implements store.Store by long polls that end after simWatchHold.
-func (s simStore) Watch(ctx context.Context, _ string, from store.Revision, f func(store.Event)) error {
-	const answerMargin = 700 * time.Millisecond
-	for {
-		call, cancel := context.WithTimeout(ctx, simWatchHold+answerMargin)
-		e, err := s.poll(call, from)
-		cancel()
-		if err != nil {
-			return err
-		}
-		if e.Revision > from {
-			f(store.Event{Entry: e})
-			from = e.Revision
-		}
-		f(store.Event{Progress: true})
-	}
-}
-
-func (s simStore) poll(ctx context.Context, from store.Revision) (store.Entry, error) {
-	if err := s.reach(ctx); err != nil {
-		return store.Entry{}, err
-	}
-	s.fleet.mu.Lock()
-	changed := s.fleet.changed
-	s.fleet.mu.Unlock()
-	if e := s.entry(); e.Revision <= from {
-		select {
-		case <-changed:
-		case <-time.After(simWatchHold):
-		case <-ctx.Done():
-			return store.Entry{}, ctx.Err()
-		}
-	}
-	e := s.entry()
-	return e, s.reach(ctx)
-}
-
-// simPeers is a VM's access to other VMs.
-type simPeers struct {
-	fleet *simFleet
-	self  member.Info
-}
-
-// Client implements follow.Peers.
-func (p simPeers) Client(address string) (peerpb.PeerClient, error) {
-	for _, m := range p.fleet.live {
-		if m.Address == address {
-			return simClient{fleet: p.fleet, from: p.self, to: m}, nil
-		}
-	}
-	return nil, errors.New("no such VM")
-}
-
-// simClient calls a VM.
-type simClient struct {
-	peerpb.PeerClient
-	fleet    *simFleet
-	from, to member.Info
-}
-
-func (c simClient) reach(ctx context.Context) error {
-	delay := simZoneDelay
-	if c.from.Region != c.to.Region {
-		delay = simRegionDelay
-	}
-	time.Sleep(delay)
-	if c.fleet.suffers(c.from.VM, cutOff, apart) || c.fleet.suffers(c.to.VM, cutOff, apart) {
-		<-ctx.Done()
-	}
-	return ctx.Err()
-}
-
-func (c simClient) PushCatalogue(ctx context.Context, r *peerpb.PushCatalogueRequest, _ ...grpc.CallOption) (*peerpb.PushCatalogueReply, error) {
-	if err := c.reach(ctx); err != nil {
-		return nil, err
-	}
-	reply, err := c.fleet.followers[c.to.Address].PushCatalogue(ctx, r)
-	if err != nil {
-		return nil, err
-	}
-	return reply, c.reach(ctx)
-}
-
-func (c simClient) GetCatalogue(ctx context.Context, r *peerpb.GetCatalogueRequest, _ ...grpc.CallOption) (*peerpb.GetCatalogueReply, error) {
-	if err := c.reach(ctx); err != nil {
-		return nil, err
-	}
-	reply, err := c.fleet.followers[c.to.Address].GetCatalogue(ctx, r)
-	if err != nil {
-		return nil, err
-	}
-	return reply, c.reach(ctx)
-}
-
-func newSimFleet(vms int, disruptions func([]member.Info) []disruption) *simFleet {
-	s := &simFleet{
-		live: fleetOf(vms), followers: map[string]*follow.Follower{}, started: time.Now(),
-		acked: map[ident.Version]time.Duration{}, changed: make(chan struct{}),
-	}
-	s.disruptions = disruptions(s.live)
-	for _, m := range s.live {
-		view := &simView{fleet: s, self: m}
-		s.followers[m.Address] = follow.New(follow.Config{
-			Store: simStore{fleet: s, self: m}, Key: "config", VM: m.VM, Address: m.Address, Within: simWithin,
-			Decode: func(raw []byte) (*catal.Catalogue, error) {
-				v, err := strconv.ParseUint(string(raw), 10, 64)
-				return &catal.Catalogue{Version: ident.Version(v)}, err
-			},
-			Fleet: view, Peers: simPeers{fleet: s, self: m}, Readers: view.readers,
-		})
-	}
-	return s
-}
-
-// run plays the fleet, with a new version at each of some times, and returns the first
-// breach of the bound, "" if there was none.
-func (s *simFleet) run(ctx context.Context, writes []time.Duration) (breach string) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	var wg sync.WaitGroup
-	for _, f := range s.followers {
-		wg.Go(func() { f.Run(ctx) })
-	}
-	s.write()
-	for s.now() < simLength && breach == "" {
-		for len(writes) > 0 && writes[0] <= s.now() {
-			s.write()
-			writes = writes[1:]
-		}
-		time.Sleep(simCheckPeriod)
-		breach = s.breach()
-	}
-	cancel()
-	wg.Wait()
-	return breach
-}
-
-// undisturbed reports whether a VM had no trouble for the whole time allowed.
-func (s *simFleet) undisturbed(vm ident.VM) bool {
-	for _, d := range s.disruptions {
-		if d.hits(vm, s.now()-simWithin, s.now()) {
-			return false
-		}
-	}
-	return true
-}
-
-// breach returns a VM in touch that lacks a version in time. As long as no VM was
-// undisturbed, VMs that the store turns away may have had nobody to hear of it from.
-func (s *simFleet) breach() string {
-	want := s.required()
-	if !slices.ContainsFunc(s.live, func(m member.Info) bool { return s.undisturbed(m.VM) }) {
-		return ""
-	}
-	for _, m := range s.live {
-		if have := s.followers[m.Address].Version(); have < want && s.inTouch(m.VM) {
-			return fmt.Sprintf("at %v, %s in %s has version %d; %d was acknowledged at %v", s.now(), m.VM, m.Zone, have, want, s.acked[want])
-		}
-	}
-	return ""
-}
-
 // someOf returns about a share of the VMs, by chance preferring the readers of regions.
 func someOf(r *rand.Rand, live []member.Info, share float64) map[ident.VM]bool {
 	out := map[ident.VM]bool{}
@@ -453,15 +56,13 @@
 	return out
 }
 
-// TestVersionInForce guards against a VM in touch at which a version is not in force
-// Config.Within after its acknowledgement, by plays of up to three troubles at once on
-// fleets of several sizes. A seed fixes the troubles and versions, not the jitter.
-func TestVersionInForce(t *testing.T) {
+// playInForce plays days of drawn troubles.
+func playInForce(t *testing.T, draw func(*rand.Rand, []member.Info) []disruption) {
 	for seed := *playSeed; seed < *playSeed+uint64(*plays); seed++ {
 		synctest.Test(t, func(t *testing.T) {
 			r := rand.New(rand.NewPCG(seed, seed))
 			vms := []int{10, 24, 40, 89}[seed%4]
-			s := newSimFleet(vms, func(live []member.Info) []disruption { return drawTroubles(r, live) })
+			s := newSimFleet(vms, func(live []member.Info) []disruption { return draw(r, live) })
 			var writes []time.Duration
 			for at := simWarmup; at < simLength; at += time.Duration(float64(time.Second) * (1 + 7*r.Float64())) {
 				writes = append(writes, at)
@@ -473,6 +74,24 @@
 	}
 }
 
+// TestVersionInForce guards against a VM in touch at which a version is not in force
+// Config.Within after its acknowledgement, by plays of up to three troubles at once on
+// fleets of several sizes. A seed fixes the troubles and versions, not the jitter.
+func TestVersionInForce(t *testing.T) { playInForce(t, drawTroubles) }
+
+// TestVersionInForceSilent guards against the same where all connections go silent once or
+// twice, before, during or after other troubles.
+func TestVersionInForceSilent(t *testing.T) {
+	playInForce(t, func(r *rand.Rand, live []member.Info) []disruption {
+		out := drawTroubles(r, live)
+		for range 1 + r.IntN(2) {
+			at := simWarmup + time.Duration(r.Float64()*float64(20*time.Second))
+			out = append(out, disruption{trouble: silenced, from: at, to: at + 1})
+		}
+		return out
+	})
+}
+
 // allBut returns all VMs but some.
 func allBut(live []member.Info, served ...ident.VM) map[ident.VM]bool {
 	out := map[ident.VM]bool{}
