Remove two checks that callees already make

Change: both tests go; the comment of isLate says what it reports at the start. Behaviour stays as it is.

--- a/internal/follow/confirm.go
+++ b/internal/follow/confirm.go
@@ -112,7 +112,8 @@
 }
 
 // isLate reports whether the version in force has not been confirmed for so long that a
-// newer one may soon have to be in force. The caller holds f.mu.
+// newer one may soon have to be in force; it does not while the VM starts and none was ever
+// confirmed. The caller holds f.mu.
 func (f *Follower) isLate() bool {
 	c := f.confirmation()
 	return c.From != "" && c.Age > time.Duration(lateFraction*float64(f.cfg.Within))
@@ -165,15 +166,12 @@
 func (f *Follower) reportUnconfirmed() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	c := f.confirmation()
-	if c.From == "" {
-		return // the VM is starting
-	}
 	late := f.isLate()
 	if late == f.lateReported {
 		return
 	}
 	f.lateReported = late
+	c := f.confirmation()
 	event := evlog.CatalogueConfirmed
 	if late {
 		event = evlog.CatalogueUnconfirmed
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -68,9 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if c.cfg.Usage != nil {
-		raw = c.cfg.Usage.Conn(raw, usage.Peers, func() ident.Zone { return c.zoneOf(address) })
-	}
+	raw = c.cfg.Usage.Conn(raw, usage.Peers, func() ident.Zone { return c.zoneOf(address) })
 	t := &trackedConn{Conn: raw, openedAt: time.Now(), onLost: func(t *trackedConn, err error) {
 		c.cfg.Scope.Counter("peer_conns_lost").Inc(1)
 		evlog.At(c.cfg.Log, evlog.PeerConnLost).Str("address", address).Dur("silent", time.Since(t.readAt())).
