Log catalogues that could not be fetched, and their size and time

Logs didn't say that a fetch of a catalogue failed, from whom, after how long and by what error, nor how large a document was that came and how long it took; time limits, links and the processor could not be told apart.

The logic is as before.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -241,6 +241,19 @@
 // and reports whether it did. from names the source in the log: "store", or the address
 // of a VM.
 func (f *Follower) Apply(c *catal.Catalogue, from string) bool {
+	return f.apply(c, delivery{from: from})
+}
+
+// delivery says how a document came to this VM.
+type delivery struct {
+	from string
+	// bytes is the size of the document as it was sent.
+	bytes int
+	// took is the time that the call for it took, 0 if the store sent it by itself.
+	took time.Duration
+}
+
+func (f *Follower) apply(c *catal.Catalogue, d delivery) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if c.Version <= f.Version() {
@@ -249,8 +262,8 @@
 	f.index.Store(access.NewKeyIndex(c))
 	close(f.changed)
 	f.changed = make(chan struct{})
-	evlog.At(f.cfg.Log, evlog.CatalogueTaken).Uint64("version", uint64(c.Version)).Str("from", from).
-		Dur("age", f.confirmation().Age).Send()
+	evlog.At(f.cfg.Log, evlog.CatalogueTaken).Uint64("version", uint64(c.Version)).Str("from", d.from).
+		Dur("age", f.confirmation().Age).Int("bytes", d.bytes).Dur("took", d.took).Send()
 	f.startRound()
 	return true
 }
--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -172,7 +172,7 @@
 	}
 	zones := f.receiveEvacuation(r.GetEvacuation()) // before a version by which the VM may start to serve
 	if ident.Version(r.GetVersion()) > f.Version() {
-		f.pull(ctx, c, address)
+		f.pull(ctx, c, address, ident.Version(r.GetVersion()))
 	}
 	if v := ident.Version(r.GetVersion()); v > 0 && v >= f.Version() {
 		f.mu.Lock()
@@ -195,22 +195,34 @@
 // greater one with its unit overflows to any age.
 const maxAgeMS = 86_400_000
 
-// pull fetches a newer catalogue from the VM at an address, verifies its hash and applies
-// it.
-func (f *Follower) pull(ctx context.Context, c peerpb.PeerClient, address string) {
+// pull fetches a newer catalogue from the VM at an address, which has offered a version,
+// verifies its hash and applies it.
+func (f *Follower) pull(ctx context.Context, c peerpb.PeerClient, address string, offered ident.Version) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	asked := time.Now()
 	r, err := c.GetCatalogue(ctx, &peerpb.GetCatalogueRequest{HaveVersion: uint64(f.Version())})
-	if err != nil || len(r.GetDocument()) == 0 {
+	if err != nil {
+		f.logFetchFailed(delivery{from: address, took: time.Since(asked)}, offered, err)
 		return // the next comparison tries again
 	}
+	if len(r.GetDocument()) == 0 {
+		return // the version came from elsewhere meanwhile
+	}
 	sum := sha256.Sum256(r.GetDocument())
 	var cat catal.Catalogue
 	if string(sum[:]) != string(r.GetSha256()) || json.Unmarshal(r.GetDocument(), &cat) != nil {
 		evlog.At(f.cfg.Log, evlog.CatalogueUnread).Str("from", address).Send()
 		return
 	}
-	f.Apply(&cat, address)
+	f.apply(&cat, delivery{from: address, bytes: len(r.GetDocument()), took: time.Since(asked)})
+}
+
+// logFetchFailed logs that a document did not come; offered is 0 if its version is not
+// known.
+func (f *Follower) logFetchFailed(d delivery, offered ident.Version, err error) {
+	evlog.At(f.cfg.Log, evlog.CatalogueFetchFailed).Str("from", d.from).Uint64("version", uint64(f.Version())).
+		Uint64("offered", uint64(offered)).Dur("took", d.took).Err(err).Send()
 }
 
 // GetCatalogue implements peer.Catalogue.
--- a/internal/follow/reader_test.go
+++ b/internal/follow/reader_test.go
@@ -421,7 +421,7 @@
 	is.NoErr(err)
 	put(is, s, "5")
 	f.Apply(&catal.Catalogue{Version: 5}, "peer")
-	f.applyEntry(late)
+	f.applyEntry(late, 0)
 	_, err = f.readStore(t.Context())
 	is.NoErr(err)
 	is.Equal(strings.Count(log.String(), "catalogue_older"), 0)
--- a/internal/follow/watch.go
+++ b/internal/follow/watch.go
@@ -105,7 +105,7 @@
 		case ev.Deleted:
 			f.recordStoreVersion(0)
 		default:
-			f.applyEntry(ev.Entry)
+			f.applyEntry(ev.Entry, 0)
 		}
 	})
 }
@@ -148,8 +148,11 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	asked, inForce := f.cfg.Clock(), f.Version()
+	sent := time.Now()
 	e, err := f.cfg.Store.Get(ctx, f.cfg.Key)
+	took := time.Since(sent)
 	if err != nil {
+		f.logFetchFailed(delivery{from: FromStore, took: took}, 0, err)
 		return 0, err
 	}
 	if f.evacuates() {
@@ -159,7 +162,7 @@
 		}
 	}
 	if e.Revision != 0 {
-		f.applyEntry(e)
+		f.applyEntry(e, took)
 	} else {
 		f.recordStoreVersion(0)
 	}
@@ -168,15 +171,15 @@
 	return max(e.Revision, e.StoreRevision), nil
 }
 
-// applyEntry decodes and applies a catalogue from the store.
-func (f *Follower) applyEntry(e store.Entry) {
+// applyEntry decodes and applies a catalogue from the store, which took a time to arrive.
+func (f *Follower) applyEntry(e store.Entry, took time.Duration) {
 	c, err := guard.Call(f.cfg.Log, "catalogue", "", func() (*catal.Catalogue, error) { return f.cfg.Decode(e.Value) })
 	if err != nil {
 		evlog.At(f.cfg.Log, evlog.CatalogueUnread).Int64("revision", int64(e.Revision)).Err(err).Send()
 		return
 	}
 	f.recordStoreVersion(c.Version)
-	f.Apply(c, FromStore)
+	f.apply(c, delivery{from: FromStore, bytes: len(e.Value), took: took})
 }
 
 // logOlder logs, once for each version, that a read showed an older version than the one
