--- /dev/null
+++ b/internal/node/simcall_test.go
@@ -0,0 +1,150 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"chervilspan.example/internal/proto/peerpb"
+	"chervilspan.example/pkg/member"
+	"chervilspan.example/pkg/store"
+)
+
+// simStore is a VM's access to the store.
+type simStore struct {
+	store.Store
+	fleet *simFleet
+	self  member.Info
+}
+
+// reach waits for the way to the store, and reports whether the store serves the VM.
+func (s simStore) reach(ctx context.Context) error {
+	delay := simZoneDelay
+	if s.self.Region != "r1" {
+		delay = simRegionDelay
+	}
+	time.Sleep(delay)
+	switch {
+	case ctx.Err() != nil:
+		return ctx.Err()
+	case s.fleet.suffers(s.self.VM, turnedAway):
+		return errors.New("refused")
+	// A call without an answer closes the connections to the store, so the next one works.
+	case s.fleet.suffers(s.self.VM, storeCut, cutOff, storeDown), !s.fleet.answers(simPair{s.self.VM, ""}, 1):
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (s simStore) entry() store.Entry {
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	v := s.fleet.version
+	return store.Entry{Key: "config", Value: []byte(strconv.Itoa(int(v))), Revision: store.NewRevision(1, int64(v)+1)}
+}
+
+// Get implements store.Store.
+func (s simStore) Get(ctx context.Context, _ string) (store.Entry, error) {
+	if err := s.reach(ctx); err != nil {
+		return store.Entry{}, err
+	}
+	return s.entry(), nil
+}
+
+// Watch implements store.Store by long polls that end after simWatchHold.
+func (s simStore) Watch(ctx context.Context, _ string, from store.Revision, f func(store.Event)) error {
+	const answerMargin = 700 * time.Millisecond
+	for {
+		call, cancel := context.WithTimeout(ctx, simWatchHold+answerMargin)
+		e, err := s.poll(call, from)
+		cancel()
+		if err != nil {
+			return err
+		}
+		if e.Revision > from {
+			f(store.Event{Entry: e})
+			from = e.Revision
+		}
+		f(store.Event{Progress: true})
+	}
+}
+
+func (s simStore) poll(ctx context.Context, from store.Revision) (store.Entry, error) {
+	if err := s.reach(ctx); err != nil {
+		return store.Entry{}, err
+	}
+	s.fleet.mu.Lock()
+	changed := s.fleet.changed
+	s.fleet.mu.Unlock()
+	if e := s.entry(); e.Revision <= from {
+		select {
+		case <-changed:
+		case <-time.After(simWatchHold):
+		case <-ctx.Done():
+			return store.Entry{}, ctx.Err()
+		}
+	}
+	e := s.entry()
+	return e, s.reach(ctx)
+}
+
+// simPeers is a VM's access to other VMs.
+type simPeers struct {
+	fleet *simFleet
+	self  member.Info
+}
+
+// Client implements follow.Peers.
+func (p simPeers) Client(address string) (peerpb.PeerClient, error) {
+	for _, m := range p.fleet.live {
+		if m.Address == address {
+			return simClient{fleet: p.fleet, from: p.self, to: m}, nil
+		}
+	}
+	return nil, errors.New("no such VM")
+}
+
+// simClient calls a VM.
+type simClient struct {
+	peerpb.PeerClient
+	fleet    *simFleet
+	from, to member.Info
+}
+
+func (c simClient) reach(ctx context.Context) error {
+	delay := simZoneDelay
+	if c.from.Region != c.to.Region {
+		delay = simRegionDelay
+	}
+	time.Sleep(delay)
+	if c.fleet.suffers(c.from.VM, cutOff, apart) || c.fleet.suffers(c.to.VM, cutOff, apart) || !c.fleet.answers(simPair{c.from.VM, c.to.VM}, simReplaced) {
+		<-ctx.Done()
+	}
+	return ctx.Err()
+}
+
+func (c simClient) PushCatalogue(ctx context.Context, r *peerpb.PushCatalogueRequest, _ ...grpc.CallOption) (*peerpb.PushCatalogueReply, error) {
+	if err := c.reach(ctx); err != nil {
+		return nil, err
+	}
+	reply, err := c.fleet.followers[c.to.Address].PushCatalogue(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	return reply, c.reach(ctx)
+}
+
+func (c simClient) GetCatalogue(ctx context.Context, r *peerpb.GetCatalogueRequest, _ ...grpc.CallOption) (*peerpb.GetCatalogueReply, error) {
+	if err := c.reach(ctx); err != nil {
+		return nil, err
+	}
+	reply, err := c.fleet.followers[c.to.Address].GetCatalogue(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	return reply, c.reach(ctx)
+}
