Test large versions over narrow links; the test fails

A version whose document is large doesn't reach all VMs in time, and the fleet does not recover; nothing is disrupted.

Change: the simulated fleet has links with a capacity and a queue, and versions with real documents. TestLargeVersions writes seven versions, three of which add 1,400 routes.

--- /dev/null
+++ b/internal/node/largedoc_test.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"chervilspan.example/pkg/catal"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/member"
+)
+
+// Capacities of the deployments' narrowest links, in bytes per second.
+const (
+	narrowVMLink     = 10_000_000 / 8
+	narrowRegionLink = 60_000_000 / 8
+)
+
+// growingDocuments returns versions 1 to n, the contents of a store whose configuration
+// grows by some routes with each even version, and a little with each odd one.
+func growingDocuments(n ident.Version, routes int) map[ident.Version][]byte {
+	r := rand.New(rand.NewPCG(1, 1))
+	c := catal.Catalogue{
+		Zones:   map[ident.Zone]catal.Zone{"z1": {Region: "r1"}, "z3": {Region: "r2"}},
+		Classes: map[ident.Class]catal.Class{}, Routes: map[ident.Route]catal.Route{}, Workspaces: map[ident.Workspace]catal.Workspace{},
+	}
+	for i := range 87 {
+		key := fmt.Sprintf("%064x", r.Uint64())
+		c.Workspaces[ident.Workspace(fmt.Sprintf("workspace%d", i))] = catal.Workspace{
+			Owner: "operators", Rate: 10 + r.Float64(), Burst: r.Uint32N(100), Keys: map[string]catal.Key{key[:16]: {SHA256: key}},
+		}
+	}
+	addRoute := func() {
+		name := fmt.Sprintf("%x", r.Uint32())
+		c.Classes[ident.Class(name)] = catal.Class{Weight: 2, DeadlineMS: 1000, ObjectiveMS: 1500}
+		c.Routes[ident.Route(name)] = catal.Route{Owner: "operators", Class: ident.Class(name), Group: "group1", Reads: catal.ConsistencyBounded, MaxAgeMS: 1500}
+	}
+	out := map[ident.Version][]byte{}
+	for v := ident.Version(1); v <= n; v++ {
+		added := 20
+		if v%2 == 0 {
+			added = routes
+		}
+		for range added {
+			addRoute()
+		}
+		c.Version = v
+		raw, err := catal.Encode(&c)
+		if err != nil {
+			panic(err)
+		}
+		out[v] = raw
+	}
+	return out
+}
+
+// TestLargeVersions guards against versions that are late where the configuration is large
+// and links are narrow: documents that are sent whole and in vain fill the links, and the
+// fleet does not recover. No VM, link or connection is disrupted.
+func TestLargeVersions(t *testing.T) {
+	for _, vms := range []int{24, 89} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const routes = 1400
+				s := newSimFleet(vms, func([]member.Info) []disruption { return nil })
+				s.links = simLinks{vmRate: narrowVMLink, regionRate: narrowRegionLink}
+				s.documents = growingDocuments(7, routes)
+				var writes []time.Duration
+				for at := simWarmup; len(writes) < 6; at += 8 * time.Second {
+					writes = append(writes, at, at+2*time.Second)
+				}
+				if breach := s.run(t.Context(), writes); breach != "" {
+					t.Errorf("%s, of %d bytes", breach, len(s.documents[s.required()]))
+				}
+			})
+		})
+	}
+}
--- a/internal/node/simcall_test.go
+++ b/internal/node/simcall_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"errors"
 	"strconv"
 	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/member"
@@ -44,7 +46,16 @@
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	v := s.fleet.version
-	return store.Entry{Key: "config", Value: []byte(strconv.Itoa(int(v))), Revision: store.NewRevision(1, int64(v)+1)}
+	value := s.fleet.documents[v]
+	if value == nil {
+		value = []byte(strconv.Itoa(int(v)))
+	}
+	return store.Entry{Key: "config", Value: value, Revision: store.NewRevision(1, int64(v)+1)}
+}
+
+// receive waits until an entry has come from the store, in base64.
+func (s simStore) receive(ctx context.Context, e store.Entry) error {
+	return s.fleet.links.send(ctx, base64.StdEncoding.EncodedLen(len(e.Value)), member.Info{VM: simStoreName, Region: "r1"}, s.self)
 }
 
 // Get implements store.Store.
@@ -52,7 +63,8 @@
 	if err := s.reach(ctx); err != nil {
 		return store.Entry{}, err
 	}
-	return s.entry(), nil
+	e := s.entry()
+	return e, s.receive(ctx, e)
 }
 
 // Watch implements store.Store by long polls that end after simWatchHold.
@@ -89,6 +101,11 @@
 		}
 	}
 	e := s.entry()
+	if e.Revision > from {
+		if err := s.receive(ctx, e); err != nil {
+			return store.Entry{}, err
+		}
+	}
 	return e, s.reach(ctx)
 }
 
@@ -127,24 +144,40 @@
 	return ctx.Err()
 }
 
-func (c simClient) PushCatalogue(ctx context.Context, r *peerpb.PushCatalogueRequest, _ ...grpc.CallOption) (*peerpb.PushCatalogueReply, error) {
+// request waits until a message has come to the VM that is called, reply until one has come
+// back.
+func (c simClient) request(ctx context.Context, m proto.Message) error {
+	if err := c.reach(ctx); err != nil {
+		return err
+	}
+	return c.fleet.links.send(ctx, proto.Size(m), c.from, c.to)
+}
+
+func (c simClient) reply(ctx context.Context, m proto.Message) error {
 	if err := c.reach(ctx); err != nil {
+		return err
+	}
+	return c.fleet.links.send(ctx, proto.Size(m), c.to, c.from)
+}
+
+func (c simClient) PushCatalogue(ctx context.Context, r *peerpb.PushCatalogueRequest, _ ...grpc.CallOption) (*peerpb.PushCatalogueReply, error) {
+	if err := c.request(ctx, r); err != nil {
 		return nil, err
 	}
 	reply, err := c.fleet.followers[c.to.Address].PushCatalogue(ctx, r)
 	if err != nil {
 		return nil, err
 	}
-	return reply, c.reach(ctx)
+	return reply, c.reply(ctx, reply)
 }
 
 func (c simClient) GetCatalogue(ctx context.Context, r *peerpb.GetCatalogueRequest, _ ...grpc.CallOption) (*peerpb.GetCatalogueReply, error) {
-	if err := c.reach(ctx); err != nil {
+	if err := c.request(ctx, r); err != nil {
 		return nil, err
 	}
 	reply, err := c.fleet.followers[c.to.Address].GetCatalogue(ctx, r)
 	if err != nil {
 		return nil, err
 	}
-	return reply, c.reach(ctx)
+	return reply, c.reply(ctx, reply)
 }
--- a/internal/node/simfleet_test.go
+++ b/internal/node/simfleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"slices"
 	"strconv"
@@ -71,6 +72,9 @@
 	followers   map[string]*follow.Follower // by address
 	started     time.Time
 	disruptions []disruption
+	links       simLinks
+	// documents has the contents of versions; others consist of their number alone.
+	documents map[ident.Version][]byte
 
 	mu      sync.Mutex
 	version ident.Version
@@ -247,16 +251,24 @@
 		view := &simView{fleet: s, self: m}
 		s.followers[m.Address] = follow.New(follow.Config{
 			Store: simStore{fleet: s, self: m}, Key: "config", VM: m.VM, Address: m.Address, Within: simWithin,
-			Decode: func(raw []byte) (*catal.Catalogue, error) {
-				v, err := strconv.ParseUint(string(raw), 10, 64)
-				return &catal.Catalogue{Version: ident.Version(v)}, err
-			},
-			Fleet: view, Peers: simPeers{fleet: s, self: m}, Readers: view.readers,
+			Decode: decodeSim,
+			Fleet:  view, Peers: simPeers{fleet: s, self: m}, Readers: view.readers,
 		})
 	}
 	return s
 }
 
+// decodeSim decodes a version in the simulated store.
+func decodeSim(raw []byte) (*catal.Catalogue, error) {
+	var c catal.Catalogue
+	if raw[0] == '{' {
+		return &c, json.Unmarshal(raw, &c)
+	}
+	v, err := strconv.ParseUint(string(raw), 10, 64)
+	c.Version = ident.Version(v)
+	return &c, err
+}
+
 // run plays the fleet, with a new version at each of some times, and returns the first
 // breach of the bound, "" if there was none.
 func (s *simFleet) run(ctx context.Context, writes []time.Duration) (breach string) {
