Let a pull of a document take the time that its size needs

A pull was given up after 1 s whatever its size. Compressed documents of up to 0.1 MB come in time on the links of the deployments while few VMs pull at once, but the same collapse waits behind the next narrower link or larger document.

Change: a comparison that offers a newer version says how large its document is, and the pull has 1 s and one more for each 100 kB. VMs of an earlier release say nothing, and are given 1 s as before.

Measured: TestSlowPull, a document of 0.15 MB that comes at that rate, fails without the change and passes with it. The tests of follow pass.

--- a/internal/follow/gossip.go
+++ b/internal/follow/gossip.go
@@ -168,7 +168,7 @@
 	}
 	zones := f.receiveEvacuation(r.GetEvacuation()) // before a version by which the VM may start to serve
 	if ident.Version(r.GetVersion()) > f.Version() {
-		f.pull(ctx, c, address, ident.Version(r.GetVersion()))
+		f.pull(ctx, c, address, r)
 	}
 	if v := ident.Version(r.GetVersion()); v > 0 && v >= f.Version() {
 		f.mu.Lock()
@@ -202,7 +202,7 @@
 		f.startRound()
 	}
 	f.receiveEvacuation(r.GetEvacuation())
-	reply := &peerpb.PushCatalogueReply{Evacuation: f.evacuationMessage()}
+	reply := &peerpb.PushCatalogueReply{Evacuation: f.evacuationMessage(), DocumentBytes: f.documentBytes(ident.Version(r.GetVersion()))}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	// Read under the lock, since the confirmation refers to this version.
--- a/internal/follow/pull.go
+++ b/internal/follow/pull.go
@@ -17,10 +17,23 @@
 // states.
 var errWrongHash = errors.New("the document has another hash than stated")
 
-// pull fetches a newer catalogue from the VM at an address, which has offered a version,
-// verifies its hash and applies it.
-func (f *Follower) pull(ctx context.Context, c peerpb.PeerClient, address string, offered ident.Version) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+// minPullRate is the rate, in bytes per second, at which a document comes at least: that of
+// a link of 10 Mbit/s with twelve VMs that pull at once.
+const minPullRate = 100_000
+
+// pullTimeout returns the timeout for a document of a size.
+func pullTimeout(bytes uint64) time.Duration {
+	return callTimeout + time.Duration(min(bytes, maxReplyBytes))*time.Second/minPullRate
+}
+
+// maxReplyBytes exceeds the size of any document, in bytes.
+const maxReplyBytes = 4 << 20
+
+// pull fetches the catalogue that the VM at an address has offered, verifies its hash and
+// applies it.
+func (f *Follower) pull(ctx context.Context, c peerpb.PeerClient, address string, offer *peerpb.PushCatalogueReply) {
+	offered := ident.Version(offer.GetVersion())
+	ctx, cancel := context.WithTimeout(ctx, pullTimeout(offer.GetDocumentBytes()))
 	defer cancel()
 	asked := time.Now()
 	r, err := c.GetCatalogue(ctx, &peerpb.GetCatalogueRequest{HaveVersion: uint64(f.Version()), Gzip: true})
@@ -101,6 +114,20 @@
 	return e, nil
 }
 
+// documentBytes returns the size of the document for a VM that has a version, 0 if it needs
+// none.
+func (f *Follower) documentBytes(have ident.Version) uint64 {
+	c := f.Catalogue()
+	if c == nil || have >= c.Version {
+		return 0
+	}
+	e, err := f.encode(c)
+	if err != nil {
+		return 0 // GetCatalogue returns the error
+	}
+	return uint64(len(e.gzip))
+}
+
 // GetCatalogue implements peer.Catalogue.
 func (f *Follower) GetCatalogue(_ context.Context, r *peerpb.GetCatalogueRequest) (*peerpb.GetCatalogueReply, error) {
 	c := f.Catalogue()
--- a/internal/follow/pull_test.go
+++ b/internal/follow/pull_test.go
@@ -1,9 +1,14 @@
 package follow
 
 import (
+	"context"
+	"math/rand/v2"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/grpc"
 
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/catal"
@@ -31,3 +36,47 @@
 		r.Sha256[0]-- // the reply shares the hash with later ones
 	}
 }
+
+// slowPeer sends a document in a time that its size explains.
+type slowPeer struct {
+	peerpb.PeerClient
+	f *Follower
+}
+
+// Client implements Peers.
+func (p slowPeer) Client(string) (peerpb.PeerClient, error) { return p, nil }
+
+func (p slowPeer) PushCatalogue(ctx context.Context, r *peerpb.PushCatalogueRequest, _ ...grpc.CallOption) (*peerpb.PushCatalogueReply, error) {
+	return p.f.PushCatalogue(ctx, r)
+}
+
+func (p slowPeer) GetCatalogue(ctx context.Context, r *peerpb.GetCatalogueRequest, _ ...grpc.CallOption) (*peerpb.GetCatalogueReply, error) {
+	reply, err := p.f.GetCatalogue(ctx, r)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case <-time.After(time.Duration(len(reply.GetDocumentGzip())) * time.Second / minPullRate):
+		return reply, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// TestSlowPull guards against a document that is given up each time before it has come, as
+// its size isn't known to the VM that asks for it.
+func TestSlowPull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		owner := make([]byte, 200_000)
+		for i := range owner {
+			owner[i] = byte('0' + rand.N(64)) // three quarters are left when it is compressed
+		}
+		sender, f := New(Config{}), New(Config{})
+		sender.Apply(&catal.Catalogue{Version: 5, Workspaces: map[ident.Workspace]catal.Workspace{"w": {Owner: string(owner)}}}, FromStore)
+		f.cfg.Peers = slowPeer{f: sender}
+		is.True(sender.documentBytes(4) > minPullRate)
+		f.compare(t.Context(), "address")
+		is.Equal(f.Version(), ident.Version(5))
+	})
+}
