Read large answers of the store for as long as they come

A read of the store had 1 s in all. The largest value that the store takes, 1 MiB, is 1.4 MB in base64, 1.1 s on a link of 10 Mbit/s: no VM with such a link could ever read it, and each attempt took the whole capacity of its link.

The follower's deadline is 10 s.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -70,8 +70,12 @@
 	// roleTimeout is how long a VM that does not know yet whether it is to watch the
 	// store waits with that.
 	roleTimeout = 2 * time.Second
-	// callTimeout bounds a call to another VM or to the store.
+	// callTimeout bounds a call to another VM, and the time until the store begins to answer,
+	// to which its client holds it.
 	callTimeout = time.Second
+	// readTimeout bounds a read of the store with the time in which its answer comes: the
+	// largest document takes 1.1 s on an idle link of 10 Mbit/s.
+	readTimeout = 10 * time.Second
 	// compareTimeout bounds a comparison, so that others are asked in time if a VM does not
 	// answer.
 	compareTimeout = 400 * time.Millisecond
--- a/internal/follow/watch.go
+++ b/internal/follow/watch.go
@@ -145,7 +145,7 @@
 
 // readStore reads the key and returns the revision from which to watch it.
 func (f *Follower) readStore(ctx context.Context) (store.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	asked, inForce := f.cfg.Clock(), f.Version()
 	sent := time.Now()
--- a/internal/node/largedoc_test.go
+++ b/internal/node/largedoc_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,6 +57,40 @@
 	return out
 }
 
+// maxDocument is about the greatest size of a value in the store.
+const maxDocument = 1 << 20
+
+// fillerDocuments returns versions 1 to n, which grow up to a size, and compress and decode
+// about as documents with many routes do but in less time.
+func fillerDocuments(n ident.Version, largest int) map[ident.Version][]byte {
+	r := rand.New(rand.NewPCG(2, 2))
+	const route = "{'owner':'operators','class':'%08x','group':'group1','reads':'bounded','max_age_ms':1500},'%08x':{'weight':2,'deadline_ms':1000,'objective_ms':1500},"
+	var filler strings.Builder
+	out := map[ident.Version][]byte{}
+	for v := ident.Version(1); v <= n; v++ {
+		for filler.Len() < largest*int(v)/int(n) {
+			fmt.Fprintf(&filler, route, r.Uint32(), r.Uint32())
+		}
+		raw, err := catal.Encode(&catal.Catalogue{Version: v, Workspaces: map[ident.Workspace]catal.Workspace{"w": {Owner: filler.String()}}})
+		if err != nil {
+			panic(err)
+		}
+		out[v] = raw
+	}
+	return out
+}
+
+// TestVersionInForceLarge guards against versions that are late where documents have up to
+// the greatest size that the store takes, links are narrow and VMs are in trouble.
+func TestVersionInForceLarge(t *testing.T) {
+	documents := fillerDocuments(45, maxDocument)
+	playInForce(t, drawTroubles, func(r *rand.Rand, s *simFleet) {
+		s.links = simLinks{vmRate: narrowVMLink, regionRate: narrowRegionLink}
+		s.documents = documents
+		s.version = ident.Version(r.IntN(30))
+	})
+}
+
 // TestLargeVersions guards against versions that are late where the configuration is large
 // and links are narrow: documents that are sent whole and in vain fill the links, and the
 // fleet does not recover. No VM, link or connection is disrupted.
@@ -79,3 +114,18 @@
 		})
 	}
 }
+
+// TestLargestVersion guards against a document of the greatest size that the store takes
+// being given up at each read before it has come through a narrow link.
+func TestLargestVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms = 10
+		s := newSimFleet(vms, func([]member.Info) []disruption { return nil })
+		s.links = simLinks{vmRate: narrowVMLink}
+		s.documents = fillerDocuments(2, maxDocument)
+		s.version = 1
+		if breach := s.run(t.Context(), nil); breach != "" {
+			t.Errorf("%s, of %d bytes", breach, len(s.documents[s.required()]))
+		}
+	})
+}
