Let a VM that starts ask other VMs for the catalogue first

Each VM that starts reads the whole document from the store, 1 MB in base64. When all start at once, 45 of them do so through the link between regions; 27 opened no connection to the store in 0.5 s, and the others shared 7.5 MB/s.

Change: a VM that knows its readers asks them and random VMs for 3 s before it reads the store; one that watches the store, or doesn't learn in 0.5 s who its readers are, reads it at once as before.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -70,6 +70,12 @@
 	// roleTimeout is how long a VM that does not know yet whether it is to watch the
 	// store waits with that.
 	roleTimeout = 2 * time.Second
+	// firstReadDelay is how long a VM that starts leaves it to its readers to send it the
+	// catalogue, firstRoleTimeout how long it waits to learn which these are, and
+	// startInterval the interval at which it asks them.
+	firstReadDelay   = 3 * time.Second
+	firstRoleTimeout = 500 * time.Millisecond
+	startInterval    = 100 * time.Millisecond
 	// callTimeout bounds a call to another VM, and the time until the store begins to answer,
 	// to which its client holds it.
 	callTimeout = time.Second
--- a/internal/follow/watch.go
+++ b/internal/follow/watch.go
@@ -17,6 +17,7 @@
 // followStore reads the key, and watches it if this VM is to do so, until ctx is
 // cancelled.
 func (f *Follower) followStore(ctx context.Context) {
+	f.awaitReaders(ctx)
 	failures := 0
 	for ctx.Err() == nil {
 		rev, err := f.readStore(ctx)
@@ -41,6 +42,24 @@
 	}
 }
 
+// awaitReaders gives the readers of a VM that starts time to send it the catalogue, of which
+// the store may have a large one and as many VMs to answer as start at once.
+func (f *Follower) awaitReaders(ctx context.Context) {
+	end := time.Now().Add(firstReadDelay)
+	for time.Now().Before(end) && f.Version() == 0 {
+		readers, known := f.cfg.Readers()
+		if known && len(readers) == 0 || !known && time.Until(end) < firstReadDelay-firstRoleTimeout {
+			return
+		}
+		if known {
+			f.startRound()
+		}
+		if !wait.For(ctx, startInterval) {
+			return
+		}
+	}
+}
+
 // maxReadDelay returns the longest delay between own reads of the store while nothing
 // confirms the version in force. Once the store answers again, what is left of
 // Config.Within is enough for a read that fails by its timeout and another one.
--- a/internal/node/largedoc_test.go
+++ b/internal/node/largedoc_test.go
@@ -129,3 +129,22 @@
 		}
 	})
 }
+
+// TestStartWithLargeDocument guards against a fleet that starts all at once and stays without
+// a catalogue, as each VM reads a large one from the store through the link between regions.
+func TestStartWithLargeDocument(t *testing.T) {
+	for _, vms := range []int{24, 89} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSimFleet(vms, func([]member.Info) []disruption { return nil })
+				s.links = simLinks{vmRate: narrowVMLink, regionRate: narrowRegionLink}
+				s.documents = fillerDocuments(2, maxDocument)
+				s.version = 1
+				if breach := s.run(t.Context(), nil); breach != "" {
+					t.Error(breach)
+				}
+				t.Logf("longest time to the last VM: %v", s.slowest)
+			})
+		})
+	}
+}
