End a read of the store when another VM has sent the version

After an outage of the store, or at a start, many VMs read a large document at once, and each went on with it after another VM had sent the document in a tenth of the bytes; those reads were what the others waited for.

Change: a read of the whole document ends when a version is put in force meanwhile.

Measured: TestSupersededRead fails without the change.

--- a/internal/follow/poll_test.go
+++ b/internal/follow/poll_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -97,3 +98,28 @@
 	is.NoErr(err)
 	is.Equal(r.GetStoreRevision(), int64(0))
 }
+
+// hangingStore is a store whose answers come for as long as the caller waits.
+type hangingStore struct{ store.Store }
+
+func (hangingStore) Get(ctx context.Context, _ string) (store.Entry, error) {
+	<-ctx.Done()
+	return store.Entry{}, ctx.Err()
+}
+
+// TestSupersededRead guards against a read of a large document that goes on, and takes the
+// capacity of the link, when another VM has sent the version.
+func TestSupersededRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := New(Config{Store: hangingStore{}, Key: "catalogue", Decode: decode})
+		begun := time.Now()
+		time.AfterFunc(time.Second, func() { f.Apply(&catal.Catalogue{Version: 5}, "reader") })
+		_, err := f.readStore(t.Context())
+		is.Equal(err, errSuperseded)
+		is.Equal(time.Since(begun), time.Second)
+		_, err = f.readStore(t.Context())
+		is.Equal(err, context.DeadlineExceeded)
+		is.Equal(time.Since(begun), time.Second+readTimeout)
+	})
+}
--- a/internal/follow/watch.go
+++ b/internal/follow/watch.go
@@ -21,6 +21,12 @@
 	failures := 0
 	for ctx.Err() == nil {
 		rev, err := f.readStore(ctx)
+		if errors.Is(err, errSuperseded) {
+			if !f.watches() {
+				f.awaitUnconfirmed(ctx, 0)
+			}
+			continue
+		}
 		f.setStoreUp(err)
 		if failures++; err == nil {
 			failures = 0
@@ -215,10 +221,15 @@
 
 // readDocument reads the key, and returns the revision from which to watch it.
 func (f *Follower) readDocument(ctx context.Context) (store.Revision, error) {
+	ctx, end := f.untilChanged(ctx)
+	defer end()
 	asked, inForce := f.cfg.Clock(), f.Version()
 	sent := time.Now()
 	e, err := f.cfg.Store.Get(ctx, f.cfg.Key)
 	took := time.Since(sent)
+	if err != nil && errors.Is(context.Cause(ctx), errSuperseded) {
+		return 0, errSuperseded
+	}
 	if err != nil {
 		f.logFetchFailed(delivery{from: FromStore, took: took}, 0, err)
 		return 0, err
@@ -240,6 +251,24 @@
 	return rev, nil
 }
 
+// errSuperseded is the cause of the end of a read when another VM has sent a newer version
+// meanwhile.
+var errSuperseded = errors.New("follow: another VM has sent a newer version")
+
+// untilChanged returns a context that ends with errSuperseded when a version is put in force.
+func (f *Follower) untilChanged(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	changed := f.Changed()
+	go func() {
+		select {
+		case <-changed:
+			cancel(errSuperseded)
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, func() { cancel(nil) }
+}
+
 // applyEntry decodes and applies a catalogue from the store, which took a time to arrive.
 func (f *Follower) applyEntry(e store.Entry, took time.Duration) {
 	c, err := guard.Call(f.cfg.Log, "catalogue", "", func() (*catal.Catalogue, error) { return f.cfg.Decode(e.Value) })
