Pull a document from one VM at a time

A VM that searches for a newer version asks up to eight random VMs and its readers at once, and pulled the document from each of them that had it: the less a VM could get, the more was sent to it, on the link that was the reason.

Change: pulls of a VM take turns; one whose version has come meanwhile is not made.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -195,6 +195,8 @@
 	started    time.Time
 	evacuation evacuation
 
+	// pulling has an element while a document is pulled.
+	pulling  chan struct{}
 	encodeMu sync.Mutex
 	encoded  *encoded
 }
@@ -211,7 +213,7 @@
 	if cfg.WatchTimeout == nil {
 		cfg.WatchTimeout = func() time.Duration { return ReaderWatchTimeout }
 	}
-	f := &Follower{cfg: cfg, changed: make(chan struct{}), newVersion: make(chan struct{}, 1), started: cfg.Clock()}
+	f := &Follower{cfg: cfg, changed: make(chan struct{}), newVersion: make(chan struct{}, 1), pulling: make(chan struct{}, 1), started: cfg.Clock()}
 	f.evacuation.state.Within, f.evacuation.resumed = cfg.EvacuateWithin, make(chan struct{})
 	return f
 }
--- a/internal/follow/pull.go
+++ b/internal/follow/pull.go
@@ -29,10 +29,32 @@
 // maxReplyBytes exceeds the size of any document, in bytes.
 const maxReplyBytes = 4 << 20
 
+// beginPull waits for its turn to pull, and reports whether it has come within callTimeout.
+func (f *Follower) beginPull(ctx context.Context) bool {
+	t := time.NewTimer(callTimeout)
+	defer t.Stop()
+	select {
+	case f.pulling <- struct{}{}:
+		return true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
+func (f *Follower) endPull() { <-f.pulling }
+
 // pull fetches the catalogue that the VM at an address has offered, verifies its hash and
-// applies it.
+// applies it. One VM after the other is asked, as a round may find several that have it.
 func (f *Follower) pull(ctx context.Context, c peerpb.PeerClient, address string, offer *peerpb.PushCatalogueReply) {
+	if !f.beginPull(ctx) {
+		return
+	}
+	defer f.endPull()
 	offered := ident.Version(offer.GetVersion())
+	if offered <= f.Version() {
+		return // it came from another VM meanwhile
+	}
 	ctx, cancel := context.WithTimeout(ctx, pullTimeout(offer.GetDocumentBytes()))
 	defer cancel()
 	asked := time.Now()
--- a/internal/follow/pull_test.go
+++ b/internal/follow/pull_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -80,3 +82,37 @@
 		is.Equal(f.Version(), ident.Version(5))
 	})
 }
+
+// TestOnePull guards against a VM that searches for a newer version and pulls the document
+// from each VM that has it at the same time.
+func TestOnePull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var all addresses
+		for i := range 8 {
+			all = append(all, fmt.Sprint(i))
+		}
+		sender := New(Config{})
+		sender.Apply(&catal.Catalogue{Version: 5}, FromStore)
+		peers := &countingPeer{slowPeer: slowPeer{f: sender}}
+		f := New(Config{Fleet: all, Peers: peers})
+		f.failedRounds.Store(maxFanoutDoublings)
+		f.compareRound(t.Context(), false)
+		is.Equal(f.Version(), ident.Version(5))
+		is.Equal(peers.pulls.Load(), int32(1))
+	})
+}
+
+// countingPeer counts the documents that it sends.
+type countingPeer struct {
+	slowPeer
+	pulls atomic.Int32
+}
+
+// Client implements Peers.
+func (p *countingPeer) Client(string) (peerpb.PeerClient, error) { return p, nil }
+
+func (p *countingPeer) GetCatalogue(ctx context.Context, r *peerpb.GetCatalogueRequest, o ...grpc.CallOption) (*peerpb.GetCatalogueReply, error) {
+	p.pulls.Add(1)
+	return p.slowPeer.GetCatalogue(ctx, r, o...)
+}
