--- a/internal/lists/lists.go
+++ b/internal/lists/lists.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/binary"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
+	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/grpc/status"
 
 	"chervilspan.example/internal/evlog"
@@ -26,6 +29,9 @@
 	// a cached list, for requests that accept a stale list and those that don't.
 	maxStaleAge = 500 * time.Millisecond
 	maxFreshAge = 800 * time.Millisecond
+	// minCompressedBytes is the size of a list from which on it is sent compressed; a smaller
+	// one is sent in the time that this would take.
+	minCompressedBytes = 4 << 10
 	// maxHops is the number of VMs that pass a request on: a reader of a zone and one
 	// of its region. VMs whose lists of VMs differ could otherwise ask each other.
 	maxHops = 2
@@ -202,12 +208,25 @@
 	if reply.Unchanged = req.Known == c.digest; reply.Unchanged {
 		return reply, nil
 	}
+	size := 0
 	for _, e := range c.entries {
+		size += len(e.Key) + len(e.Value)
 		reply.Entries = append(reply.Entries, &peerpb.ListEntry{Key: e.Key, Value: e.Value, Revision: int64(e.Revision), Lease: int64(e.Lease)})
 	}
+	if size > minCompressedBytes {
+		compressReply(ctx)
+	}
 	return reply, nil
 }
 
+// compressReply has the reply to a call compressed, unless the caller is a VM of an earlier
+// release, which can't read it then. The entries of a list repeat their fields.
+func compressReply(ctx context.Context) {
+	if names, err := grpc.ClientSupportedCompressors(ctx); err == nil && slices.Contains(names, gzip.Name) {
+		_ = grpc.SetSendCompressor(ctx, gzip.Name) // an error means that the reply is sent as it is
+	}
+}
+
 func (r *Reader) cacheEntry(q query) *cachedList {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/lists/lists_test.go
+++ b/internal/lists/lists_test.go
@@ -1,6 +1,8 @@
 package lists_test
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"chervilspan.example/internal/linktest"
 	"chervilspan.example/internal/lists"
 	"chervilspan.example/internal/peer"
+	"chervilspan.example/internal/usage"
 	"chervilspan.example/pkg/store"
 )
 
@@ -190,3 +193,38 @@
 	is.Equal(own.CallCount()-setupCalls, 1)
 	is.Equal(first.CallCount()-setupCalls, 1) // not asked again within avoidPeriod
 }
+
+// TestLargeList guards against a list of many entries that is sent as it is: the VMs of a
+// zone ask the same reader, and give up after readerTimeout whatever its link can carry.
+func TestLargeList(t *testing.T) {
+	is := is.New(t)
+	const entries = 1100
+	s := &linktest.Store{}
+	size := 0
+	for i := range entries {
+		id := fmt.Sprintf("i-%08x", rand.Uint32())
+		value := fmt.Sprintf(`{"Service":"service-%d","Address":"10.%d.%d.%d:8643","Zone":"zone-%d","Version":"v1","Capacity":5,"State":"ready","ColdLeftMs":0,"DbRole":"replica","Sequence":%d,"born":%d}`,
+			i/3, rand.N(250), rand.N(250), rand.N(250), i%6, rand.N(1000), 1_770_000_000_000+rand.N(1_000_000_000))
+		size += len(id) + len(value)
+		_, err := s.Put(t.Context(), store.Write{Key: "targets/" + id, Value: []byte(value)})
+		is.NoErr(err)
+	}
+	table := usage.New(usage.Place{})
+	cache := peer.NewCache(peer.CacheConfig{AllowPlaintext: true, Usage: table})
+	defer cache.Close()
+	reader := serveReader(t, s, &clock{})
+	r := lists.New(lists.Config{Store: &linktest.Store{}, Peers: cache, Readers: func() []string { return []string{reader} }})
+	got, _, err := r.List(t.Context(), "targets/", true)
+	is.NoErr(err)
+	is.Equal(len(got), entries)
+	var sent uint64
+	for _, row := range table.Rows() {
+		if row.Mechanism == usage.Peers {
+			sent += row.Bytes
+		}
+	}
+	is.True(sent > 0)
+	if sent > uint64(size/3) {
+		t.Errorf("%d bytes were sent for a list of %d", sent, size)
+	}
+}
