Keep only the compressed form of a document

A VM kept the plain text of the last version beside the compressed one, up to 1 MB, for VMs of an earlier release.

Change: their text is decompressed when they ask. The memory was not measured.

--- a/internal/follow/pull.go
+++ b/internal/follow/pull.go
@@ -106,7 +106,6 @@
 // encoded is a catalogue as it is sent to other VMs.
 type encoded struct {
 	version ident.Version
-	plain   []byte
 	gzip    []byte
 	sha256  []byte
 }
@@ -117,7 +116,7 @@
 		return nil, err
 	}
 	sum := sha256.Sum256(doc)
-	return &encoded{version: c.Version, plain: doc, gzip: catal.Compress(doc), sha256: sum[:]}, nil
+	return &encoded{version: c.Version, gzip: catal.Compress(doc), sha256: sum[:]}, nil
 }
 
 // encode returns a catalogue as it is sent to other VMs. The last one is kept: the VMs that
@@ -163,8 +162,8 @@
 	reply := &peerpb.GetCatalogueReply{Version: uint64(e.version), Sha256: e.sha256}
 	if r.GetGzip() {
 		reply.DocumentGzip = e.gzip
-	} else {
-		reply.Document = e.plain
+		return reply, nil
 	}
-	return reply, nil
+	reply.Document, err = catal.Decompress(e.gzip)
+	return reply, err
 }
