Leave the read of a large changed document to few VMs after an outage

After an outage all VMs find at about the same time that the document has changed, and each reads it whole: 45 times 1.4 MB through the link between regions, which carries 7.5 MB/s. A version written at the end of the outage is 6 s late.

Change: a VM that doesn't watch the store asks for at most 32 kB. If the answer is larger, it asks other VMs for the version for as long as the bound allows, counted from its last confirmation or failed read, 3 s at the most, and then reads it. A poll that brings a document ends too when another VM has sent the version.

--- a/internal/follow/budget_test.go
+++ b/internal/follow/budget_test.go
@@ -45,6 +45,8 @@
 	hop := []step{{"next round", round}, {"answer", answerTime}}
 	deadHop := []step{{"next round", round}, {"first reader", compareTimeout}, {"other reader", answerTime}}
 	ownRead := []step{{"role checked", roleInterval}, {"own read", answerTime}}
+	// Other VMs are awaited between the two reads only if the bound leaves time for it.
+	ownLargeRead := []step{{"read that shows the size", answerTime}, {"own read", answerTime}, {"document", largeFromStore}}
 	largeHop := append([]step{{"document", largeFromVM}}, hop...)
 	stale := append([]step{{"confirmation too old", maxAnswerAge}}, hop...)
 	ways := map[string][][]step{
@@ -56,9 +58,10 @@
 		"an outage ends, no readers":      {{{"delay after a failed read", f.maxReadDelay()}, {"role checked", roleInterval}, {"own read", answerTime}}},
 		"calm, the largest document":      {{{"watch", answerTime}, {"document", largeFromStore}}, largeHop, largeHop},
 		"an outage ends, no readers, the largest document": {
-			{{"delay after a failed read", f.maxReadDelay()}, {"role checked", roleInterval}, {"own read", answerTime}, {"document", largeFromStore}},
+			{{"delay after a failed read", f.maxReadDelay()}, {"role checked", roleInterval}}, ownLargeRead,
 		},
-		"a VM starts with the largest document, no readers": {{{"readers awaited", firstReadDelay}, {"own read", answerTime}, {"document", largeFromStore}}},
+		"all readers without the store, the largest document": {stale, {{"role checked", roleInterval}}, ownLargeRead},
+		"a VM starts with the largest document, no readers":   {{{"readers awaited", firstReadDelay}}, ownLargeRead},
 		"connections go silent": {
 			{{"watch fails, or the reader's connection is replaced", max(silentWatch+retryRead+answerTime, round+peerReplaced)}},
 			deadHop, deadHop,
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -81,6 +81,12 @@
 	// readTimeout bounds a read of the store with the time in which its answer comes: the
 	// largest document takes 1.1 s on an idle link of 10 Mbit/s.
 	readTimeout = 10 * time.Second
+	// largeAnswer is the size, in bytes, from which on an answer of the store takes a narrow
+	// link for long: largeReadTime at most on an idle one of 10 Mbit/s. maxLargeReadDelay is
+	// how long such an answer is left to other VMs at most.
+	largeAnswer       = 32 << 10
+	largeReadTime     = 1300 * time.Millisecond
+	maxLargeReadDelay = 3 * time.Second
 	// compareTimeout bounds a comparison, so that others are asked in time if a VM does not
 	// answer.
 	compareTimeout = 400 * time.Millisecond
@@ -170,6 +176,8 @@
 	reader string
 	// heardAt is when the store last answered a read or watch of this VM.
 	heardAt time.Time
+	// readFailedAt is when the last read of the store that failed began.
+	readFailedAt time.Time
 	// confirming is closed when the wait of callers for a confirmation ends, nil if none
 	// waits; confirmFailedAt is when such a wait last ended in vain.
 	confirming      chan struct{}
--- a/internal/follow/poll_test.go
+++ b/internal/follow/poll_test.go
@@ -127,3 +127,43 @@
 		is.Equal(time.Since(begun), time.Second+readTimeout)
 	})
 }
+
+// largeStore has a large document, of which it counts the whole answers.
+type largeStore struct {
+	store.Store
+	whole int
+}
+
+func (s *largeStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	if store.MaxAnswer(ctx) > 0 {
+		return store.Entry{}, &store.Error{Op: "get", Key: key, Kind: store.KindTooLarge}
+	}
+	s.whole++
+	return store.Entry{Key: key, Value: []byte("7"), Revision: 7}, nil
+}
+
+// TestLargeReadLeftToOthers guards against a large document being read by all VMs at once
+// where one of them can send it, and against a VM to which none sends it and that waits
+// longer than the bound allows.
+func TestLargeReadLeftToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &largeStore{}
+		readers := func() ([]string, bool) { return []string{"reader"}, true }
+		f := New(Config{Store: s, Key: "catalogue", Decode: decode, Readers: readers, Within: budget})
+		time.AfterFunc(time.Second, func() { f.Apply(&catal.Catalogue{Version: 7}, "reader") })
+		_, err := f.readStore(t.Context())
+		is.Equal(err, errSuperseded)
+		is.Equal(s.whole, 0)
+		f = New(Config{Store: s, Key: "catalogue", Decode: decode, Readers: readers, Within: budget})
+		begun := time.Now()
+		_, err = f.readStore(t.Context())
+		is.NoErr(err)
+		is.Equal(s.whole, 1)
+		is.Equal(f.Version(), ident.Version(7))
+		is.Equal(time.Since(begun), maxLargeReadDelay)
+		f.confirmedAt = time.Now().Add(-budget)
+		f.started = f.confirmedAt
+		is.Equal(f.largeReadDelay(), time.Duration(0))
+	})
+}
--- a/internal/follow/reader_test.go
+++ b/internal/follow/reader_test.go
@@ -147,7 +147,7 @@
 // in short succession.
 func TestStoreAway(t *testing.T) {
 	runChain(t, 6, func(is *is.I, c *chain) {
-		time.Sleep(3 * time.Second)
+		time.Sleep(firstReadDelay + time.Second) // there is no version that readers could send
 		for _, s := range c.stores {
 			s.SetDown(true)
 		}
--- a/internal/follow/watch.go
+++ b/internal/follow/watch.go
@@ -176,29 +176,93 @@
 }
 
 // readStore learns the version in the store, and returns the revision from which to watch
-// it. It asks for what has changed since the version in force was confirmed, and for the
-// whole document only if the store can't tell: the document may be large, and all VMs may
-// read it at once after an outage.
+// it. Unless this VM watches the store, a large document is left to other VMs for as long as
+// Config.Within allows: after an outage all VMs find at about the same time that it has
+// changed.
 func (f *Follower) readStore(ctx context.Context) (store.Revision, error) {
 	ctx, cancel := context.WithTimeout(store.WithAnswerTimeout(ctx, callTimeout), readTimeout)
 	defer cancel()
-	if p, ok := f.cfg.Store.(store.Poller); ok {
-		rev, err := f.pollStore(ctx, p)
-		var e *store.Error
-		if rev != 0 && !(errors.As(err, &e) && e.Kind == store.KindCompacted) {
-			return rev, err
+	if f.watches() {
+		return f.readChanges(ctx)
+	}
+	rev, err := f.readChanges(store.WithMaxAnswer(ctx, largeAnswer))
+	if !store.IsKind(err, store.KindTooLarge) {
+		return rev, err
+	}
+	if f.awaitSent(ctx, f.largeReadDelay()) {
+		return 0, errSuperseded
+	}
+	return f.readChanges(ctx)
+}
+
+// largeReadDelay returns how long the read of a large document may wait. A version that is
+// not known yet was acknowledged after the last confirmation, and after the last read that
+// failed, as the store then had an outage for this VM.
+func (f *Follower) largeReadDelay() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	since := f.started
+	for _, at := range []time.Time{f.confirmedAt, f.readFailedAt} {
+		if at.After(since) {
+			since = at
+		}
+	}
+	left := f.cfg.Within - f.cfg.Clock().Sub(since) - largeReadTime
+	return min(max(left, 0), maxLargeReadDelay)
+}
+
+// awaitSent waits for some time until another VM has sent a version, and reports whether one
+// has.
+func (f *Follower) awaitSent(ctx context.Context, d time.Duration) bool {
+	changed := f.Changed()
+	t := time.NewTimer(d)
+	defer t.Stop()
+	for {
+		f.startRound()
+		select {
+		case <-changed:
+			return true
+		case <-t.C:
+			return false
+		case <-ctx.Done():
+			return false
+		case <-time.After(startInterval):
 		}
 	}
-	return f.readDocument(ctx)
+}
+
+// readChanges asks the store for what has changed since the version in force was confirmed,
+// and for the whole document only if the store can't tell. It ends with errSuperseded when
+// another VM sends a newer version meanwhile.
+func (f *Follower) readChanges(ctx context.Context) (store.Revision, error) {
+	ctx, end := f.untilChanged(ctx)
+	defer end()
+	sent := f.cfg.Clock()
+	rev, err := f.pollStore(ctx)
+	if rev == 0 || store.IsKind(err, store.KindCompacted) {
+		rev, err = f.readDocument(ctx)
+	}
+	if err != nil && errors.Is(context.Cause(ctx), errSuperseded) {
+		return 0, errSuperseded
+	}
+	if err != nil && !store.IsKind(err, store.KindTooLarge) {
+		f.logFetchFailed(delivery{from: FromStore, took: f.cfg.Clock().Sub(sent)}, 0, err)
+		f.mu.Lock()
+		f.readFailedAt = sent
+		f.mu.Unlock()
+	}
+	return rev, err
 }
 
 // pollStore asks the store for changes since the version in force was last confirmed, and
-// returns the revision up to which it knows them: 0 if no such confirmation is known.
-func (f *Follower) pollStore(ctx context.Context, p store.Poller) (store.Revision, error) {
+// returns the revision up to which it knows them: 0 if no such confirmation is known, or the
+// store can't tell.
+func (f *Follower) pollStore(ctx context.Context) (store.Revision, error) {
 	f.mu.Lock()
 	v, rev := f.Version(), f.confirmedRev
 	f.mu.Unlock()
-	if rev == 0 {
+	p, ok := f.cfg.Store.(store.Poller)
+	if rev == 0 || !ok {
 		return 0, nil
 	}
 	asked := f.cfg.Clock()
@@ -213,25 +277,16 @@
 		}
 		f.applyEvent(&ev, asked)
 	})
-	if err != nil {
-		f.logFetchFailed(delivery{from: FromStore, took: f.cfg.Clock().Sub(asked)}, 0, err)
-	}
 	return rev, err
 }
 
 // readDocument reads the key, and returns the revision from which to watch it.
 func (f *Follower) readDocument(ctx context.Context) (store.Revision, error) {
-	ctx, end := f.untilChanged(ctx)
-	defer end()
 	asked, inForce := f.cfg.Clock(), f.Version()
 	sent := time.Now()
 	e, err := f.cfg.Store.Get(ctx, f.cfg.Key)
 	took := time.Since(sent)
-	if err != nil && errors.Is(context.Cause(ctx), errSuperseded) {
-		return 0, errSuperseded
-	}
 	if err != nil {
-		f.logFetchFailed(delivery{from: FromStore, took: took}, 0, err)
 		return 0, err
 	}
 	if f.evacuates() {
--- a/internal/node/largedoc_test.go
+++ b/internal/node/largedoc_test.go
@@ -151,3 +151,25 @@
 		})
 	}
 }
+
+// TestLargeVersionAfterOutage guards against a large version that is late after an outage of
+// the store: all VMs read it at once, if the store has lost the history since they knew of it
+// too.
+func TestLargeVersionAfterOutage(t *testing.T) {
+	for _, forgetful := range []bool{false, true} {
+		t.Run(fmt.Sprint("forgetful ", forgetful), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const vms = 89
+				end := simWarmup + 20*time.Second
+				s := newSimFleet(vms, func([]member.Info) []disruption { return []disruption{{storeDown, nil, simWarmup, end}} })
+				s.links = simLinks{vmRate: narrowVMLink, regionRate: narrowRegionLink}
+				s.documents, s.forgetful = fillerDocuments(4, maxDocument), forgetful
+				s.version = 2
+				if breach := s.run(t.Context(), []time.Duration{end}); breach != "" {
+					t.Error(breach)
+				}
+				t.Logf("longest time to the last VM in touch: %v", s.slowest)
+			})
+		})
+	}
+}
--- a/internal/node/simcall_test.go
+++ b/internal/node/simcall_test.go
@@ -70,7 +70,17 @@
 
 // receive waits until an entry has come from the store, in base64.
 func (s simStore) receive(ctx context.Context, e store.Entry) error {
-	return s.fleet.links.send(ctx, base64.StdEncoding.EncodedLen(len(e.Value)), member.Info{VM: simStoreName, Region: "r1"}, s.self)
+	size := base64.StdEncoding.EncodedLen(len(e.Value))
+	limit := int(store.MaxAnswer(ctx))
+	tooLarge := limit > 0 && size > limit
+	if tooLarge {
+		size = limit
+	}
+	err := s.fleet.links.send(ctx, size, member.Info{VM: simStoreName, Region: "r1"}, s.self)
+	if err == nil && tooLarge {
+		err = &store.Error{Op: "read", Kind: store.KindTooLarge}
+	}
+	return err
 }
 
 // Get implements store.Store.
@@ -95,6 +105,12 @@
 
 // Poll implements store.Poller.
 func (s simStore) Poll(ctx context.Context, _ string, from store.Revision, f func(store.Event)) error {
+	if s.fleet.forgetful {
+		if err := s.reachWithin(ctx, simAnswerTimeout); err != nil {
+			return err
+		}
+		return &store.Error{Op: "watch", Kind: store.KindCompacted}
+	}
 	_, err := s.poll(ctx, simPollHold, from, f)
 	return err
 }
--- a/internal/node/simfleet_test.go
+++ b/internal/node/simfleet_test.go
@@ -75,6 +75,8 @@
 	links       simLinks
 	// documents has the contents of versions; others consist of their number alone.
 	documents map[ident.Version][]byte
+	// forgetful is set if the store has lost its history at each poll.
+	forgetful bool
 
 	mu      sync.Mutex
 	version ident.Version
--- a/pkg/store/errors.go
+++ b/pkg/store/errors.go
@@ -1,5 +1,7 @@
 package store
 
+import "errors"
+
 // Kind classifies an Error.
 type Kind uint8
 
@@ -8,7 +10,8 @@
 	// KindUnavailable means that the store did not answer; a write may have
 	// taken effect.
 	KindUnavailable Kind = iota + 1
-	// KindTooLarge means that the value exceeds the store's size limit.
+	// KindTooLarge means that the value exceeds the store's size limit, or an answer that of
+	// WithMaxAnswer.
 	KindTooLarge
 	// KindLeaseEnded means that the lease of a write has ended; nothing was
 	// written.
@@ -41,5 +44,11 @@
 	return s
 }
 
+// IsKind reports whether an error is an *Error of a kind.
+func IsKind(err error, k Kind) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Kind == k
+}
+
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
