--- a/internal/limit/claim.go
+++ b/internal/limit/claim.go
@@ -81,8 +81,7 @@
 // recordFailedClaim records that claims got no answer, or that the lease has ended, in
 // which case nothing was written and the store has answered.
 func (l *Limiter) recordFailedClaim(err error, sls ...quota.Slice) error {
-	var e *store.Error
-	if errors.As(err, &e) && e.Kind == store.KindLeaseEnded {
+	if store.IsKind(err, store.KindLeaseEnded) {
 		l.recordLapse()
 		return nil
 	}
--- a/internal/node/simlink_test.go
+++ b/internal/node/simlink_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chervilspan.example/pkg/member"
+	"chervilspan.example/pkg/wait"
 )
 
 const (
@@ -90,12 +91,8 @@
 }
 
 func awaitTime(ctx context.Context, at time.Time) error {
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-t.C:
+	if wait.For(ctx, time.Until(at)) {
 		return nil
-	case <-ctx.Done():
-		return ctx.Err()
 	}
+	return ctx.Err()
 }
