Log promotion calls with their tokens and with what the databases answered

No line said which databases a failover had asked and fenced, or when it sent a call; promotion_unanswered had no token.

Change: event 418 promotion_called, before each call, with token, former primary, reason, the positions at which replicas were fenced and the databases that did not answer. Event 412 has the token.

--- a/internal/evlog/failover.go
+++ b/internal/evlog/failover.go
@@ -21,5 +21,6 @@
 	FormerDemoted       = register(Event{414, "former_demoted", zerolog.WarnLevel, "This VM has demoted a database that still took itself for the primary although another one leads in a higher term; `answered` says whether it confirmed that.", "Nothing; reads that it answered after its replacement are not passed on."})
 	InSyncRemoved       = register(Event{415, "insync_removed", zerolog.InfoLevel, "Databases that are gone were removed from the in-sync set of a group: every acknowledged commit is in two other logs.", "Nothing."})
 	FencesLifted        = register(Event{417, "fences_lifted", zerolog.WarnLevel, "Replicas that an interrupted failover had left fenced receive the primary's log again.", "Nothing. If it recurs, look for VMs that freeze or die during failovers."})
+	PromotionCalled     = register(Event{418, "promotion_called", zerolog.InfoLevel, "This VM calls the platform for a promotion, with `token`; `received` has the positions at which the databases were fenced, `silent` those that did not answer.", "Nothing. If acknowledged commits are missing, a database that is in neither list may have them."})
 	InSyncFailed        = register(Event{416, "insync_failed", zerolog.InfoLevel, "The in-sync set of a group could not be read or changed; this is tried again.", "Nothing while the store is down."})
 )
--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -28,6 +28,8 @@
 	// are.
 	fenced  []roster.Member
 	answers []reply
+	// statuses are the last answers of all databases that were asked.
+	statuses []reply
 	// demoted is set once the primary has confirmed its demotion.
 	demoted bool
 }
@@ -274,6 +276,7 @@
 	if f.mon.cfg.Unfenced {
 		f.mon.demoteOlder(replies)
 	}
+	f.statuses = replies
 	if id, ok := otherPrimary(replies, f.old); ok {
 		return nil, f.error("status", KindOtherPrimary, id)
 	}
@@ -321,6 +324,7 @@
 	c := f.claim
 	for f.mon.allowsCall(c) {
 		c.promotionSent = true
+		f.logPromotionCalled(m.ID)
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		v, err := f.mon.cfg.Promoter.Promote(call, f.st.id, m.ID, c.token)
 		cancel()
@@ -330,7 +334,7 @@
 		case err == nil:
 			return f.error("promote", KindRefused, m.ID)
 		}
-		f.mon.logPromotionUnanswered(f.st.id, m.ID, err)
+		f.mon.logPromotionUnanswered(f.st.id, m.ID, c.token, err)
 		if !wait.For(ctx, retryDelay) {
 			break
 		}
--- a/internal/lead/log.go
+++ b/internal/lead/log.go
@@ -39,8 +39,24 @@
 		Str("former", string(old)).Int64("token", int64(token)).Send()
 }
 
-func (mon *Monitor) logPromotionUnanswered(g ident.Group, id ident.Target, err error) {
-	evlog.At(mon.cfg.Log, evlog.PromotionUnanswered).Str("group", string(g)).Str("target", string(id)).Err(err).Send()
+// logPromotionCalled logs a promotion call with what the databases answered to their
+// fences.
+func (f *failover) logPromotionCalled(id ident.Target) {
+	received, silent := map[string]string{}, []string{}
+	for _, r := range f.answers {
+		received[string(r.member.ID)] = r.status.Received.String()
+	}
+	for _, r := range f.statuses {
+		if !r.answered {
+			silent = append(silent, string(r.member.ID))
+		}
+	}
+	evlog.At(f.mon.cfg.Log, evlog.PromotionCalled).Str("group", string(f.st.id)).Str("target", string(id)).Str("former", string(f.old)).
+		Int64("token", int64(f.claim.token)).Str("reason", string(f.why)).Any("received", received).Strs("silent", silent).Send()
+}
+
+func (mon *Monitor) logPromotionUnanswered(g ident.Group, id ident.Target, token store.Revision, err error) {
+	evlog.At(mon.cfg.Log, evlog.PromotionUnanswered).Str("group", string(g)).Str("target", string(id)).Int64("token", int64(token)).Err(err).Send()
 }
 
 func (mon *Monitor) logDemoted(r *reply, term ident.Term, answered bool) {
