Show that an unanswered promotion call outlives its accepted repeat

Cause: calls are repeated with the same token. When the repeat is accepted, the first call is still under way, and the platform accepts it too until it has seen a higher token.

--- a/internal/lead/settle_test.go
+++ b/internal/lead/settle_test.go
@@ -199,3 +199,19 @@
 		is.Equal(tokens[0], tokens[1])
 	})
 }
+
+// TestRepeatedCallVoid guards against a promotion call without an answer that is carried out
+// long after its repeat was accepted: it makes a database lead again that was demoted, and
+// ends the fences of the failover under way.
+func TestRepeatedCallVoid(t *testing.T) {
+	run(t, 2, func(is *is.I, f *fixture) {
+		called := f.awaitLateCall(is, 8*time.Second)
+		f.promoter.SetLateBy(0)
+		f.await(is, "promote")
+		f.promoter.SetLateBy(time.Hour) // for the calls that replace the primary
+		f.markLeaving(target(called))
+		f.await(is, "demote "+called)
+		time.Sleep(8 * time.Second)
+		is.Equal(f.promotions(), []string{"promote " + called})
+	})
+}
