Repeat an unanswered promotion call with a higher token

Cause: a call without an answer was repeated with the same token. The platform refuses calls with a lower token than one it has seen, so the first call stayed open after its repeat had been accepted, and the in-sync set said that none was. Carried out up to 12 s later, it made a demoted database lead again, which ends the fences of the failover under way. The call of that failover then took effect with a log that lacked what had been acknowledged since.

TestRepeatedCallVoid failed in 5 of 5 runs.

Change: before each repeat the claim is written again under its lease; its new revision is the token. If the store does not answer, the call is repeated as it is and stays recorded as open, so that the group is settled with a new claim. The first accepted call makes the platform refuse all others.

TestRepeatedCallStoreDown fails without the check in recordSettled.

--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
 	"chervilspan.example/pkg/ident"
@@ -32,7 +33,12 @@
 // heldClaim is a claim that this VM holds.
 type heldClaim struct {
 	lease store.LeaseID
+	// value is the stored claim, and token the revision of its last write.
+	value []byte
 	token store.Revision
+	// unanswered is true while a call with the present token got no answer. The platform
+	// accepts that call too, however late, until it has seen a higher token.
+	unanswered bool
 	// expiresAt is the end of the claim, by Config.Clock.
 	expiresAt time.Time
 	// promotionSent is true once a promotion call may have been sent.
@@ -68,6 +74,9 @@
 	return epoch, nil
 }
 
+// claimKey returns the key of the claim to a group.
+func claimKey(g ident.Group) string { return "failover/" + string(g) }
+
 // acquireClaim creates this VM's claim to a group.
 func (mon *Monitor) acquireClaim(ctx context.Context, g ident.Group, old ident.Target) (*heldClaim, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -82,11 +91,10 @@
 		return nil, &Error{Op: "claim", Kind: KindStore, Group: g, Err: err}
 	}
 	c := &heldClaim{lease: lease, expiresAt: sent.Add(ClaimTTL)}
-	value, err := json.Marshal(claim{mon.cfg.VM, old})
-	if err != nil {
+	if c.value, err = json.Marshal(claim{mon.cfg.VM, old}); err != nil {
 		return nil, &Error{Op: "claim", Kind: KindStore, Group: g, Err: err}
 	}
-	res, err := store.Swap(ctx, mon.cfg.Store, store.Write{Key: "failover/" + string(g), Value: value, Lease: lease})
+	res, err := store.Swap(ctx, mon.cfg.Store, store.Write{Key: claimKey(g), Value: c.value, Lease: lease})
 	if err != nil {
 		mon.releaseClaim(c)
 		return nil, &Error{Op: "claim", Kind: KindStore, Group: g, Err: err}
@@ -103,6 +111,28 @@
 	return c, nil
 }
 
+// raiseToken writes a held claim again, under its lease, so that it gets a higher token.
+// The error is of kind KindStore if the store did not answer; the token is then as before.
+func (mon *Monitor) raiseToken(ctx context.Context, g ident.Group, c *heldClaim) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	res, err := store.Swap(ctx, mon.cfg.Store, store.Write{Key: claimKey(g), Value: c.value, Lease: c.lease, Expected: c.token})
+	var e *store.Error
+	switch {
+	case errors.As(err, &e) && e.Kind == store.KindLeaseEnded:
+		return &Error{Op: "raise token", Kind: KindClaimExpired, Group: g, Err: err}
+	case err != nil:
+		return &Error{Op: "raise token", Kind: KindStore, Group: g, Err: err}
+	}
+	// An earlier write without an answer may have been carried out.
+	own := res.Done || res.Current.Lease == c.lease
+	if !own || res.Current.Revision <= c.token || res.Current.Revision.Epoch() != c.token.Epoch() {
+		return &Error{Op: "raise token", Kind: KindClaimExpired, Group: g}
+	}
+	c.token, c.unanswered = res.Current.Revision, false
+	return nil
+}
+
 // releaseClaim ends a claim. If the call fails, the claim ends with its lease.
 func (mon *Monitor) releaseClaim(c *heldClaim) {
 	mon.running.Add(1)
--- a/internal/lead/doc.go
+++ b/internal/lead/doc.go
@@ -28,7 +28,8 @@
 // the set until another one is seen to have the primary's log. Before the promotion
 // call is sent, the claim's expiry is
 // checked against Config.Clock, which has to count the time that the machine was
-// suspended. A call without an answer may still be carried out later. It is
+// suspended. A call without an answer may still be carried out later, unless the platform
+// has accepted one with a higher token: each repeat has one. The call is
 // written to the store before it is sent, and the replicas stay fenced until a call with a
 // higher token has been accepted: that of a later failover, or, when the primary is back,
 // one for the present primary, which changes nothing.
--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -334,20 +335,35 @@
 		case err == nil:
 			return f.error("promote", KindRefused, m.ID)
 		}
+		c.unanswered = true
 		f.mon.logPromotionUnanswered(f.st.id, m.ID, c.token, err)
 		if !wait.For(ctx, retryDelay) {
 			break
 		}
-		if retry == nil {
-			continue
+		if retry != nil {
+			if err := retry(); err != nil {
+				return err
+			}
 		}
-		if err := retry(); err != nil {
+		if err := f.raiseToken(ctx); err != nil {
 			return err
 		}
 	}
 	return f.error("promote", KindClaimExpired, m.ID)
 }
 
+// raiseToken gives the claim a higher token after a call that got no answer, so that the
+// platform refuses that call once it has accepted the next one. Without an answer of the
+// store the call is repeated as it is, and the group is settled later.
+func (f *failover) raiseToken(ctx context.Context) error {
+	err := f.mon.raiseToken(ctx, f.st.id, f.claim)
+	var e *Error
+	if errors.As(err, &e) && e.Kind == KindStore {
+		return nil
+	}
+	return err
+}
+
 // fenceRestarted makes sure, after a promotion call got no answer, that the database chosen
 // still has every acknowledged commit. A primary that is back would have commits acknowledged
 // by replicas that have restarted or joined since they were fenced: it is not replaced, and
--- a/internal/lead/settle.go
+++ b/internal/lead/settle.go
@@ -64,6 +64,9 @@
 	if err := f.requestPromotion(ctx, primary.member, nil); err != nil {
 		return err
 	}
+	if f.claim.unanswered {
+		return f.error("settle", KindNoAnswer, primary.member.ID)
+	}
 	f.claim.promotionSent = false // it was answered
 	if !wait.For(ctx, promotionDelay) || !f.mon.leads(f.st, &primary.member) {
 		return f.error("settle", KindNoAnswer, primary.member.ID)
@@ -151,8 +154,11 @@
 }
 
 // recordSettled writes to the store that no earlier promotion call is open. If that
-// fails, the group is settled once more.
+// fails, or a call with the last token is open, the group is settled once more.
 func (f *failover) recordSettled(ctx context.Context) {
+	if f.claim.unanswered {
+		return
+	}
 	if f.set.Call != nil {
 		if err := f.changeSet(ctx, func(s inSyncSet) inSyncSet {
 			s.Call = nil
--- a/internal/lead/settle_test.go
+++ b/internal/lead/settle_test.go
@@ -196,7 +196,8 @@
 		is.Equal(f.promotions(), []string{"promote " + called})
 		tokens := f.promoter.Tokens()
 		is.Equal(len(tokens), 2)
-		is.Equal(tokens[0], tokens[1])
+		is.True(tokens[0] < tokens[1])
+		is.Equal(strings.Count(f.log.String(), "primary_suspected"), 1)
 	})
 }
 
@@ -215,3 +216,20 @@
 		is.Equal(f.promotions(), []string{"promote " + called})
 	})
 }
+
+// TestRepeatedCallStoreDown guards against a promotion call without an answer that is
+// forgotten when it was repeated with the same token, as the store gave no higher one.
+func TestRepeatedCallStoreDown(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		f.awaitLateCall(is, 8*time.Second)
+		f.store.SetDown(true)
+		f.promoter.SetLateBy(0)
+		f.await(is, "promote")
+		f.store.SetDown(false)
+		time.Sleep(6 * time.Second) // the first claim ends with its lease
+		tokens := f.promoter.Tokens()
+		is.Equal(tokens[0], tokens[1])
+		is.True(tokens[len(tokens)-1] > tokens[1])
+		is.Equal(len(f.promotions()), 1)
+	})
+}
