--- a/internal/lead/fixture_test.go
+++ b/internal/lead/fixture_test.go
@@ -31,8 +31,10 @@
 	// mu guards monitors while VMs run.
 	mu       sync.Mutex
 	monitors []*lead.Monitor
-	log      bytes.Buffer
-	logger   zerolog.Logger
+	// pools has the connections of each VM.
+	pools  []*dbpool.Pools
+	log    bytes.Buffer
+	logger zerolog.Logger
 	// dialer and vmStore, unless nil, are the databases and the store as the next VM
 	// that starts reaches them.
 	dialer  dbpool.Dialer
@@ -159,7 +161,7 @@
 	})
 	mon.Watch([]ident.Group{"g"})
 	f.mu.Lock()
-	f.monitors = append(f.monitors, mon)
+	f.monitors, f.pools = append(f.monitors, mon), append(f.pools, pools)
 	f.mu.Unlock()
 	f.running.Go(func() { mon.Run(ctx) })
 }
--- a/internal/lead/soak_test.go
+++ b/internal/lead/soak_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -26,6 +27,7 @@
 var (
 	soakPlays = flag.Int("soak.plays", 60, "number of plays of TestNoCommitLost")
 	soakSeed  = flag.Uint64("soak.seed", 1, "seed of the first play")
+	soakAll   = flag.Bool("soak.all", false, "go on after a play that fails, and log no stories")
 )
 
 // Times of a play. A database's entry lapses like that of one that is silent for three
@@ -47,6 +49,21 @@
 type soakVM struct {
 	killed atomic.Bool
 	table  *roster.Table
+	// cut has until when databases are cut off from the VM, by id.
+	cut sync.Map
+}
+
+// reaches returns an error if the VM can't reach a database, after the wait for an answer.
+func (vm *soakVM) reaches(id ident.Target, deadline time.Time) error {
+	if vm.killed.Load() {
+		return errKilled
+	}
+	until, ok := vm.cut.Load(id)
+	if !ok || !time.Now().Before(until.(time.Time)) {
+		return nil
+	}
+	time.Sleep(time.Until(deadline))
+	return linktest.ErrNoAnswer
 }
 
 // soakStore is the store as one VM reaches it.
@@ -78,39 +95,51 @@
 type soakLink struct {
 	dbpool.Link
 	vm *soakVM
+	id ident.Target
 }
 
 func (d soakDialer) Dial(deadline time.Time, m *roster.Member, ws ident.Workspace) (dbpool.Link, dbop.Answer, error) {
-	if d.vm.killed.Load() {
-		return nil, dbop.Answer{}, errKilled
+	if err := d.vm.reaches(m.ID, deadline); err != nil {
+		return nil, dbop.Answer{}, err
 	}
 	l, a, err := d.Cluster.Dial(deadline, m, ws)
 	if l != nil {
-		l = soakLink{l, d.vm}
+		l = soakLink{l, d.vm, m.ID}
 	}
 	return l, a, err
 }
 
 func (l soakLink) Control(deadline time.Time, st dbop.Statement) (dbpool.Status, dbop.Answer, error) {
-	if l.vm.killed.Load() {
-		return dbpool.Status{}, dbop.Answer{}, errKilled
+	if err := l.vm.reaches(l.id, deadline); err != nil {
+		return dbpool.Status{}, dbop.Answer{}, err
 	}
 	return l.Link.Control(deadline, st)
 }
 
 func (l soakLink) Exchange(deadline time.Time, sts ...dbop.Statement) ([]dbop.Answer, error) {
-	if l.vm.killed.Load() {
-		return nil, errKilled
+	if err := l.vm.reaches(l.id, deadline); err != nil {
+		return nil, err
 	}
 	return l.Link.Exchange(deadline, sts...)
 }
 
+// soakKind says what plays have besides crashes, deaf replicas, releases, killed VMs and
+// outages of the store.
+type soakKind struct {
+	// lateCalls adds promotion calls that get no answer and are carried out late. With
+	// writers, the VMs write on connections of theirs, and databases are cut off, join and
+	// leave too; otherwise the primary commits all the time.
+	lateCalls, writers bool
+}
+
 // soak is a play: a group of three databases that commits all the time, VMs, and troubles.
 type soak struct {
 	*fixture
-	rnd     *rand.Rand
-	vms     []*soakVM
-	dbs     []ident.Target
+	rnd *rand.Rand
+	vms []*soakVM
+	dbs []ident.Target
+	// logs has the databases in the order of dbs. The cluster's lock guards their fields.
+	logs    []*linktest.DB
 	leaving map[ident.Target]bool
 	deaf    map[ident.Target]time.Time
 	downAt  map[ident.Target]time.Time
@@ -124,22 +153,33 @@
 	faults  []string
 	story   []string
 	began   time.Time
-	// lateCalls adds calls that get no answer and are carried out late.
-	lateCalls bool
+	soakKind
+	// muted has when databases do not reach the store but the VMs.
+	muted map[ident.Target]period
+	// commitRnd draws the replica that acknowledges a write, under the cluster's lock.
+	commitRnd *rand.Rand
+	// noteMu guards story.
+	noteMu sync.Mutex
 }
 
+// period is a span of time.
+type period struct{ from, until time.Time }
+
 func (s *soak) note(format string, args ...any) {
+	s.noteMu.Lock()
+	defer s.noteMu.Unlock()
 	s.story = append(s.story, fmt.Sprintf("%6.2f ", time.Since(s.began).Seconds())+fmt.Sprintf(format, args...))
 }
 
 // step commits one entry, if a primary leads and a replica receives it, and checks the log of
 // a database that has been promoted since the last step.
 func (s *soak) step() {
-	var logs []*linktest.DB
-	for _, id := range s.dbs {
-		s.cluster.Update(id, func(d *linktest.DB) { logs = append(logs, d) })
+	logs := s.logs
+	commit := s.commit
+	if s.writers {
+		commit = s.replicate
 	}
-	s.cluster.Update(s.dbs[0], func(*linktest.DB) { s.commit(logs) }) // holds the cluster's lock
+	s.cluster.Update(s.dbs[0], func(*linktest.DB) { commit(logs) }) // holds the cluster's lock
 	if s.stalled {
 		for _, mon := range s.monitors[s.killed.Load():] {
 			mon.ReportStalledWrite("g", s.primary)
@@ -149,23 +189,8 @@
 }
 
 func (s *soak) commit(dbs []*linktest.DB) {
-	i := slices.IndexFunc(dbs, func(d *linktest.DB) bool { return d.Primary })
-	if i < 0 {
-		return
-	}
-	p := dbs[i]
-	if p.ID != s.primary {
-		s.note("%s leads with %d, acknowledged are %d", p.ID, p.Index, s.acked)
-		if p.Index < s.acked {
-			s.faults = append(s.faults, fmt.Sprintf("%s leads with %d of %d acknowledged commits", p.ID, p.Index, s.acked))
-			s.acked = p.Index
-		}
-		s.primary = p.ID
-		for _, d := range dbs {
-			d.Index = min(d.Index, p.Index)
-		}
-	}
-	if p.Unreachable || p.Removed {
+	p := s.leader(dbs)
+	if p == nil || p.Unreachable || p.Removed {
 		return
 	}
 	p.Index++
@@ -173,20 +198,53 @@
 		s.stalled = true
 	}
 	for _, d := range dbs {
-		if d == p || d.Unreachable || d.Removed || d.FenceTerm > p.Term || time.Now().Before(s.deaf[d.ID]) {
-			continue
+		if s.receives(d, p) {
+			d.Index = p.Index
+			s.acked, s.ackedAt = max(s.acked, p.Index), time.Now()
 		}
-		d.Index = p.Index
-		s.acked, s.ackedAt = max(s.acked, p.Index), time.Now()
 	}
 }
 
+// leader returns the primary, or nil. It checks the log of one that was promoted.
+func (s *soak) leader(dbs []*linktest.DB) *linktest.DB {
+	i := slices.IndexFunc(dbs, func(d *linktest.DB) bool { return d.Primary })
+	if i < 0 {
+		return nil
+	}
+	p := dbs[i]
+	if p.ID == s.primary {
+		return p
+	}
+	s.note("%s leads with %d, acknowledged are %d", p.ID, p.Index, s.acked)
+	if p.Index < s.acked {
+		s.faults = append(s.faults, fmt.Sprintf("%s leads with %d of %d acknowledged commits", p.ID, p.Index, s.acked))
+		s.acked = p.Index
+	}
+	s.primary = p.ID
+	for _, d := range dbs {
+		d.Index = min(d.Index, p.Index)
+	}
+	return p
+}
+
+// currentPrimary returns the database that led last.
+func (s *soak) currentPrimary() (id ident.Target) {
+	s.cluster.Update(s.dbs[0], func(*linktest.DB) { id = s.primary })
+	return id
+}
+
+// receives reports whether a database receives the log of the primary p.
+func (s *soak) receives(d, p *linktest.DB) bool {
+	return d != p && !d.Unreachable && !d.Removed && d.FenceTerm <= p.Term && !time.Now().Before(s.deaf[d.ID])
+}
+
 // list updates the lists of all VMs.
 func (s *soak) list() {
 	var entries []roster.Entry
 	for _, id := range s.dbs {
 		s.cluster.Update(id, func(d *linktest.DB) {
-			if d.Removed || d.Unreachable && time.Since(s.downAt[id]) > entryLapse {
+			muted := time.Since(s.muted[id].from) > entryLapse && time.Now().Before(s.muted[id].until)
+			if d.Removed || muted || d.Unreachable && time.Since(s.downAt[id]) > entryLapse {
 				return
 			}
 			entries = append(entries, roster.Entry{
@@ -205,6 +263,10 @@
 	s.vms = append(s.vms, vm)
 	s.dialer, s.vmStore = soakDialer{s.cluster, vm}, soakStore{s.store, vm}
 	s.startVM(vm.table)
+	if s.writers {
+		i := len(s.vms) - 1
+		s.running.Go(func() { s.write(vm, s.monitors[i], s.pools[i], rand.New(rand.NewPCG(s.rnd.Uint64(), 0))) })
+	}
 }
 
 // killVM kills the first VM by rank; another one starts a short time later.
@@ -223,6 +285,7 @@
 	s.note("%s crashes for %v", id, d)
 	s.downAt[id] = time.Now()
 	s.cluster.Update(id, func(db *linktest.DB) { db.Unreachable = true })
+	s.cluster.HangConns(id)
 	time.AfterFunc(d, func() {
 		s.cluster.Update(id, func(db *linktest.DB) { db.Unreachable, db.FenceTerm = false, 0 })
 	})
@@ -235,14 +298,28 @@
 
 // release replaces a database: a new one joins, the old one leaves.
 func (s *soak) release(id ident.Target) {
-	i := slices.IndexFunc(s.dbs, func(id ident.Target) bool { return s.isDown(id) && s.downAt[id].IsZero() && !s.leaving[id] })
-	if i < 0 || s.isDown(id) || s.leaving[id] {
+	if s.isDown(id) || s.leaving[id] || !s.join() {
 		return
 	}
+	s.note("%s leaves", id)
+	s.leave(id)
+}
+
+// join adds a database, if there is one left.
+func (s *soak) join() bool {
+	i := slices.IndexFunc(s.dbs, func(id ident.Target) bool { return s.isDown(id) && s.downAt[id].IsZero() && !s.leaving[id] })
+	if i < 0 {
+		return false
+	}
 	joined := s.dbs[i]
-	s.note("%s joins, %s leaves", joined, id)
+	s.note("%s joins", joined)
 	s.downAt[joined] = time.Now()
 	s.cluster.Update(joined, func(d *linktest.DB) { d.Removed, d.Index = false, 0 })
+	return true
+}
+
+// leave makes a database leave as planned.
+func (s *soak) leave(id ident.Target) {
 	s.leaving[id] = true
 	time.AfterFunc(drainTime, func() { s.cluster.Update(id, func(d *linktest.DB) { d.Removed = true }) })
 }
@@ -250,18 +327,18 @@
 // forgetGone drops commits from the check of which no database has a copy any more, since
 // those that had them have left.
 func (s *soak) forgetGone() {
-	var longest uint64
-	for _, id := range s.dbs {
-		s.cluster.Update(id, func(d *linktest.DB) {
+	s.cluster.Update(s.dbs[0], func(*linktest.DB) { // holds the cluster's lock
+		var longest uint64
+		for _, d := range s.logs {
 			if !d.Removed {
 				longest = max(longest, d.Index)
 			}
-		})
-	}
-	if longest < s.acked {
-		s.note("databases have left with the commits after %d", longest)
-		s.acked = longest
-	}
+		}
+		if longest < s.acked {
+			s.note("databases have left with the commits after %d", longest)
+			s.acked = longest
+		}
+	})
 }
 
 // trouble plays one drawn trouble.
@@ -281,14 +358,17 @@
 	if s.lateCalls {
 		kinds = 9
 	}
+	if s.writers {
+		kinds = 13
+	}
 	switch s.rnd.IntN(kinds) {
 	case 0, 1:
-		s.crash(s.primary, span)
+		s.crash(s.currentPrimary(), span)
 	case 2:
 		s.crash(id, span)
 	case 3:
 		s.note("%s is deaf for %v", id, span)
-		s.deaf[id] = time.Now().Add(span)
+		s.cluster.Update(id, func(*linktest.DB) { s.deaf[id] = time.Now().Add(span) })
 	case 4:
 		s.release(id)
 	case 5:
@@ -307,21 +387,31 @@
 		s.note("calls are carried out %v late for %v", late, span)
 		s.promoter.SetLateBy(late)
 		time.AfterFunc(span, func() { s.promoter.SetLateBy(0) })
+	default:
+		s.writerTrouble(id, span)
 	}
 }
 
 // play plays troubles with a seed and returns what broke, and the story.
-func play(t *testing.T, seed uint64, lateCalls bool) (faults, story []string) {
+func play(t *testing.T, seed uint64, kind soakKind) (faults, story []string) {
 	synctest.Test(t, func(t *testing.T) {
 		ids := targets(strings.Split("abcdefghijklmnopqrstuvwxyz", "")...)
 		s := &soak{
-			lateCalls: lateCalls, fixture: &fixture{cluster: linktest.New("g", ids...), store: &linktest.Store{}}, dbs: ids, primary: "a", began: time.Now(),
+			soakKind: kind, muted: map[ident.Target]period{}, commitRnd: rand.New(rand.NewPCG(seed, 1)),
+			fixture: &fixture{cluster: linktest.New("g", ids...), store: &linktest.Store{}}, dbs: ids, primary: "a", began: time.Now(),
 			rnd: rand.New(rand.NewPCG(seed, 0)), leaving: map[ident.Target]bool{}, deaf: map[ident.Target]time.Time{}, downAt: map[ident.Target]time.Time{},
 		}
-		for _, id := range ids[3:] {
-			s.cluster.Update(id, func(d *linktest.DB) { d.Removed = true })
+		for i, id := range ids {
+			s.cluster.Update(id, func(d *linktest.DB) {
+				d.Removed = i >= 3
+				s.logs = append(s.logs, d)
+			})
 		}
 		s.promoter = &linktest.Promoter{Cluster: s.cluster}
+		if s.writers {
+			s.promoter.Delay = promotionDelay
+			s.cluster.OnCommit(s.commitWrite)
+		}
 		ctx, cancel := context.WithCancel(t.Context())
 		s.ctx, s.logger = ctx, zerolog.New(zerolog.SyncWriter(&s.log)).With().Timestamp().Logger()
 		s.refresh = nil
@@ -362,17 +452,22 @@
 // TestNoCommitLost guards against promotions that lose acknowledged commits, and groups that
 // stay without a primary that commits, under drawn series of crashes, deaf replicas,
 // releases, killed VMs and outages of the store.
-func TestNoCommitLost(t *testing.T) { playAll(t, false) }
+func TestNoCommitLost(t *testing.T) { playAll(t, soakKind{}) }
 
 // TestNoCommitLostLateCalls is TestNoCommitLost with promotion calls that get no answer and
 // are carried out late.
-func TestNoCommitLostLateCalls(t *testing.T) { playAll(t, true) }
+func TestNoCommitLostLateCalls(t *testing.T) { playAll(t, soakKind{lateCalls: true}) }
 
-func playAll(t *testing.T, lateCalls bool) {
+func playAll(t *testing.T, kind soakKind) {
 	t.Helper()
 	for i := range *soakPlays {
 		seed := *soakSeed + uint64(i)
-		if faults, story := play(t, seed, lateCalls); len(faults) > 0 {
+		faults, story := play(t, seed, kind)
+		switch {
+		case len(faults) == 0:
+		case *soakAll:
+			t.Errorf("seed %d: %s", seed, strings.Join(faults, "; "))
+		default:
 			t.Errorf("seed %d: %s\n%s", seed, strings.Join(faults, "; "), strings.Join(story, "\n"))
 			return
 		}
--- a/internal/linktest/link.go
+++ b/internal/linktest/link.go
@@ -20,6 +20,8 @@
 	wrote     bool
 	closed    bool
 	epoch     int
+	// unacknowledged is set when a commit was not acknowledged.
+	unacknowledged bool
 }
 
 // Exchange implements dbpool.Link.
@@ -60,6 +62,9 @@
 	} else {
 		a = l.run(st)
 	}
+	if l.unacknowledged {
+		return dbop.Answer{}, false
+	}
 	if a.Code != dbop.OK && l.state == dbop.Open {
 		l.state = dbop.InError
 	}
@@ -140,6 +145,10 @@
 // it.
 func (l *link) commit() {
 	l.d.Index++
+	if l.c.replicate != nil {
+		l.unacknowledged = !l.c.replicate(l.d)
+		return
+	}
 	if l.d.Term < l.c.term {
 		return // the replicas follow a newer primary
 	}
--- a/internal/linktest/linktest.go
+++ b/internal/linktest/linktest.go
@@ -33,6 +33,9 @@
 	table *roster.Table
 	// formerGoesOn makes a replaced primary go on until it is demoted.
 	formerGoesOn bool
+	// replicate, unless nil, replicates a commit of the primary and reports whether it is
+	// acknowledged.
+	replicate func(primary *DB) bool
 	// controlLog has the control statements and promotions in the order in which
 	// they were carried out, as "kind target".
 	controlLog []string
@@ -168,6 +171,14 @@
 	c.formerGoesOn = on
 }
 
+// OnCommit makes f replicate the commits of primaries in place of the cluster, which holds
+// its lock meanwhile. A commit for which f returns false gets no answer.
+func (c *Cluster) OnCommit(f func(primary *DB) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.replicate = f
+}
+
 // Promote makes a database the primary.
 func (c *Cluster) Promote(id ident.Target) {
 	c.mu.Lock()
--- a/internal/linktest/store.go
+++ b/internal/linktest/store.go
@@ -317,6 +317,8 @@
 	LostCalls int
 	// LateBy, unless 0, makes calls get no answer and be carried out so much later.
 	LateBy time.Duration
+	// Delay is the time from the acceptance of a call to its effect.
+	Delay time.Duration
 	// Refuse makes every call be refused.
 	Refuse bool
 	// Ignore makes calls be accepted but not carried out.
@@ -357,9 +359,18 @@
 		return lead.Promoted
 	}
 	p.highest = token
-	if !p.Cluster.isPrimary(id) {
+	if p.Cluster.isPrimary(id) {
+		return lead.Promoted
+	}
+	if p.Delay == 0 {
 		p.Cluster.Promote(id)
+		return lead.Promoted
 	}
+	time.AfterFunc(p.Delay, func() {
+		if p.Cluster.isUp(id) {
+			p.Cluster.Promote(id)
+		}
+	})
 	return lead.Promoted
 }
 
