Hold commits back while a promotion under way may replace the primary

Cause: the fences of a failover cover the databases that were listed when they were set. One that joins or restarts later receives from a primary that is back, and acknowledges its commits until the promotion takes effect, 0.7 s after the call or, if the call got no answer, up to 12 s later. All VMs wrote to whatever database accepted a transaction. The class: a permission that outlives the knowledge on which it rests.

Change: a VM sends commits to a primary only while it trusts it. Trust begins with a check of the claim and of the open call in the store, and ends when the primary has not answered for 0.8 s, has failed to answer, or refused a transaction. A VM with the claim asks the others after the claim was made, and those with contact answer for the primary; others find the claim. A promoted database is trusted as soon as the last call names it. While the store does not answer, the fences of the replicas decide. An acknowledgement that arrives when trust has ended is checked again; if the database does not lead any more, the outcome is unknown. A VM that finds an open call helps to settle it. Events 419 and 420 tell of commits held back.

The check is made where the connection is (dbpool), so that it holds for connections lent to other VMs. In contact it costs no call to the store.

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -82,8 +82,10 @@
 	// statements on the connection.
 	Vars     map[string]string
 	Prepared map[string]bool
-	// state is the transaction state after the last answer.
+	// state is the transaction state after the last answer; wrote is set when a write was
+	// sent in the open transaction.
 	state dbop.State
+	wrote bool
 	// answeredAt is when the last answer was complete, sentAt when the last
 	// statements were sent.
 	answeredAt time.Time
@@ -115,6 +117,10 @@
 // kind KindBroken means that the outcome of the statements after the returned
 // answers is unknown.
 func (c *Conn) Do(deadline time.Time, sts ...dbop.Statement) ([]dbop.Answer, error) {
+	commit, refused := c.allowCommit(deadline, sts)
+	if refused != nil {
+		return refused, nil
+	}
 	if c.pool != nil {
 		release, refused := c.admit(deadline, sts)
 		if refused != nil {
@@ -144,6 +150,10 @@
 		return answers, &Error{Op: "run", Kind: KindBroken, Target: c.Target, Err: err}
 	}
 	c.answeredAt = time.Now()
+	if err := c.confirmCommit(deadline, commit, answers); err != nil {
+		c.broken = true
+		return answers[:commit], &Error{Op: "confirm", Kind: KindBroken, Target: c.Target, Err: err}
+	}
 	return answers, nil
 }
 
@@ -161,6 +171,7 @@
 
 // recordAnswer updates the session state after a statement and its answer.
 func (c *Conn) recordAnswer(st *dbop.Statement, a *dbop.Answer) {
+	c.recordWrite(st, a)
 	c.state = a.State
 	if a.Code != dbop.OK {
 		if a.Code == dbop.NoStatement && st.Kind == dbop.Execute {
--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -36,6 +36,9 @@
 	// Guard, unless nil, is asked before a statement is sent on a local connection.
 	Guard Guard
 
+	// Commits, unless nil, is asked before a commit is sent on a local connection.
+	Commits Commits
+
 	// Dials counts the attempts to open a connection.
 	Dials atomic.Uint64
 
--- a/internal/evlog/failover.go
+++ b/internal/evlog/failover.go
@@ -22,5 +22,7 @@
 	InSyncRemoved       = register(Event{415, "insync_removed", zerolog.InfoLevel, "Databases that are gone were removed from the in-sync set of a group: every acknowledged commit is in two other logs.", "Nothing."})
 	FencesLifted        = register(Event{417, "fences_lifted", zerolog.WarnLevel, "Replicas that an interrupted failover had left fenced receive the primary's log again.", "Nothing. If it recurs, look for VMs that freeze or die during failovers."})
 	PromotionCalled     = register(Event{418, "promotion_called", zerolog.InfoLevel, "This VM calls the platform for a promotion, with `token`; `received` has the positions at which the databases were fenced, `silent` those that did not answer.", "Nothing. If acknowledged commits are missing, a database that is in neither list may have them."})
+	CommitsHeld         = register(Event{419, "commits_held", zerolog.WarnLevel, "This VM sends no commits to a database that acts as the primary: a failover or a promotion call is under way that may replace it.", "Nothing. If `commits_released` does not follow within seconds, look for events 403 and 412 and for the VM that holds the claim."})
+	CommitsReleased     = register(Event{420, "commits_released", zerolog.InfoLevel, "Commits are sent again; `after` says how long they were held back.", "Nothing."})
 	InSyncFailed        = register(Event{416, "insync_failed", zerolog.InfoLevel, "The in-sync set of a group could not be read or changed; this is tried again.", "Nothing while the store is down."})
 )
--- a/internal/lead/confirm.go
+++ b/internal/lead/confirm.go
@@ -144,7 +144,7 @@
 	if verdict == rindex.Confirmed {
 		st.recordPosition(r, own.Position)
 		if r.reported.id != r.id {
-			st.recordPrimary(r.id) // it has answered
+			st.recordPrimary(r.id, mon.cfg.Clock()) // it has answered
 		}
 	}
 	st.mu.Lock()
--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -155,6 +155,8 @@
 // chooseSuccessor returns the database to promote, after it has made sure that no
 // commit which that database lacks can be acknowledged any more.
 func (f *failover) chooseSuccessor(ctx context.Context) (best roster.Member, err error) {
+	confirmed := make(chan bool, 1)
+	go func() { confirmed <- f.why == reasonSilent && f.mon.confirmedByPeer(ctx, f.st.id, f.old) }()
 	replies, err := f.collectStatuses()
 	if err != nil {
 		return best, err
@@ -166,6 +168,11 @@
 	if works {
 		return f.replaceWorking(ctx, &primary, replies)
 	}
+	// The other VMs are asked after the claim was made: one that has contact with the primary
+	// since before then may send commits there.
+	if <-confirmed {
+		return best, f.error("status", KindPrimaryWorks, f.old)
+	}
 	if id, ok := f.silentPrimary(ctx, replies); ok {
 		return best, f.error("status", KindPrimaryWorks, id)
 	}
@@ -183,7 +190,7 @@
 	confirmed := make([]bool, len(replies))
 	for i, r := range replies {
 		if r.answered || r.member.ID == f.old && f.why == reasonSilent {
-			continue // the other VMs were asked about a silent primary before
+			continue // the other VMs were asked already
 		}
 		wg.Go(func() { confirmed[i] = f.mon.confirmedByPeer(ctx, f.st.id, r.member.ID) })
 	}
--- a/internal/lead/fixture_test.go
+++ b/internal/lead/fixture_test.go
@@ -159,6 +159,7 @@
 		},
 		Log: f.logger,
 	})
+	pools.Commits = mon
 	mon.Watch([]ident.Group{"g"})
 	f.mu.Lock()
 	f.monitors, f.pools = append(f.monitors, mon), append(f.pools, pools)
--- a/internal/lead/former.go
+++ b/internal/lead/former.go
@@ -34,7 +34,7 @@
 	if changed {
 		mon.logLearned(st.id, id, pos)
 	}
-	st.recordPrimary(id)
+	st.recordPrimary(id, mon.cfg.Clock())
 }
 
 // resolve asks all databases for their terms, demotes the primaries of lower terms
@@ -52,7 +52,7 @@
 		if mon.cfg.Roster.ConfirmPrimary(st.id, current.member.ID) {
 			mon.logLearned(st.id, current.member.ID, current.status.Received)
 		}
-		st.recordPrimary(current.member.ID)
+		st.recordPrimary(current.member.ID, mon.cfg.Clock())
 	}
 	return rindex.Superseded
 }
--- a/internal/lead/insync.go
+++ b/internal/lead/insync.go
@@ -39,8 +39,11 @@
 
 // sentCall is a promotion call that may still be carried out.
 type sentCall struct {
+	// Token is that of the first try.
 	Token  store.Revision `json:"token"`
 	Target ident.Target   `json:"target"`
+	// From is the primary that the call replaces.
+	From ident.Target `json:"from,omitempty"`
 }
 
 // has reports whether a database is in the set.
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -237,7 +237,7 @@
 	if mon.cfg.Roster.ConfirmPrimary(g, id) {
 		mon.logLearned(g, id, pos)
 	}
-	st.recordPrimary(id)
+	st.recordPrimary(id, mon.cfg.Clock())
 }
 
 // Depose implements engine.Primaries.
@@ -245,7 +245,11 @@
 	if mon.cfg.Roster.DeposePrimary(g, id, time.Now()) {
 		mon.logDeposed(g, id)
 	}
-	mon.groupState(g).wake()
+	st := mon.groupState(g)
+	st.mu.Lock()
+	st.loseTrust()
+	st.mu.Unlock()
+	st.wake()
 }
 
 // ReportUnanswered implements engine.Primaries.
--- a/internal/lead/log.go
+++ b/internal/lead/log.go
@@ -83,3 +83,11 @@
 	}
 	evlog.At(mon.cfg.Log, evlog.FencesLifted).Str("group", string(g)).Strs("targets", ids).Send()
 }
+
+func (mon *Monitor) logCommitsHeld(g ident.Group, id ident.Target) {
+	evlog.At(mon.cfg.Log, evlog.CommitsHeld).Str("group", string(g)).Str("target", string(id)).Send()
+}
+
+func (mon *Monitor) logCommitsReleased(g ident.Group, id ident.Target, after time.Duration) {
+	evlog.At(mon.cfg.Log, evlog.CommitsReleased).Str("group", string(g)).Str("target", string(id)).Dur("after", after).Send()
+}
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -218,6 +218,7 @@
 	}
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.loseTrust()
 	if st.failingSince.IsZero() {
 		st.failingSince = time.Now()
 	}
--- a/internal/lead/settle.go
+++ b/internal/lead/settle.go
@@ -60,7 +60,11 @@
 
 // supersedeCalls makes the platform refuse all earlier promotion calls, by one for the
 // present primary, and waits until one that was accepted just before would have taken effect.
+// The call is recorded like others: the primary may be replaced before it is carried out.
 func (f *failover) supersedeCalls(ctx context.Context, primary *reply) error {
+	if err := f.recordCall(ctx, primary.member.ID); err != nil {
+		return err
+	}
 	if err := f.requestPromotion(ctx, primary.member, nil); err != nil {
 		return err
 	}
@@ -113,14 +117,14 @@
 	}
 }
 
-// recordCall writes to the store which database this attempt has promoted, before it sends
+// recordCall writes to the store which database this attempt wants to lead, before it sends
 // the call: if the call gets no answer, other VMs learn of it there.
 func (f *failover) recordCall(ctx context.Context, id ident.Target) error {
 	if !f.mon.keepsSet(f.st.id) {
 		return nil
 	}
 	if err := f.changeSet(ctx, func(s inSyncSet) inSyncSet {
-		s.Call = &sentCall{Token: f.claim.token, Target: id}
+		s.Call = &sentCall{Token: f.claim.token, Target: id, From: f.old}
 		return s
 	}); err != nil {
 		return err
@@ -184,12 +188,12 @@
 func (st *groupState) setUnsettled(unsettled bool) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.unsettled = unsettled
+	st.unsettled, st.openCallSeen = unsettled, false
 	st.dropKnownSet()
 }
 
 // hasOpenCall reports whether a promotion call may still be carried out, as far as this VM
 // knows. The caller holds st.mu.
 func (st *groupState) hasOpenCall() bool {
-	return st.unsettled || st.knownSet != nil && st.knownSet.Call != nil
+	return st.unsettled || st.openCallSeen || st.knownSet != nil && st.knownSet.Call != nil
 }
--- a/internal/lead/settle_test.go
+++ b/internal/lead/settle_test.go
@@ -233,3 +233,17 @@
 		is.Equal(len(f.promotions()), 1)
 	})
 }
+
+// TestSettlingCallRecorded guards against a call for the present primary that only its sender
+// knows of: carried out late, it makes that database lead again in place of the next one.
+func TestSettlingCallRecorded(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		f.awaitLateCall(is, time.Hour)
+		f.cluster.Update("a", func(d *linktest.DB) { d.Removed = false })
+		f.cluster.UpdateRoster()
+		time.Sleep(5 * time.Second)
+		e, err := store.Read(t.Context(), f.store, "insync/g")
+		is.NoErr(err)
+		is.True(strings.Contains(string(e.Value), `"target":"a","from":"a"`))
+	})
+}
--- a/internal/lead/state.go
+++ b/internal/lead/state.go
@@ -57,15 +57,25 @@
 	// unknown has since when databases of the in-sync set are known of which this VM has
 	// seen no entry.
 	unknown map[ident.Target]time.Time
-	// unsettled is set while a promotion call of this VM may still be carried out.
-	unsettled bool
+	// unsettled is set while a promotion call of this VM may still be carried out,
+	// openCallSeen if the last check found one of another VM.
+	unsettled, openCallSeen bool
+	// trust is the trust in the primary, and trustLosses counts how often it ended. check is
+	// the last check, which ended at checkedAt; heldSince is since when commits are held
+	// back, zero if they are not.
+	trust       trust
+	trustLosses int
+	check       *trustCheck
+	checkedAt   time.Time
+	heldSince   time.Time
 }
 
-// recordPrimary records that a database acted as the primary and wakes the callers
-// that wait for one.
-func (st *groupState) recordPrimary(id ident.Target) {
+// recordPrimary records that a database acted as the primary, at a time by Config.Clock,
+// and wakes the callers that wait for one.
+func (st *groupState) recordPrimary(id ident.Target, now time.Time) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
+	st.extendTrust(id, now)
 	if st.primary != id {
 		st.stalledWrites = 0
 	}
--- /dev/null
+++ b/internal/lead/trust_test.go
@@ -0,0 +1,141 @@
+package lead_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"chervilspan.example/internal/lead"
+	"chervilspan.example/internal/linktest"
+	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/store"
+)
+
+// allows reports whether the first VM sends commits to a database.
+func (f *fixture) allows(id string) bool {
+	m, ok := f.cluster.Roster().Member("g", target(id))
+	return ok && f.monitors[0].AllowCommit(time.Now().Add(time.Second), &m)
+}
+
+// claimFor claims the group for a VM that does nothing, to replace a database. It returns the
+// lease of the claim.
+func (f *fixture) claimFor(is *is.I, t *testing.T, from string) store.LeaseID {
+	is.Helper()
+	lease, err := f.store.GrantLease(t.Context(), lead.ClaimTTL)
+	is.NoErr(err)
+	value, err := json.Marshal(map[string]string{"vm": "other", "from": from})
+	is.NoErr(err)
+	res, err := store.Swap(t.Context(), f.store, store.Write{Key: "failover/g", Value: value, Lease: lease})
+	is.NoErr(err)
+	is.True(res.Done)
+	return lease
+}
+
+// TestHeldWhileCallOpen guards against commits that are sent to a primary that is back while a
+// promotion call is open: a replica that is not fenced acknowledges them, and the call takes
+// effect with a log that lacks them.
+func TestHeldWhileCallOpen(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		f.awaitLateCall(is, 9*time.Second)
+		f.cluster.Update("c", func(d *linktest.DB) { d.FenceTerm = 0 }) // it restarts
+		f.cluster.Update("a", func(d *linktest.DB) { d.Removed = false })
+		f.cluster.UpdateRoster()
+		for range 30 {
+			is.True(!f.allows("a"))
+			time.Sleep(100 * time.Millisecond)
+		}
+		f.promoter.SetLateBy(0)
+		time.Sleep(10 * time.Second)
+		is.True(f.allows("a") || f.allows("b"))
+	})
+}
+
+// TestHeldWhileClaimed guards against commits that are sent to a primary out of contact while
+// another VM decides about its replacement, and against commits that are held for longer.
+func TestHeldWhileClaimed(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		lease := f.claimFor(is, t, "a")
+		is.True(!f.allows("a"))
+		is.NoErr(f.store.RevokeLease(t.Context(), lease))
+		time.Sleep(200 * time.Millisecond)
+		is.True(f.allows("a"))
+		f.claimFor(is, t, "a")
+		is.True(f.allows("a")) // in contact since before
+	})
+}
+
+// TestPromotedNotHeld guards against a promoted database that waits for the end of the
+// failover that has promoted it.
+func TestPromotedNotHeld(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		f.promoter.Delay = 220 * time.Millisecond
+		f.remove("a")
+		f.await(is, "promote b")
+		f.cluster.Update("c", func(d *linktest.DB) { d.Silent = true }) // the failover waits for it
+		start := time.Now()
+		for !f.allows("b") {
+			is.True(time.Since(start) < 500*time.Millisecond)
+			time.Sleep(10 * time.Millisecond)
+		}
+	})
+}
+
+// TestHeldStoreDown guards against a primary that gets no commits while the store is down, and
+// against commits to one whose replicas are fenced then.
+func TestHeldStoreDown(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		f.store.SetDown(true)
+		is.True(f.allows("a"))
+		f.suspend(time.Minute) // contact is lost
+		f.leaveFenced("b", "c")
+		time.Sleep(200 * time.Millisecond)
+		is.True(!f.allows("a"))
+	})
+}
+
+// TestNoChecksInContact guards against calls to the store for commits to a primary with which
+// the VM has contact, and against trust that outlasts a suspension of the machine.
+func TestNoChecksInContact(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		time.Sleep(time.Second) // the in-sync set is stored
+		is.True(f.allows("a"))
+		calls := f.store.CallCount()
+		for range 100 {
+			is.True(f.allows("a"))
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(f.store.CallCount(), calls)
+		f.suspend(10 * time.Second)
+		is.True(f.allows("a"))
+		is.True(f.store.CallCount() > calls)
+	})
+}
+
+// TestUnconfirmedCommit guards against the acknowledgement of a commit by a database that was
+// replaced before its answer.
+func TestUnconfirmedCommit(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		is.True(f.allows("a"))
+		m, _ := f.cluster.Roster().Member("g", "a")
+		is.True(f.monitors[0].ConfirmCommit(time.Now().Add(time.Second), &m))
+		f.cluster.Promote("b")
+		f.suspend(10 * time.Second) // nothing is heard meanwhile
+		is.True(!f.monitors[0].ConfirmCommit(time.Now().Add(time.Second), &m))
+	})
+}
+
+// TestAskedAfterClaim guards against a promotion in place of a primary that is back, when
+// another VM has regained contact with it after the claim was made.
+func TestAskedAfterClaim(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		other := f.otherMonitor()
+		// The list is read after the first question to the other VMs, and before the claim.
+		f.refresh = func() { other.Confirm("g", "a", ident.Position{}, time.Now()) }
+		f.cluster.Update("a", func(d *linktest.DB) { d.Unreachable = true })
+		f.cluster.HangConns("a")
+		time.Sleep(8 * time.Second)
+		is.Equal(len(f.promoter.Tokens()), 0)
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -153,6 +153,7 @@
 		RegionOf: n.regionOf, HomeRegion: s.homeRegion(), RoutesAllowing: n.routesAllowing, Evacuated: n.evacuated, Clock: uptime.Now, Log: log,
 		Unfenced: !s.FencedPromotions, SyncReplicas: n.syncReplicas,
 	})
+	n.pools.Commits = n.monitor
 	n.lender.ZoneStatus = n.zoneStatus()
 	n.engine = engine.New(engine.Config{
 		ZoneStatus: n.lender.ZoneStatus,
