Count a database that is listed while the others are asked

Cause: a failover asked the databases that its VM had seen in the list, and counted those of the in-sync set of which it had seen no entry as missing, but looked for the latter after the answers. One that was listed in between, as a database that is back or a VM that has just started see to it, was neither asked nor missing.

Change: whoever of the in-sync set was not asked counts as missing.

--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -140,14 +140,15 @@
 	return out
 }
 
-// unknownMembers returns missing replies for the databases of the in-sync set of which
-// this VM has seen no entry.
-func (f *failover) unknownMembers() []reply {
+// unaskedMembers returns missing replies for the databases of the in-sync set that are not
+// among those asked: this VM had seen no entry of them then.
+func (f *failover) unaskedMembers(asked []roster.Member) []reply {
 	var out []reply
-	for _, m := range f.mon.unlistedMembers(f.st, f.set.inSyncSet, time.Now()) {
-		if _, known := f.mon.cfg.Roster.Member(f.st.id, m.ID); !known {
-			out = append(out, reply{member: m})
+	for _, id := range f.set.Targets {
+		if slices.ContainsFunc(asked, func(m roster.Member) bool { return m.ID == id }) {
+			continue
 		}
+		out = append(out, reply{member: f.mon.setMember(f.st, f.set.inSyncSet, id, time.Now())})
 	}
 	return out
 }
@@ -280,7 +281,8 @@
 
 // collectStatuses asks every database of the group for its status.
 func (f *failover) collectStatuses() ([]reply, error) {
-	replies := append(f.mon.controlAll(dbop.Statement{Kind: dbop.Status}, f.members()), f.unknownMembers()...)
+	members := f.members()
+	replies := append(f.mon.controlAll(dbop.Statement{Kind: dbop.Status}, members), f.unaskedMembers(members)...)
 	if f.mon.cfg.Unfenced {
 		f.mon.demoteOlder(replies)
 	}
--- a/internal/lead/insync.go
+++ b/internal/lead/insync.go
@@ -310,18 +310,24 @@
 func (mon *Monitor) unlistedMembers(st *groupState, s inSyncSet, now time.Time) []roster.Member {
 	var out []roster.Member
 	for _, id := range s.Targets {
-		m, known := mon.cfg.Roster.Member(st.id, id)
-		if !known {
-			m = roster.Member{Entry: roster.Entry{ID: id, Group: st.id}, MissingSince: st.unknownSince(id, now)}
-		}
-		m.Leaving = m.Leaving || slices.Contains(s.Leaving, id)
-		if !m.MissingSince.IsZero() {
+		if m := mon.setMember(st, s, id, now); !m.MissingSince.IsZero() {
 			out = append(out, m)
 		}
 	}
 	return out
 }
 
+// setMember returns a database of a set as this VM knows it. One of which it has seen
+// no entry is missing from the list since this VM has known of it.
+func (mon *Monitor) setMember(st *groupState, s inSyncSet, id ident.Target, now time.Time) roster.Member {
+	m, known := mon.cfg.Roster.Member(st.id, id)
+	if !known {
+		m = roster.Member{Entry: roster.Entry{ID: id, Group: st.id}, MissingSince: st.unknownSince(id, now)}
+	}
+	m.Leaving = m.Leaving || slices.Contains(s.Leaving, id)
+	return m
+}
+
 // unknownSince returns when a database of the in-sync set was first found that this VM
 // has not seen in the list.
 func (st *groupState) unknownSince(id ident.Target, now time.Time) time.Time {
--- a/internal/lead/insync_test.go
+++ b/internal/lead/insync_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"chervilspan.example/internal/linktest"
+	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -173,3 +174,28 @@
 		is.Equal(strings.Count(f.log.String(), `"insync_removed","group":"g","targets":["b"]`), 1)
 	})
 }
+
+// TestListedDuringQuestions guards against a promotion that leaves out a database of the
+// in-sync set which is listed while the others are asked: it was neither asked, nor counted
+// as missing.
+func TestListedDuringQuestions(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		time.Sleep(time.Second) // the in-sync set is stored
+		f.killFirst()
+		f.setIndex(9, "a", "c")
+		f.cluster.Update("a", func(d *linktest.DB) { d.Unreachable = true })
+		table := &roster.Table{}
+		list := func(ids ...ident.Target) {
+			var entries []roster.Entry
+			for _, id := range ids {
+				entries = append(entries, roster.Entry{ID: id, Group: "g", Address: string(id), Zone: "z", Slots: 4, ProcessStart: 1, Sequence: time.Now().UnixNano()})
+			}
+			table.Update(entries, time.Now())
+		}
+		list("a", "b")
+		f.refresh = func() { time.AfterFunc(100*time.Millisecond, func() { list("a", "b", "c") }) }
+		f.startVM(table)
+		time.Sleep(10 * time.Second)
+		is.Equal(f.promotions(), []string{"promote c"})
+	})
+}
