Settle a group once for all calls that are void

Cause: each VM that had sent a call without an answer settled the group by itself, with fences and a call for the present primary, also after another VM's call with a higher token had been accepted. Nothing told it so.

Change: the in-sync set has the highest token known to have been accepted, in the write that records that the call is closed. A VM keeps the token of its own open call, and reads the set before it claims a group to settle it.

Evidence: TestSettledOnce, three VMs with a call each: fences lifted three times before, once after.

--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -39,6 +39,8 @@
 	// unanswered is true while a call with the present token got no answer. The platform
 	// accepts that call too, however late, until it has seen a higher token.
 	unanswered bool
+	// accepted is the token of a call that the platform has accepted, 0 if there was none.
+	accepted store.Revision
 	// expiresAt is the end of the claim, by Config.Clock.
 	expiresAt time.Time
 	// promotionSent is true once a promotion call may have been sent.
--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -210,7 +210,7 @@
 	case err != nil:
 		return best, err
 	case f.why == reasonUnsettled && !settled:
-		f.st.setUnsettled(false) // another VM has settled it
+		f.st.setOpenToken(0) // another VM has settled it
 		return best, f.error("status", KindSettled, primary.member.ID)
 	case settled && (f.why == reasonStalled || f.why == reasonUnsettled):
 		return best, f.error("status", KindSettled, primary.member.ID)
@@ -334,12 +334,14 @@
 	c := f.claim
 	for f.mon.allowsCall(c) {
 		c.promotionSent = true
+		f.st.setOpenToken(c.token)
 		f.logPromotionCalled(m.ID)
 		call, cancel := context.WithTimeout(ctx, callTimeout)
 		v, err := f.mon.cfg.Promoter.Promote(call, f.st.id, m.ID, c.token)
 		cancel()
 		switch {
 		case err == nil && v == Promoted:
+			c.accepted = c.token
 			return nil
 		case err == nil:
 			return f.error("promote", KindRefused, m.ID)
--- a/internal/lead/insync.go
+++ b/internal/lead/insync.go
@@ -35,6 +35,9 @@
 	Leaving []ident.Target `json:"leaving,omitempty"`
 	// Call is the last promotion call, unless it is known to be carried out or refused.
 	Call *sentCall `json:"call,omitempty"`
+	// Accepted is the highest token of a call that is known to have been accepted. Calls with
+	// lower ones are void.
+	Accepted store.Revision `json:"accepted,omitempty"`
 }
 
 // sentCall is a promotion call that may still be carried out.
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -301,6 +301,14 @@
 	if mon.failoverReason(st, noPrimarySince) != why {
 		return 0
 	}
+	if why == reasonUnsettled {
+		switch settled, claimed := mon.isSettled(ctx, st); {
+		case settled:
+			return 0
+		case claimed:
+			return longRetryDelay
+		}
+	}
 	old := mon.cfg.Roster.LastPrimary(st.id)
 	if why == reasonSilent && mon.confirmedByPeer(ctx, st.id, old) || why == reasonStalled && !mon.replicationStalled(ctx, st, old) {
 		st.resetStalledWrites()
--- a/internal/lead/settle.go
+++ b/internal/lead/settle.go
@@ -8,6 +8,7 @@
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
+	"chervilspan.example/pkg/store"
 	"chervilspan.example/pkg/wait"
 )
 
@@ -129,7 +130,7 @@
 	}); err != nil {
 		return err
 	}
-	f.st.setUnsettled(true)
+	f.st.setOpenToken(f.claim.token)
 	if !f.mon.allowsCall(f.claim) {
 		return f.error("record call", KindClaimExpired, id)
 	}
@@ -166,13 +167,14 @@
 	if f.set.Call != nil {
 		if err := f.changeSet(ctx, func(s inSyncSet) inSyncSet {
 			s.Call = nil
+			s.Accepted = max(s.Accepted, f.claim.accepted)
 			return s
 		}); err != nil {
 			f.mon.logInSyncFailed(f.st.id, err)
 			return
 		}
 	}
-	f.st.setUnsettled(false)
+	f.st.setOpenToken(0)
 }
 
 // hasOpenCall reports whether an earlier promotion call may still be carried out, or one of
@@ -180,20 +182,36 @@
 func (f *failover) hasOpenCall() bool {
 	f.st.mu.Lock()
 	defer f.st.mu.Unlock()
-	return f.set.Call != nil || f.st.unsettled
+	return f.set.Call != nil || f.st.openToken > f.set.Accepted
 }
 
-// setUnsettled records whether a promotion call that this VM has sent may still be carried
-// out. The in-sync set is read again by the VM that keeps it.
-func (st *groupState) setUnsettled(unsettled bool) {
+// setOpenToken records the token of a promotion call of this VM that may still be carried
+// out, or 0. The in-sync set is read again by the VM that keeps it.
+func (st *groupState) setOpenToken(token store.Revision) {
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	st.unsettled, st.openCallSeen = unsettled, false
+	st.openToken, st.openCallSeen = token, false
 	st.dropKnownSet()
 }
 
 // hasOpenCall reports whether a promotion call may still be carried out, as far as this VM
 // knows. The caller holds st.mu.
 func (st *groupState) hasOpenCall() bool {
-	return st.unsettled || st.openCallSeen || st.knownSet != nil && st.knownSet.Call != nil
+	return st.openToken != 0 || st.openCallSeen || st.knownSet != nil && st.knownSet.Call != nil
+}
+
+// isSettled reports whether no promotion call is open according to the store, or another VM
+// decides: an attempt to settle the group would be of no use.
+func (mon *Monitor) isSettled(ctx context.Context, st *groupState) (settled, claimed bool) {
+	held, set, err := mon.readDecision(ctx, st.id)
+	if err != nil {
+		return false, false
+	}
+	st.mu.Lock()
+	open := set.Call != nil || st.openToken > set.Accepted
+	st.mu.Unlock()
+	if !open {
+		st.setOpenToken(0)
+	}
+	return !open, held != nil
 }
--- a/internal/lead/settle_test.go
+++ b/internal/lead/settle_test.go
@@ -1,6 +1,7 @@
 package lead_test
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 	"testing"
@@ -247,3 +248,23 @@
 		is.True(strings.Contains(string(e.Value), `"target":"a","from":"a"`))
 	})
 }
+
+// TestSettledOnce guards against a group that is settled again by each VM that had sent a call
+// which is void since another one was accepted: the replicas are fenced meanwhile, and VMs
+// take turns in calling the platform.
+func TestSettledOnce(t *testing.T) {
+	run(t, 3, func(is *is.I, f *fixture) {
+		f.awaitLateCall(is, time.Hour)
+		time.Sleep(15 * time.Second) // other VMs send calls too
+		f.cluster.Update("a", func(d *linktest.DB) { d.Removed = false })
+		f.cluster.UpdateRoster()
+		f.promoter.SetLateBy(0)
+		f.await(is, "unfence")
+		time.Sleep(10 * time.Second)
+		is.Equal(strings.Count(f.log.String(), "fences_lifted"), 1)
+		tokens := f.promoter.Tokens()
+		e, err := store.Read(t.Context(), f.store, "insync/g")
+		is.NoErr(err)
+		is.True(strings.Contains(string(e.Value), fmt.Sprintf(`"accepted":%d`, tokens[len(tokens)-1])))
+	})
+}
--- a/internal/lead/state.go
+++ b/internal/lead/state.go
@@ -6,6 +6,7 @@
 
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/posn"
+	"chervilspan.example/pkg/store"
 )
 
 // groupState is the state of the monitor for one group.
@@ -57,9 +58,10 @@
 	// unknown has since when databases of the in-sync set are known of which this VM has
 	// seen no entry.
 	unknown map[ident.Target]time.Time
-	// unsettled is set while a promotion call of this VM may still be carried out,
-	// openCallSeen if the last check found one of another VM.
-	unsettled, openCallSeen bool
+	// openToken is the token of the last promotion call of this VM that may still be carried
+	// out, 0 if there is none. openCallSeen is set if the last check found one of another VM.
+	openToken    store.Revision
+	openCallSeen bool
 	// trust is the trust in the primary, and trustLosses counts how often it ended. check is
 	// the last check, which ended at checkedAt; heldSince is since when commits are held
 	// back, zero if they are not.
--- a/internal/lead/trust.go
+++ b/internal/lead/trust.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"sync"
 	"time"
 
@@ -153,21 +154,25 @@
 // primary, and whether a recorded call may. While the store does not answer, the fences of
 // the replicas tell.
 func (mon *Monitor) isReplaced(st *groupState, id ident.Target) (replaced, open bool) {
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-	defer cancel()
-	var held *claim
-	var set storedSet
-	var claimErr, setErr error
-	var wg sync.WaitGroup
-	wg.Go(func() { held, claimErr = mon.readClaim(ctx, st.id) })
-	wg.Go(func() { set, setErr = mon.readSet(ctx, st.id) })
-	wg.Wait()
-	if claimErr != nil || setErr != nil {
+	held, set, err := mon.readDecision(context.Background(), st.id)
+	if err != nil {
 		return !mon.hasReceivingReplica(st.id, id), false
 	}
 	return mayReplace(held, set.Call, id), set.Call != nil && set.Call.Target != id
 }
 
+// readDecision reads the claim to a group, nil if nobody holds it, and its in-sync set.
+func (mon *Monitor) readDecision(ctx context.Context, g ident.Group) (held *claim, set storedSet, err error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var claimErr error
+	var wg sync.WaitGroup
+	wg.Go(func() { held, claimErr = mon.readClaim(ctx, g) })
+	set, err = mon.readSet(ctx, g)
+	wg.Wait()
+	return held, set, errors.Join(claimErr, err)
+}
+
 // mayReplace reports whether the holder of a claim, if any, or the last open call may
 // replace a database that acts as the primary. A call that names the database and has
 // made it the primary voids all earlier ones.
