Give callers without a workspace connections of their own

What callers saw: nothing.

Cause: sessions without a workspace asked the pool for a connection with an empty workspace, which accepts that of any: it is meant for the questions of the VM itself.

Change: such sessions use connections of the workspace dbpool.Anonymous, the name under which the proxy connects for itself.

--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -69,6 +69,11 @@
 	Pressure(m *roster.Member, ws ident.Workspace, allowed place.Regions) Pressure
 }
 
+// Anonymous stands for the workspace of callers without one. Their statements need
+// connections of their own: on one of a workspace, a database would take them for
+// statements of that workspace.
+const Anonymous ident.Workspace = "chervilspan"
+
 // Request says for whom a connection is requested.
 type Request struct {
 	// Workspace "" accepts a connection of any workspace.
--- a/internal/engine/cost.go
+++ b/internal/engine/cost.go
@@ -144,7 +144,7 @@
 		if tried[m.ID] || cold[m.ID] {
 			continue
 		}
-		load := s.e.cfg.Pools.Load(m, s.auth.Workspace, s.auth.Regions)
+		load := s.e.cfg.Pools.Load(m, s.connWorkspace(), s.auth.Regions)
 		e := s.e.cfg.Pools.Estimate(m, s.auth.Class)
 		c := readChoice{member: m}
 		c.total, c.load = readCost(m, s.e.cfg.Place, load, e, m.ID == primary, now)
--- a/internal/engine/fixture_test.go
+++ b/internal/engine/fixture_test.go
@@ -145,6 +145,7 @@
 			"primary": {Group: "g", Class: "c", Reads: catal.ConsistencyPrimary},
 			"bounded": {Group: "g", Class: "c", Reads: catal.ConsistencyBounded, MaxAgeMS: 1500},
 			"session": {Group: "g", Class: "c", Reads: catal.ConsistencySession, MaxAgeMS: 1500},
+			"open":    {Group: "g", Class: "c", Reads: catal.ConsistencyPrimary, Open: true},
 		},
 		Sessions: catal.Sessions{IdleTransactionMS: 3000},
 	}
@@ -158,9 +159,14 @@
 }
 
 func (f *fixture) open(t *testing.T, route ident.Route) *session {
+	t.Helper()
+	return f.openWithKey(t, route, "key")
+}
+
+func (f *fixture) openWithKey(t *testing.T, route ident.Route, key string) *session {
 	t.Helper()
 	c := newCaller()
-	s, refusal := f.e.Open(engine.Login{Route: route, Key: "key"}, c)
+	s, refusal := f.e.Open(engine.Login{Route: route, Key: key}, c)
 	if refusal != nil {
 		t.Fatalf("login: %+v", refusal)
 	}
--- a/internal/engine/overload.go
+++ b/internal/engine/overload.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -42,9 +44,14 @@
 	return s.e.cfg.Pools.GetFor(deadline, m, s.request(c))
 }
 
+// connWorkspace returns the workspace whose connections the session uses.
+func (s *Session) connWorkspace() ident.Workspace {
+	return cmp.Or(s.auth.Workspace, dbpool.Anonymous)
+}
+
 // request returns the request for a connection for a statement.
 func (s *Session) request(c *call) *dbpool.Request {
-	r := &dbpool.Request{Workspace: s.auth.Workspace, Owner: s.owner, Allowed: s.auth.Regions}
+	r := &dbpool.Request{Workspace: s.connWorkspace(), Owner: s.owner, Allowed: s.auth.Regions}
 	if c.scheduling.Ranked {
 		r.Scheduling = c.scheduling
 		r.Scheduling.Spent = time.Since(c.start)
@@ -68,7 +75,7 @@
 // a statement. One statement in probeShare is sent all the same.
 func (s *Session) delayTooLong(c *call, m *roster.Member) bool {
 	now := time.Now()
-	p := s.e.cfg.Pools.Pressure(m, s.auth.Workspace, s.auth.Regions)
+	p := s.e.cfg.Pools.Pressure(m, s.connWorkspace(), s.auth.Regions)
 	delay := p.Delay(s.auth.Weight, now)
 	if delay <= c.remaining() || rand.N(probeShare) == 0 {
 		return false
@@ -82,7 +89,7 @@
 	if !s.index.Ranked {
 		return 0
 	}
-	p := s.e.cfg.Pools.Pressure(m, s.auth.Workspace, s.auth.Regions)
+	p := s.e.cfg.Pools.Pressure(m, s.connWorkspace(), s.auth.Regions)
 	return p.Delay(s.auth.Weight, now)
 }
 
