--- a/internal/lead/transfer_test.go
+++ b/internal/lead/transfer_test.go
@@ -179,3 +179,22 @@
 		is.Equal(f.promotions(), []string{"promote b"})
 	})
 }
+
+// TestRestartedBeforeDemotion guards against a hand-over to a replica that lacks what another
+// one has acknowledged since: that one has restarted, or a late order has lifted its fence,
+// before the primary was demoted.
+func TestRestartedBeforeDemotion(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		time.Sleep(time.Second) // the in-sync set is stored
+		f.setIndex(9, "a", "b")
+		f.setIndex(10, "c") // the successor, b, has to catch up
+		f.markLeaving("c")
+		f.cluster.Update("a", func(d *linktest.DB) { d.Unlisted = true })
+		f.await(is, "fence c")
+		f.cluster.Update("c", func(d *linktest.DB) { d.FenceTerm, d.Index = 0, 20 })
+		f.setIndex(20, "a")
+		f.setIndex(10, "b")
+		f.await(is, "promote")
+		is.Equal(f.promotions(), []string{"promote c"})
+	})
+}
