Check again after contact was lost, and not at all without replicas

Cause: two slips in the trust of primaries. A check that had just allowed commits was used again within 0.1 s though contact had been lost since; and in groups that acknowledge commits without a replica, each commit was followed by a question to the primary.

Change: only a check that held commits back is used again, and such groups are not asked about. Found in reading.

Tests: TestTrustLostAfterCheck and TestNoSyncReplicas failed before.

--- a/internal/lead/fixture_test.go
+++ b/internal/lead/fixture_test.go
@@ -52,6 +52,8 @@
 	joining []ident.Target
 	// unfenced is the monitors' Config.Unfenced.
 	unfenced bool
+	// asyncCommits makes commits be acknowledged without a replica.
+	asyncCommits atomic.Bool
 	// evacuated has the evacuated zones.
 	evacuated sync.Map
 	// suspended is how far Config.Clock is ahead of the bubble's clock.
@@ -157,6 +159,12 @@
 			}
 			return nil
 		},
+		SyncReplicas: func(ident.Group) int {
+			if f.asyncCommits.Load() {
+				return 0
+			}
+			return 1
+		},
 		Log: f.logger,
 	})
 	pools.Commits = mon
--- a/internal/lead/trust.go
+++ b/internal/lead/trust.go
@@ -83,12 +83,15 @@
 // ConfirmCommit implements dbpool.Commits. Contact that was lost since the commit was sent
 // may mean that the database has been replaced.
 func (mon *Monitor) ConfirmCommit(deadline time.Time, m *roster.Member) bool {
+	if !mon.keepsSet(m.Group) {
+		return true
+	}
 	st := mon.groupState(m.Group)
 	st.mu.Lock()
 	trusted := st.trusts(m.ID, mon.cfg.Clock())
 	st.mu.Unlock()
 	if !trusted && !(mon.AllowCommit(deadline, m) && mon.leads(st, m)) {
-		return !mon.keepsSet(m.Group)
+		return false
 	}
 	mon.Confirm(m.Group, m.ID, ident.Position{}, time.Time{})
 	return true
@@ -103,7 +106,7 @@
 	if st.trusts(id, now) {
 		return nil
 	}
-	if c := st.check; c != nil && (!isClosed(c.done) || c.id == id && now.Sub(st.checkedAt) < recheckDelay) {
+	if c := st.check; c != nil && (!isClosed(c.done) || !c.trusted && c.id == id && now.Sub(st.checkedAt) < recheckDelay) {
 		return c
 	}
 	c := &trustCheck{id: id, done: make(chan struct{})}
--- a/internal/lead/trust_test.go
+++ b/internal/lead/trust_test.go
@@ -9,6 +9,7 @@
 
 	"chervilspan.example/internal/lead"
 	"chervilspan.example/internal/linktest"
+	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/store"
 )
@@ -139,3 +140,29 @@
 		is.Equal(len(f.promoter.Tokens()), 0)
 	})
 }
+
+// TestTrustLostAfterCheck guards against commits that are allowed by a check from before the
+// VM lost contact with the primary.
+func TestTrustLostAfterCheck(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		is.True(f.allows("a"))
+		f.claimFor(is, t, "a")
+		f.monitors[0].Depose("g", "a")
+		is.True(!f.allows("a"))
+	})
+}
+
+// TestNoSyncReplicas guards against questions to the store and to the primary for commits of
+// a group that acknowledges them without a replica.
+func TestNoSyncReplicas(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		f.asyncCommits.Store(true)
+		time.Sleep(time.Second)
+		m, _ := f.cluster.Roster().Member("g", "a")
+		calls, begins := f.store.CallCount(), len(f.cluster.Executions("a", dbop.Begin))
+		is.True(f.allows("a"))
+		is.True(f.monitors[0].ConfirmCommit(time.Now().Add(time.Second), &m))
+		is.Equal(f.store.CallCount(), calls)
+		is.Equal(len(f.cluster.Executions("a", dbop.Begin)), begins)
+	})
+}
