--- a/internal/lead/doc.go
+++ b/internal/lead/doc.go
@@ -42,6 +42,15 @@
 // list or in an evacuated zone is replaced only by a replica in service that has its log,
 // and in the last case only by one outside the evacuated zones.
 //
+// # Commits
+//
+// Fences do not cover databases that join or restart after they were set. These acknowledge
+// the commits of a primary that is back, until the promotion takes effect. A VM therefore
+// sends commits only to a primary that it trusts (AllowCommit): it has heard from it without
+// a gap since it found neither a claim to the group nor an open call for another database in
+// the store. A VM with a claim asks the others whether the primary answers them; those that
+// trust it say so, all others find the claim.
+//
 // # Former primaries
 //
 // Where the platform does not end a primary's work in the moment of a promotion
