--- a/internal/dbpool/doc.go
+++ b/internal/dbpool/doc.go
@@ -8,8 +8,8 @@
 // released. A connection with an answer outstanding is never reused.
 //
 // Other packages decide what a statement waits for: Lender and Reader use connections
-// of other VMs, Turns orders the requests for local ones, and Guard limits what is sent
-// to a database. The pools also learn the speed of databases; see package speed.
+// of other VMs, Turns orders the requests for local ones, Guard limits what is sent to a
+// database, and Commits holds commits back that might be lost. The pools also learn the speed of databases; see package speed.
 //
 // Lock order: Pools before a single pool. No lock is held during network I/O,
 // except to close a connection.
