Answer for a primary that a check has allowed, and discard checks when asked

Cause: a VM trusts a primary after a check of the store, but answered for it only if it had heard from it too: a VM with the claim could go on beside its commits. A check that had read the store before the claim was made, and ended after the question, began a trust of which nobody knew.

Change: a VM answers for the primary that it trusts. A check that is in progress when another VM asks, and gets another answer, does not count. Trust begins with the end of the check, so that a slow store does not hold commits back for good.

Tests: TestAskedDuringCheck and TestTrustedIsConfirmed failed before.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -291,13 +291,21 @@
 const peerConfirmationAge = 800 * time.Millisecond
 
 // ConfirmedPrimary returns the database that was confirmed as the primary within
-// peerConfirmationAge, or "".
-func (mon *Monitor) ConfirmedPrimary(g ident.Group) ident.Target {
+// peerConfirmationAge, or that is trusted, or "". Other VMs ask before they replace a
+// primary: a check in progress of any other database than the answer may have read the
+// store before their claim was made, and does not count.
+func (mon *Monitor) ConfirmedPrimary(g ident.Group) (id ident.Target) {
 	st := mon.groupState(g)
 	st.mu.Lock()
 	defer st.mu.Unlock()
-	if st.failingSince.IsZero() && time.Since(st.confirmedAt) < peerConfirmationAge {
-		return st.primary
+	switch {
+	case st.failingSince.IsZero() && time.Since(st.confirmedAt) < peerConfirmationAge:
+		id = st.primary
+	case st.trusts(st.trust.id, mon.cfg.Clock()):
+		id = st.trust.id
 	}
-	return ""
+	if st.check != nil && st.check.id != id {
+		st.trustLosses++
+	}
+	return id
 }
--- a/internal/lead/trust.go
+++ b/internal/lead/trust.go
@@ -113,15 +113,15 @@
 	losses := st.trustLosses
 	st.check = c
 	go func() {
-		call, known := mon.isReplaced(st, id)
+		replaced, open := mon.isReplaced(st, id)
 		st.mu.Lock()
 		defer st.mu.Unlock()
 		st.checkedAt = mon.cfg.Clock()
-		// Contact that was lost meanwhile may have been lost after the check.
-		if c.trusted = !call && losses == st.trustLosses; c.trusted {
-			st.trust = trust{id, now}
+		// Contact that was lost meanwhile may have been lost after the store was read.
+		if c.trusted = !replaced && losses == st.trustLosses; c.trusted {
+			st.trust = trust{id, st.checkedAt}
 		}
-		mon.recordCheck(st, c, known)
+		mon.recordCheck(st, c, open)
 		close(c.done)
 	}()
 	return c
--- a/internal/lead/trust_test.go
+++ b/internal/lead/trust_test.go
@@ -1,6 +1,7 @@
 package lead_test
 
 import (
+	"context"
 	"encoding/json"
 	"testing"
 	"time"
@@ -166,3 +167,41 @@
 		is.Equal(len(f.cluster.Executions("a", dbop.Begin)), begins)
 	})
 }
+
+// lateStore answers reads with what was there some time before.
+type lateStore struct{ *linktest.Store }
+
+const readDelay = 300 * time.Millisecond
+
+func (s lateStore) Get(ctx context.Context, key string) (store.Entry, error) {
+	e, err := s.Store.Get(ctx, key)
+	time.Sleep(readDelay)
+	return e, err
+}
+
+// TestAskedDuringCheck guards against commits that are allowed by a check which had read the
+// store before another VM made a claim, and was in progress when that VM asked this one.
+func TestAskedDuringCheck(t *testing.T) {
+	run(t, 0, func(is *is.I, f *fixture) {
+		f.dialer, f.vmStore = f.cluster, lateStore{f.store}
+		f.startVM(f.cluster.Roster())
+		f.cluster.Update("a", func(d *linktest.DB) { d.Unreachable = true }) // no contact
+		allowed := make(chan bool, 1)
+		go func() { allowed <- f.allows("a") }()
+		time.Sleep(readDelay / 2)
+		f.claimFor(is, t, "a")
+		is.Equal(f.monitors[0].ConfirmedPrimary("g"), target(""))
+		is.True(!<-allowed)
+	})
+}
+
+// TestTrustedIsConfirmed guards against a failover beside commits of a VM that a check has
+// allowed, and that has not heard from the primary since.
+func TestTrustedIsConfirmed(t *testing.T) {
+	run(t, 0, func(is *is.I, f *fixture) {
+		f.cluster.Update("a", func(d *linktest.DB) { d.Unreachable = true })
+		f.startVM(f.cluster.Roster())
+		is.True(f.allows("a"))
+		is.Equal(f.monitors[0].ConfirmedPrimary("g"), target("a"))
+	})
+}
--- a/model/commits.pml
+++ b/model/commits.pml
@@ -15,6 +15,7 @@
  */
 // safeguard: NO_CHECK
 // safeguard: NO_ASK
+// safeguard: NO_DISCARD
 // safeguard: NO_RECORD
 // safeguard: NO_SUPERSEDE
 // safeguard: NO_CONFIRM
@@ -44,9 +45,10 @@
 bool pending[2];
 byte target[2], token[2];
 
-/* The writer: sending is set while a commit is on its way to the primary, waiting while it
-   is not acknowledged, answered while the acknowledgement is on its way back. */
-bool trust, sending, waiting, answered;
+/* The writer: checking is set from the read of the store to the end of a check, sending
+   while a commit is on its way to the primary, waiting while it is not acknowledged,
+   answered while the acknowledgement is on its way back. */
+bool trust, checking, sending, waiting, answered;
 byte answered_len, acked, restarts;
 
 inline release() { claimed = false; goto done }
@@ -59,7 +61,11 @@
 	:: true -> skip /* the primary does not answer this VM */
 	fi;
 #ifndef NO_ASK
-	if :: trust -> release() :: else fi;
+#ifdef NO_DISCARD
+	if :: atomic { trust -> release() } :: else fi;
+#else
+	if :: atomic { trust -> release() } :: atomic { !trust -> checking = false } fi;
+#endif
 #endif
 	atomic { fenced[1] = true; len1 = log_len[1] }
 	atomic { fenced[2] = true; best = (len1 >= log_len[2] -> 1 : 2) }
@@ -119,8 +125,9 @@
 proctype writer() {
 end:
 	do
-	:: atomic { !trust && LEADS && !UNDECIDED -> trust = true }
-	:: atomic { trust -> trust = false }
+	:: atomic { !trust && LEADS && !UNDECIDED -> checking = true }
+	:: atomic { checking -> checking = false; trust = true }
+	:: atomic { trust || checking -> trust = false; checking = false }
 	:: atomic { trust && !sending && !waiting && !answered -> sending = true }
 #ifdef NO_CONFIRM
 	:: atomic { answered -> answered = false; acked = answered_len }
