--- a/internal/lead/fixture_test.go
+++ b/internal/lead/fixture_test.go
@@ -1,7 +1,6 @@
 package lead_test
 
 import (
-	"bytes"
 	"context"
 	"slices"
 	"strings"
@@ -23,6 +22,24 @@
 	"chervilspan.example/pkg/store"
 )
 
+// logBuffer collects log lines. It may be read while VMs write to it.
+type logBuffer struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
 // fixture is a cluster of three databases that several VMs monitor.
 type fixture struct {
 	cluster  *linktest.Cluster
@@ -33,7 +50,7 @@
 	monitors []*lead.Monitor
 	// pools has the connections of each VM.
 	pools  []*dbpool.Pools
-	log    bytes.Buffer
+	log    logBuffer
 	logger zerolog.Logger
 	// dialer and vmStore, unless nil, are the databases and the store as the next VM
 	// that starts reaches them.
@@ -108,7 +125,7 @@
 		fx.cluster.SetFormerGoesOn(fx.unfenced)
 		fx.promoter = &linktest.Promoter{Cluster: fx.cluster}
 		ctx, cancel := context.WithCancel(t.Context())
-		fx.ctx, fx.logger = ctx, zerolog.New(zerolog.SyncWriter(&fx.log))
+		fx.ctx, fx.logger = ctx, zerolog.New(&fx.log)
 		for range n {
 			fx.startVM(fx.cluster.Roster())
 		}
--- a/internal/lead/soak_test.go
+++ b/internal/lead/soak_test.go
@@ -142,6 +142,12 @@
 	return p
 }
 
+// acknowledged returns the length of the log that was acknowledged.
+func (s *soak) acknowledged() (n uint64) {
+	s.cluster.Update(s.dbs[0], func(*linktest.DB) { n = s.acked })
+	return n
+}
+
 // currentPrimary returns the database that led last.
 func (s *soak) currentPrimary() (id ident.Target) {
 	s.cluster.Update(s.dbs[0], func(*linktest.DB) { id = s.primary })
@@ -317,7 +323,7 @@
 			s.cluster.OnCommit(s.commitWrite)
 		}
 		ctx, cancel := context.WithCancel(t.Context())
-		s.ctx, s.logger = ctx, zerolog.New(zerolog.SyncWriter(&s.log)).With().Timestamp().Logger()
+		s.ctx, s.logger = ctx, zerolog.New(&s.log).With().Timestamp().Logger()
 		s.refresh = nil
 		for range 3 {
 			s.startSoakVM()
@@ -336,12 +342,12 @@
 			s.step()
 			time.Sleep(soakStep)
 		}
-		before := s.acked
+		before := s.acknowledged()
 		for range 300 {
 			s.step()
 			time.Sleep(soakStep)
 		}
-		if s.acked == before {
+		if s.acknowledged() == before {
 			s.faults = append(s.faults, "no commit is acknowledged at the end")
 		}
 		cancel()
--- a/internal/lead/soakvm_test.go
+++ b/internal/lead/soakvm_test.go
@@ -106,11 +106,13 @@
 	s.dialer, s.vmStore = soakDialer{s.cluster, vm}, soakStore{s.store, vm}
 	s.startVM(vm.table)
 	i := len(s.vms) - 1
+	mon, pools := s.monitors[i], s.pools[i]
 	if !s.writers {
-		s.running.Go(func() { s.decide(vm, s.monitors[i]) })
-	} else {
-		s.running.Go(func() { s.write(vm, s.monitors[i], s.pools[i], rand.New(rand.NewPCG(s.rnd.Uint64(), 0))) })
+		s.running.Go(func() { s.decide(vm, mon) })
+		return
 	}
+	rnd := rand.New(rand.NewPCG(s.rnd.Uint64(), 0))
+	s.running.Go(func() { s.write(vm, mon, pools, rnd) })
 }
 
 // isSentTo reports whether a VM would send a commit to a database.
