--- a/internal/lead/fixture_test.go
+++ b/internal/lead/fixture_test.go
@@ -22,24 +22,6 @@
 	"chervilspan.example/pkg/store"
 )
 
-// logBuffer collects log lines. It may be read while VMs write to it.
-type logBuffer struct {
-	mu sync.Mutex
-	b  strings.Builder
-}
-
-func (l *logBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *logBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
-}
-
 // fixture is a cluster of three databases that several VMs monitor.
 type fixture struct {
 	cluster  *linktest.Cluster
@@ -50,7 +32,7 @@
 	monitors []*lead.Monitor
 	// pools has the connections of each VM.
 	pools  []*dbpool.Pools
-	log    logBuffer
+	log    linktest.LogBuffer
 	logger zerolog.Logger
 	// dialer and vmStore, unless nil, are the databases and the store as the next VM
 	// that starts reaches them.
--- a/internal/spread/world_test.go
+++ b/internal/spread/world_test.go
@@ -1,7 +1,6 @@
 package spread
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -13,6 +12,7 @@
 	"github.com/rs/zerolog"
 	"google.golang.org/grpc"
 
+	"chervilspan.example/internal/linktest"
 	"chervilspan.example/internal/proto/peerpb"
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/ident"
@@ -43,25 +43,7 @@
 	loseAnswers int  // number of writes that take effect without an answer
 	dropWrites  int  // number of writes that are lost before they take effect
 	staleReads  bool // reads return the value before the last write
-	logs        logBuffer
-}
-
-// logBuffer collects the log lines of all VMs.
-type logBuffer struct {
-	mu sync.Mutex
-	b  bytes.Buffer
-}
-
-func (l *logBuffer) Write(p []byte) (int, error) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.Write(p)
-}
-
-func (l *logBuffer) String() string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.b.String()
+	logs        linktest.LogBuffer
 }
 
 type vm struct {
