Ask a statement whether it writes

Change: dbop.Statement.IsWrite. A line of the documentation of dbpool is wrapped, and Writes says that an Execute has it too.

Result: dbpool, engine, relay and lead tests pass.

--- a/internal/dbpool/commits.go
+++ b/internal/dbpool/commits.go
@@ -28,7 +28,7 @@
 func (c *Conn) commitIndex(sts []dbop.Statement) int {
 	open, wrote := c.state != dbop.Idle, c.wrote
 	return slices.IndexFunc(sts, func(st dbop.Statement) bool {
-		writes := st.Kind == dbop.Write || st.Kind == dbop.Execute && st.Writes
+		writes := st.IsWrite()
 		switch {
 		case st.Kind == dbop.Begin || st.Kind == dbop.BeginRead:
 			open = true
@@ -66,6 +66,5 @@
 
 // recordWrite tracks whether the open transaction has written, after an answer.
 func (c *Conn) recordWrite(st *dbop.Statement, a *dbop.Answer) {
-	writes := st.Kind == dbop.Write || st.Kind == dbop.Execute && st.Writes
-	c.wrote = a.State != dbop.Idle && (c.wrote || writes)
+	c.wrote = a.State != dbop.Idle && (c.wrote || st.IsWrite())
 }
--- a/internal/dbpool/doc.go
+++ b/internal/dbpool/doc.go
@@ -9,7 +9,8 @@
 //
 // Other packages decide what a statement waits for: Lender and Reader use connections
 // of other VMs, Turns orders the requests for local ones, Guard limits what is sent to a
-// database, and Commits holds commits back that might be lost. The pools also learn the speed of databases; see package speed.
+// database, and Commits holds commits back that might be lost. The pools also learn the
+// speed of databases; see package speed.
 //
 // Lock order: Pools before a single pool. No lock is held during network I/O,
 // except to close a connection.
--- a/internal/linktest/link.go
+++ b/internal/linktest/link.go
@@ -124,7 +124,7 @@
 	}
 	l.recordExecution(st)
 	a := dbop.Answer{Signature: "sig-" + string(d.ID)}
-	writes := st.Kind == dbop.Write || st.Kind == dbop.Execute && st.Writes
+	writes := st.IsWrite()
 	switch {
 	case st.Kind == dbop.Commit:
 		l.state = dbop.Idle
--- a/pkg/dbop/dbop.go
+++ b/pkg/dbop/dbop.go
@@ -59,7 +59,7 @@
 	// Arg is the value of a Set, the parameterized statement of a Prepare, or
 	// the arguments of an Execute.
 	Arg string
-	// Writes is true for a Prepare of a statement that writes.
+	// Writes is true for a Prepare or Execute of a statement that writes.
 	Writes bool
 	// Floor, unless zero, is the position that the log must have reached before
 	// a read or the start of a transaction.
@@ -70,6 +70,12 @@
 	Scheduling Scheduling
 }
 
+// IsWrite reports whether the statement is a write, itself or by the statement that it
+// executes.
+func (s *Statement) IsWrite() bool {
+	return s.Kind == Write || s.Kind == Execute && s.Writes
+}
+
 // Scheduling sets how a statement queues for a slot at a database. A statement
 // with the zero value does not queue.
 type Scheduling struct {
