Keep the end of a check with the check

Cause: whether a check of a primary is in progress was read from its channel by a function of its own, and its end was a field of the group.

Change: trustCheck has its end, and says whether it answers a question. Behaviour is the same.

--- a/internal/lead/state.go
+++ b/internal/lead/state.go
@@ -63,12 +63,10 @@
 	openToken    store.Revision
 	openCallSeen bool
 	// trust is the trust in the primary, and trustLosses counts how often it ended. check is
-	// the last check, which ended at checkedAt; heldSince is since when commits are held
-	// back, zero if they are not.
+	// the last check; heldSince is since when commits are held back, zero if they are not.
 	trust       trust
 	trustLosses int
 	check       *trustCheck
-	checkedAt   time.Time
 	heldSince   time.Time
 }
 
--- a/internal/lead/trust.go
+++ b/internal/lead/trust.go
@@ -31,11 +31,19 @@
 	heardAt time.Time
 }
 
-// trustCheck is a check in progress, whose result all who wait for it share.
+// trustCheck is a check, whose result all who wait for it share.
 type trustCheck struct {
 	id      ident.Target
 	done    chan struct{}
 	trusted bool
+	// endedAt is by Config.Clock, zero while the check is in progress.
+	endedAt time.Time
+}
+
+// answers reports whether the check answers a question about a database: it is in progress,
+// or has held commits there back a moment ago. The caller holds groupState.mu.
+func (c *trustCheck) answers(id ident.Target, now time.Time) bool {
+	return c.endedAt.IsZero() || !c.trusted && c.id == id && now.Sub(c.endedAt) < recheckDelay
 }
 
 // trusts reports whether a database is trusted as the primary. The caller holds st.mu.
@@ -106,7 +114,7 @@
 	if st.trusts(id, now) {
 		return nil
 	}
-	if c := st.check; c != nil && (!isClosed(c.done) || !c.trusted && c.id == id && now.Sub(st.checkedAt) < recheckDelay) {
+	if c := st.check; c != nil && c.answers(id, now) {
 		return c
 	}
 	c := &trustCheck{id: id, done: make(chan struct{})}
@@ -116,10 +124,10 @@
 		replaced, open := mon.isReplaced(st, id)
 		st.mu.Lock()
 		defer st.mu.Unlock()
-		st.checkedAt = mon.cfg.Clock()
+		c.endedAt = mon.cfg.Clock()
 		// Contact that was lost meanwhile may have been lost after the store was read.
 		if c.trusted = !replaced && losses == st.trustLosses; c.trusted {
-			st.trust = trust{id, st.checkedAt}
+			st.trust = trust{id, c.endedAt}
 		}
 		mon.recordCheck(st, c, open)
 		close(c.done)
@@ -127,15 +135,6 @@
 	return c
 }
 
-func isClosed(done <-chan struct{}) bool {
-	select {
-	case <-done:
-		return true
-	default:
-		return false
-	}
-}
-
 // recordCheck logs when commits are first held back, and when they are allowed again. The
 // caller holds st.mu.
 func (mon *Monitor) recordCheck(st *groupState, c *trustCheck, open bool) {
