Log and count messages that violate the protocol, with the reason

Cause: a message with an embedded line end, one with a control character and one with an unknown verb leave the same line (210, without an id), and one that is too long leaves none.

Change: the codec returns a typed error with the kind of violation. Event 204 message_rejected has it, with the route, the workspace and whether a transaction is open, at most once in a second with the number since the last line; the counter chervil_messages_rejected has it by reason.

--- a/internal/engine/config.go
+++ b/internal/engine/config.go
@@ -33,8 +33,9 @@
 // Caller is the codec's side of a client connection. Interrupt may be called
 // from any goroutine, the other methods only from the session's goroutine.
 type Caller interface {
-	// Receive returns the next statement. The Kind of a statement that could
-	// not be parsed is unset. A zero deadline means no deadline.
+	// Receive returns the next statement. The Kind of a statement that has no known
+	// form is unset. An *Error rejects a message that violates the protocol. A zero
+	// deadline means no deadline.
 	Receive(deadline time.Time) (dbop.Statement, error)
 	Send(*dbop.Answer) error
 	// Pending reports whether part of another message has been received.
@@ -92,6 +93,8 @@
 	CountRetry(reason dbop.Code)
 	// CountShed counts a statement that was refused because of overload.
 	CountShed(auth *access.Authorization, cause ShedCause)
+	// CountRejection counts a message that violates the protocol.
+	CountRejection(Kind)
 }
 
 // Place is the location of the VM.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -29,8 +29,9 @@
 	// answersBy is when the last statements have to be answered; nil unless the VM stops.
 	answersBy atomic.Pointer[time.Time]
 	// started is when New was called.
-	started  time.Time
-	absences absences
+	started    time.Time
+	absences   absences
+	rejections rejections
 
 	// evacuationRefusals counts the statements refused because of an evacuation.
 	evacuationRefusals atomic.Uint64
--- /dev/null
+++ b/internal/engine/errors.go
@@ -0,0 +1,94 @@
+package engine
+
+import (
+	"sync"
+	"time"
+
+	"chervilspan.example/internal/evlog"
+	"chervilspan.example/pkg/ident"
+)
+
+// Kind classifies an Error.
+type Kind uint8
+
+// Kinds of errors of this package.
+const (
+	// KindFraming means that it is in doubt where a message ends.
+	KindFraming Kind = iota + 1
+	// KindCharacter means that a message has a character that is not allowed.
+	KindCharacter
+	// KindTooLarge means that a message is longer than the protocol allows.
+	KindTooLarge
+	// KindSyntax means that the first message does not open a session.
+	KindSyntax
+)
+
+var kindNames = [...]string{
+	KindFraming: "framing", KindCharacter: "character", KindTooLarge: "too_large", KindSyntax: "syntax",
+}
+
+// String returns the kind's name in logs and metrics.
+func (k Kind) String() string {
+	if int(k) < len(kindNames) && k > 0 {
+		return kindNames[k]
+	}
+	return "invalid"
+}
+
+// Error is the error type of this package. Caller.Receive returns one for a message that
+// violates the protocol.
+type Error struct {
+	// Op is the operation that failed.
+	Op   string
+	Kind Kind
+	Err  error
+}
+
+// Error returns the operation and the cause.
+func (e *Error) Error() string {
+	s := "engine: " + e.Op + ": " + e.Kind.String()
+	if e.Err != nil {
+		s += ": " + e.Err.Error()
+	}
+	return s
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Err }
+
+// rejectionLogInterval is the shortest time between two log lines about rejected
+// messages, which one caller can send by the thousand.
+const rejectionLogInterval = time.Second
+
+// rejections counts rejected messages between two log lines.
+type rejections struct {
+	mu       sync.Mutex
+	unlogged int
+	loggedAt time.Time
+}
+
+// add counts a rejection. It returns the number to log, 0 for no line.
+func (r *rejections) add(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unlogged++
+	if now.Sub(r.loggedAt) < rejectionLogInterval {
+		return 0
+	}
+	n := r.unlogged
+	r.unlogged, r.loggedAt = 0, now
+	return n
+}
+
+// RecordRejection records a message that a codec has rejected before a session was open.
+func (e *Engine) RecordRejection(err *Error) { e.recordRejection(err, "", "", false) }
+
+func (e *Engine) recordRejection(err *Error, r ident.Route, ws ident.Workspace, inTxn bool) {
+	e.cfg.Meter.CountRejection(err.Kind)
+	n := e.rejections.add(time.Now())
+	if n == 0 {
+		return
+	}
+	evlog.At(e.cfg.Log, evlog.MessageRejected).Str("reason", err.Kind.String()).Str("route", string(r)).
+		Str("workspace", string(ws)).Bool("in_transaction", inTxn).Int("count", n).Err(err).Send()
+}
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -16,6 +16,7 @@
 func (noMeter) CountAnswer(*access.Authorization, dbop.Kind, dbop.Code, time.Duration) {}
 func (noMeter) CountShed(*access.Authorization, ShedCause)                             {}
 func (noMeter) CountRetry(dbop.Code)                                                   {}
+func (noMeter) CountRejection(Kind)                                                    {}
 
 // recordAnswer records an answer in the metrics and logs it unless it is a success.
 func (e *Engine) recordAnswer(s *Session, c *call, a *dbop.Answer) {
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -127,7 +127,7 @@
 			s.caller.ClearInterrupt()
 			s.failIdleTxn()
 			continue
-		default:
+		case !s.reject(err):
 			return
 		}
 		a := s.handle(st)
@@ -137,6 +137,17 @@
 	}
 }
 
+// reject records a message that violates the protocol, and reports whether the session
+// goes on.
+func (s *Session) reject(err error) bool {
+	var e *Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	s.e.recordRejection(e, s.login.Route, s.auth.Workspace, s.tx != nil)
+	return e.Kind != KindTooLarge
+}
+
 // Abort ends a session on which Serve is not called.
 func (s *Session) Abort() { s.close() }
 
--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -22,6 +22,8 @@
 	answers map[answerKey]answerMetrics
 	retries map[dbop.Code]tally.Counter
 	shed    map[shedKey]tally.Counter
+	// rejected has the counters of rejected messages.
+	rejected map[engine.Kind]tally.Counter
 }
 
 type shedKey struct {
@@ -46,7 +48,7 @@
 }
 
 func newMeter(scope tally.Scope) *meter {
-	return &meter{scope: scope, answers: map[answerKey]answerMetrics{}, retries: map[dbop.Code]tally.Counter{}, shed: map[shedKey]tally.Counter{}}
+	return &meter{scope: scope, answers: map[answerKey]answerMetrics{}, retries: map[dbop.Code]tally.Counter{}, shed: map[shedKey]tally.Counter{}, rejected: map[engine.Kind]tally.Counter{}}
 }
 
 // CountAnswer implements engine.Meter.
@@ -88,3 +90,15 @@
 	m.mu.Unlock()
 	c.Inc(1)
 }
+
+// CountRejection implements engine.Meter.
+func (m *meter) CountRejection(k engine.Kind) {
+	m.mu.Lock()
+	c, ok := m.rejected[k]
+	if !ok {
+		c = m.scope.Tagged(map[string]string{"reason": k.String()}).Counter("messages_rejected")
+		m.rejected[k] = c
+	}
+	m.mu.Unlock()
+	c.Inc(1)
+}
