--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"chervilspan.example/internal/evlog"
+	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 )
 
@@ -80,8 +81,29 @@
 	return n
 }
 
-// RecordRejection records a message that a codec has rejected before a session was open.
-func (e *Engine) RecordRejection(err *Error) { e.recordRejection(err, "", "", false) }
+// answer returns the answer to a rejected message.
+func (e *Error) answer() dbop.Answer {
+	switch e.Kind {
+	case KindFraming:
+		return dbop.Answer{Code: dbop.Malformed, Text: "it is in doubt where the message ends; the session ends"}
+	case KindTooLarge:
+		return dbop.Answer{Code: dbop.TooLarge, Text: "the message is too long; the session ends"}
+	case KindCharacter:
+		return dbop.Answer{Code: dbop.Malformed, Text: "the message has a control character"}
+	}
+	return dbop.Answer{Code: dbop.Malformed, Text: "the first message does not open a session"}
+}
+
+// endsSession reports whether nothing that follows the rejected message may be read as a
+// message.
+func (e *Error) endsSession() bool { return e.Kind != KindCharacter }
+
+// RecordRejection records a message that a codec has rejected before a session was open,
+// and returns its answer.
+func (e *Engine) RecordRejection(err *Error) dbop.Answer {
+	e.recordRejection(err, "", "", false)
+	return err.answer()
+}
 
 func (e *Engine) recordRejection(err *Error, r ident.Route, ws ident.Workspace, inTxn bool) {
 	e.cfg.Meter.CountRejection(err.Kind)
--- a/internal/engine/fixture_test.go
+++ b/internal/engine/fixture_test.go
@@ -24,7 +24,9 @@
 
 // caller is a Caller that passes statements and answers through channels.
 type caller struct {
-	in          chan dbop.Statement
+	in chan dbop.Statement
+	// rejected has errors that Receive returns.
+	rejected    chan error
 	out         chan dbop.Answer
 	interrupted chan struct{}
 	closed      chan struct{}
@@ -32,7 +34,7 @@
 }
 
 func newCaller() *caller {
-	return &caller{in: make(chan dbop.Statement), out: make(chan dbop.Answer, 1), interrupted: make(chan struct{}, 1), closed: make(chan struct{})}
+	return &caller{in: make(chan dbop.Statement), rejected: make(chan error), out: make(chan dbop.Answer, 1), interrupted: make(chan struct{}, 1), closed: make(chan struct{})}
 }
 
 func (c *caller) Receive(deadline time.Time) (dbop.Statement, error) {
@@ -48,6 +50,8 @@
 			return st, io.EOF
 		}
 		return st, nil
+	case err := <-c.rejected:
+		return dbop.Statement{}, err
 	case <-timeout:
 		return dbop.Statement{}, engine.ErrNoMessage
 	case <-c.interrupted:
@@ -185,6 +189,13 @@
 	return <-s.out
 }
 
+// reject makes the session's codec reject a message.
+func (s *session) reject(k engine.Kind) dbop.Answer {
+	s.t.Helper()
+	s.rejected <- &engine.Error{Op: "receive", Kind: k}
+	return <-s.out
+}
+
 func (s *session) end() {
 	close(s.in)
 	<-s.closed
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -121,31 +121,40 @@
 			return
 		}
 		st, err := s.caller.Receive(s.idleDeadline())
+		var a dbop.Answer
+		var rejected *Error
 		switch {
 		case err == nil:
+			a = s.handle(st)
 		case errors.Is(err, ErrNoMessage):
 			s.caller.ClearInterrupt()
 			s.failIdleTxn()
 			continue
-		case !s.reject(err):
+		case errors.As(err, &rejected):
+			a = s.reject(rejected)
+		default:
 			return
 		}
-		a := s.handle(st)
 		if s.caller.Send(&a) != nil || s.ending {
 			return
 		}
 	}
 }
 
-// reject records a message that violates the protocol, and reports whether the session
-// goes on.
-func (s *Session) reject(err error) bool {
-	var e *Error
-	if !errors.As(err, &e) {
-		return false
+// reject returns the answer to a message that violates the protocol. If it is in doubt
+// where the message ends, the open transaction is rolled back and the session ends.
+func (s *Session) reject(err *Error) dbop.Answer {
+	s.e.recordRejection(err, s.login.Route, s.auth.Workspace, s.tx != nil)
+	a := err.answer()
+	s.e.cfg.Meter.CountAnswer(&s.auth, 0, a.Code, 0)
+	if err.endsSession() {
+		s.abandon()
+		s.ending = true
 	}
-	s.e.recordRejection(e, s.login.Route, s.auth.Workspace, s.tx != nil)
-	return e.Kind != KindTooLarge
+	if s.tx != nil {
+		a.State = s.tx.state()
+	}
+	return a
 }
 
 // Abort ends a session on which Serve is not called.
