Fail the open transaction when one of its statements is rejected

A statement that was refused as malformed, or a SET or PREPARE above the limit of names, left the transaction open (state T), and a COMMIT after it kept the rest. A caller that pipelines would keep half of its work. The protocol says that a failed transaction has the state E and can only be ended; a failed EXEC did that.

Change: each rejected message in an open transaction fails it.

Measured: TestErrorInTxn failed before in its first case (state open), passes in all five.

--- a/internal/engine/rejected_test.go
+++ b/internal/engine/rejected_test.go
@@ -1,6 +1,7 @@
 package engine_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 
@@ -37,3 +38,40 @@
 		})
 	}
 }
+
+// TestErrorInTxn guards against a transaction that can be committed although one of its
+// statements was rejected: the caller would keep half of its work.
+func TestErrorInTxn(t *testing.T) {
+	tooLarge := func(s *session) (a dbop.Answer) {
+		for i := range 300 {
+			if a = s.run(dbop.Set, func(st *dbop.Statement) { st.Name = fmt.Sprint(i) }); a.Code != dbop.OK {
+				break
+			}
+		}
+		return a
+	}
+	for _, k := range []struct {
+		code dbop.Code
+		send func(*session) dbop.Answer
+	}{
+		{dbop.Malformed, func(s *session) dbop.Answer { return s.run(0) }},
+		{dbop.Malformed, func(s *session) dbop.Answer { return s.run(dbop.Begin) }},
+		{dbop.Malformed, func(s *session) dbop.Answer { return s.reject(engine.KindCharacter) }},
+		{dbop.NoStatement, func(s *session) dbop.Answer { return s.run(dbop.Execute) }},
+		{dbop.TooLarge, tooLarge},
+	} {
+		run(t, func(t *testing.T, f *fixture) {
+			is := is.New(t)
+			s := f.open(t, "primary")
+			is.Equal(s.run(dbop.Begin).State, dbop.Open)
+			is.Equal(s.run(dbop.Write).Code, dbop.OK)
+			a := k.send(s)
+			is.Equal(a.Code, k.code)
+			is.Equal(a.State, dbop.InError)
+			is.Equal(s.run(dbop.Commit).Code, dbop.Aborted)
+			is.Equal(len(f.c.Executions("a", dbop.Commit)), 0)
+			is.Equal(s.run(dbop.Write).Code, dbop.OK)
+			s.end()
+		})
+	}
+}
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -141,8 +141,8 @@
 	}
 }
 
-// reject returns the answer to a message that violates the protocol. If it is in doubt
-// where the message ends, the open transaction is rolled back and the session ends.
+// reject returns the answer to a message that violates the protocol. An open transaction
+// fails. If it is in doubt where the message ends, the session ends.
 func (s *Session) reject(err *Error) dbop.Answer {
 	s.e.recordRejection(err, s.login.Route, s.auth.Workspace, s.tx != nil)
 	a := err.answer()
@@ -152,6 +152,7 @@
 		s.ending = true
 	}
 	if s.tx != nil {
+		s.tx.fail()
 		a.State = s.tx.state()
 	}
 	return a
--- a/internal/engine/txn.go
+++ b/internal/engine/txn.go
@@ -104,11 +104,16 @@
 func (s *Session) serveInOpenTxn(c *call, tx *txn) dbop.Answer {
 	switch c.st.Kind {
 	case dbop.Set, dbop.Prepare, dbop.Deallocate:
-		return s.serveLocally(&c.st)
+		a := s.serveLocally(&c.st)
+		if a.Code != dbop.OK {
+			tx.fail()
+		}
+		return a
 	case dbop.Commit:
 		return s.commit(c, tx)
 	case dbop.Read, dbop.Write, dbop.Execute:
 	default:
+		tx.fail()
 		return dbop.Answer{Code: dbop.Malformed, Text: "the statement is not known here"}
 	}
 	writes, ok := s.bind(&c.st)
