Create counters with labels in one place

Cause: the third counter by label repeated the look-up of the other two.

Change: one generic function for the three. The names and labels of the metrics are as before.

Measured: go test ./internal/node passes.

--- a/internal/node/meter.go
+++ b/internal/node/meter.go
@@ -69,35 +69,26 @@
 // CountShed implements engine.Meter.
 func (m *meter) CountShed(auth *access.Authorization, cause engine.ShedCause) {
 	k := shedKey{string(auth.Class), cause}
-	m.mu.Lock()
-	c, ok := m.shed[k]
-	if !ok {
-		c = m.scope.Tagged(map[string]string{"class": k.class, "cause": string(cause)}).Counter("statements_shed")
-		m.shed[k] = c
-	}
-	m.mu.Unlock()
-	c.Inc(1)
+	count(m, m.shed, k, "statements_shed", map[string]string{"class": k.class, "cause": string(cause)})
 }
 
 // CountRetry implements engine.Meter.
 func (m *meter) CountRetry(reason dbop.Code) {
-	m.mu.Lock()
-	c, ok := m.retries[reason]
-	if !ok {
-		c = m.scope.Tagged(map[string]string{"reason": reason.String()}).Counter("retries")
-		m.retries[reason] = c
-	}
-	m.mu.Unlock()
-	c.Inc(1)
+	count(m, m.retries, reason, "retries", map[string]string{"reason": reason.String()})
 }
 
 // CountRejection implements engine.Meter.
 func (m *meter) CountRejection(k engine.Kind) {
+	count(m, m.rejected, k, "messages_rejected", map[string]string{"reason": k.String()})
+}
+
+// count increments the counter of a key, which is created with the name and tags.
+func count[K comparable](m *meter, counters map[K]tally.Counter, k K, name string, tags map[string]string) {
 	m.mu.Lock()
-	c, ok := m.rejected[k]
+	c, ok := counters[k]
 	if !ok {
-		c = m.scope.Tagged(map[string]string{"reason": k.String()}).Counter("messages_rejected")
-		m.rejected[k] = c
+		c = m.scope.Tagged(tags).Counter(name)
+		counters[k] = c
 	}
 	m.mu.Unlock()
 	c.Inc(1)
