--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,9 +36,10 @@
 	// leaseTTL is the lifetime of a VM's entry without renewal, and so how long a
 	// dead VM stays in the list.
 	leaseTTL = 10 * time.Second
-	// refreshPeriod is the period of reading the list. Up to a fifth is added or
-	// subtracted at random.
+	// refreshPeriod is the mean period of reading the list; a period differs from it by
+	// up to refreshJitter, drawn at random.
 	refreshPeriod = 2500 * time.Millisecond
+	refreshJitter = refreshPeriod / 5
 	// renewPeriod is the least time between two renewals of the lease, which leaves
 	// time for a second one.
 	renewPeriod = 3 * time.Second
@@ -222,7 +223,7 @@
 	case age < startupDuration:
 		return startupRefreshPeriod
 	}
-	return refreshPeriod*4/5 + rand.N(refreshPeriod*2/5)
+	return refreshPeriod - refreshJitter + rand.N(2*refreshJitter)
 }
 
 func (f *Fleet) refresh(ctx context.Context) error {
