Refuse to send a value that would end a word or a line early

Cause: the encoder of platform/line wrote what it was given.

The error wraps dbpool.ErrNotEncodable (or ErrTooLarge), from which Conn.Do knows that nothing has run: it answers the whole batch with MALFORMED (or TOOBIG) in the unchanged state, counts no failure, and the connection stays usable. The engine answers such a statement at once instead of trying it until the deadline, and closes no pooled connection for it; before, a refused SET or PREPARE closed one for each attempt, by which one caller could use up the connections of all. In a transaction the transaction is rolled back. A database does not count as failed because a name can't be sent to it.

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"chervilspan.example/pkg/dbop"
@@ -27,7 +28,8 @@
 // used by one goroutine at a time.
 type Link interface {
 	// Exchange sends statements as one batch and returns an answer for each.
-	// After an error the connection must not be used again.
+	// After an error the connection must not be used again, unless the error wraps
+	// ErrNotEncodable or ErrTooLarge.
 	Exchange(deadline time.Time, sts ...dbop.Statement) ([]dbop.Answer, error)
 	// Control sends a Status, Fence, Unfence or Demote statement. The returned
 	// Status is set when the answer's code is OK.
@@ -35,6 +37,16 @@
 	Close() error
 }
 
+// Errors that a Link or Dialer wraps when the database protocol has no form for what it was
+// given. Nothing was sent, and a Link may be used again.
+var (
+	// ErrNotEncodable means that a value has a character that is not allowed where it
+	// stands, or is missing.
+	ErrNotEncodable = errors.New("dbpool: not sent: a value can't be encoded")
+	// ErrTooLarge means that a message would be longer than the protocol allows.
+	ErrTooLarge = errors.New("dbpool: not sent: the message is too large")
+)
+
 // ErrStartTimeout means that the database accepted a connection but did not start
 // the session in time.
 var ErrStartTimeout = errors.New("dbpool: the database did not start the session in time")
@@ -44,7 +56,8 @@
 	// Dial connects to a database for a workspace; ws "" stands for the proxy
 	// itself. A Code other than OK in the answer means that the database refused
 	// the connection. The error wraps ErrStartTimeout when the database accepted
-	// the connection but did not answer in time.
+	// the connection but did not answer in time, and ErrNotEncodable or ErrTooLarge
+	// when it was not asked.
 	Dial(deadline time.Time, m *roster.Member, ws ident.Workspace) (Link, dbop.Answer, error)
 }
 
@@ -131,8 +144,14 @@
 	if c.startTurn(sts) {
 		defer c.endTurn()
 	}
+	sentBefore := c.sentAt
 	c.sentAt = time.Now()
 	answers, inProgress, err := c.exchange(deadline, sts)
+	if code := notSentCode(err); code != dbop.OK {
+		c.sentAt = sentBefore
+		c.recordNotSent(err)
+		return slices.Repeat([]dbop.Answer{{Code: code, State: c.state, Text: "not run: the statement can't be sent to a database"}}, len(sts)), nil
+	}
 	failed := err != nil
 	for i := range answers {
 		c.recordAnswer(&sts[i], &answers[i])
--- a/internal/dbpool/pool.go
+++ b/internal/dbpool/pool.go
@@ -256,6 +256,10 @@
 			p.refusedAt = now
 		}
 		p.wakeNext("")
+		if code := notSentCode(err); code != dbop.OK {
+			p.parent.recordNotSent(&p.member, ws, err)
+			return nil, &Error{Op: "dial", Kind: KindRefused, Target: p.member.ID, Code: code, Err: err}
+		}
 		switch {
 		case errors.Is(err, ErrStartTimeout):
 			return nil, &Error{Op: "dial", Kind: KindStartTimeout, Target: p.member.ID, Err: err}
--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -39,6 +39,10 @@
 	// Commits, unless nil, is asked before a commit is sent on a local connection.
 	Commits Commits
 
+	// NotSent, unless nil, is told of messages to a database that were not sent because
+	// they can't be encoded. The workspace is "" if the message is the proxy's own.
+	NotSent func(m *roster.Member, ws ident.Workspace, err error)
+
 	// Dials counts the attempts to open a connection.
 	Dials atomic.Uint64
 
@@ -150,7 +154,7 @@
 func (s *Pools) recordDial(m *roster.Member, code dbop.Code, err error) {
 	s.Dials.Add(1)
 	switch {
-	case errors.Is(err, ErrStartTimeout):
+	case errors.Is(err, ErrStartTimeout), notSentCode(err) != dbop.OK:
 	case err != nil || code == dbop.WrongTarget:
 		s.Roster.RecordFailure(m.Group, m.ID, time.Now())
 	case code == dbop.OK:
--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -34,8 +34,9 @@
 	time.Sleep(min(b.next, max(c.remaining(), 0)))
 }
 
-// canAttempt reports whether there is time for another attempt.
-func (c *call) canAttempt() bool { return c.remaining() > minAttemptTime }
+// canAttempt reports whether there is time for another attempt. There is none for a
+// statement that no database accepts as it is.
+func (c *call) canAttempt() bool { return c.remaining() > minAttemptTime && !c.lastCode.Rejected() }
 
 // recordFailure records why an attempt failed, in the call, the metrics and the
 // log.
@@ -51,6 +52,8 @@
 		return dbop.Answer{Code: dbop.Timeout, Text: "the database did not answer in time"}
 	}
 	switch {
+	case c.lastCode.Rejected():
+		return dbop.Answer{Code: c.lastCode, Text: "not run: the statement, a variable or the prepared statement can't be sent to a database"}
 	case c.unplaced != "":
 		return dbop.Answer{Code: dbop.Busy, Text: fmt.Sprintf("not run: %s; retry after %d ms", c.unplaced, unplacedRetryAfter.Milliseconds())}
 	case c.primaryExpected > 0:
@@ -200,6 +203,8 @@
 		case a.Code == dbop.Crowded:
 			conn.Rollback(c.deadline)
 			return c.crowdedRefusal()
+		case a.Code.Rejected():
+			conn.Rollback(c.deadline)
 		default:
 			conn.Release(true)
 		}
@@ -317,7 +322,7 @@
 			return a, false
 		}
 		if code, ok := allOK(answers); !ok {
-			conn.Release(false)
+			conn.Release(code.Rejected())
 			s.recordFailure(c, m.ID, code)
 			return a, false
 		}
--- a/internal/linktest/link.go
+++ b/internal/linktest/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strings"
 	"time"
 
 	"chervilspan.example/internal/dbpool"
@@ -27,6 +28,11 @@
 // Exchange implements dbpool.Link.
 func (l *link) Exchange(deadline time.Time, sts ...dbop.Statement) ([]dbop.Answer, error) {
 	var out []dbop.Answer
+	for i := range sts {
+		if err := checkEncodable(&sts[i]); err != nil {
+			return nil, err
+		}
+	}
 	for i := range sts {
 		a, ok := l.exchangeOne(&sts[i])
 		if !ok {
@@ -38,6 +44,21 @@
 	return out, nil
 }
 
+// MaxMessage is the maximum length of a statement, in bytes.
+const MaxMessage = 1 << 20
+
+// checkEncodable returns the error of a codec whose messages end with LF.
+func checkEncodable(st *dbop.Statement) error {
+	all := st.ID + st.Text + st.Name + st.Arg
+	switch {
+	case strings.Contains(all, "\n"):
+		return dbpool.ErrNotEncodable
+	case len(all) > MaxMessage:
+		return dbpool.ErrTooLarge
+	}
+	return nil
+}
+
 // exchangeOne runs one statement. It returns false if there is no answer.
 func (l *link) exchangeOne(st *dbop.Statement) (dbop.Answer, bool) {
 	l.c.mu.Lock()
--- a/internal/linktest/linktest.go
+++ b/internal/linktest/linktest.go
@@ -14,6 +14,7 @@
 	"cmp"
 	"errors"
 	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -224,6 +225,9 @@
 
 // Dial implements dbpool.Dialer.
 func (c *Cluster) Dial(deadline time.Time, m *roster.Member, ws ident.Workspace) (dbpool.Link, dbop.Answer, error) {
+	if strings.ContainsAny(string(ws), " \n") {
+		return nil, dbop.Answer{}, dbpool.ErrNotEncodable
+	}
 	c.mu.Lock()
 	d := c.dbs[m.ID]
 	gone := d == nil || d.Removed || d.Unreachable
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -113,6 +113,8 @@
 	// gracePeriod is the longest time of a planned stop, in nanoseconds. A reload may
 	// change it.
 	gracePeriod atomic.Int64
+	// notSent limits the lines about messages that could not be encoded.
+	notSent evlog.Limiter
 }
 
 // New returns a Node that serves once Run is called.
@@ -122,7 +124,7 @@
 	}
 	n := &Node{settings: s, adapters: a, log: log, roster: &roster.Table{}, metrics: metr.New(), startedAt: time.Now(), firstReady: make(chan struct{})}
 	n.gracePeriod.Store(int64(s.Grace()))
-	n.pools = &dbpool.Pools{Dialer: a.Dialer, Roster: n.roster, ConnLimit: n.connLimit, DialLimit: n.dialLimit, Learns: n.learnsSpeed}
+	n.pools = &dbpool.Pools{Dialer: a.Dialer, Roster: n.roster, ConnLimit: n.connLimit, DialLimit: n.dialLimit, Learns: n.learnsSpeed, NotSent: n.recordNotSent}
 	n.peers = peer.NewCache(peer.CacheConfig{AllowPlaintext: true, Scope: n.metrics.Scope, Usage: a.Usage, ZoneOf: n.zoneOfAddress, Log: log})
 	n.borrower = relay.NewClient(relay.Config{Lenders: n.lenderAddresses, Peers: n.peers, RecordSpeed: n.pools.RecordSpeed, Log: log})
 	n.pools.Lender = n.borrower
--- a/internal/relay/read_server.go
+++ b/internal/relay/read_server.go
@@ -133,9 +133,9 @@
 		return dbop.Unknown
 	}
 	for i := range answers {
-		if answers[i].Code != dbop.OK {
-			conn.Release(false)
-			return answers[i].Code
+		if code := answers[i].Code; code != dbop.OK {
+			conn.Release(code.Rejected())
+			return code
 		}
 	}
 	return dbop.OK
--- a/pkg/dbop/dbop.go
+++ b/pkg/dbop/dbop.go
@@ -155,6 +155,10 @@
 // NotRun reports whether the code means that the statement did not run.
 func (c Code) NotRun() bool { return c >= Busy && c <= NoStatement }
 
+// Rejected reports whether the code is a refusal of a statement for what it is, which another
+// database would refuse too.
+func (c Code) Rejected() bool { return c == TooLarge || c == Malformed }
+
 // State is the state of a connection between two statements.
 type State uint8
 
