Name prepared statements at databases by a cryptographic hash

Callers of one workspace share the connections of the workspace and so the names of prepared statements there; a name was the 64 bit xxhash of the text.

--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
-	"strconv"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/internal/guard"
 	"chervilspan.example/pkg/access"
@@ -34,6 +33,9 @@
 	// maxNames limits the number of variables of a session, and that of its
 	// prepared statements.
 	maxNames = 256
+	// preparedHashBytes is the length of the hash in the name of a prepared statement.
+	// Callers share these names, so no caller may be able to choose two texts of one hash.
+	preparedHashBytes = 16
 )
 
 // preparedStatement is a statement prepared by the caller.
@@ -360,11 +362,8 @@
 	if st.Writes {
 		mode = "w"
 	}
-	const hexBase = 16
-	return preparedStatement{
-		name: mode + strconv.FormatUint(xxhash.Sum64String(st.Arg), hexBase),
-		text: st.Arg, writes: st.Writes,
-	}
+	h := sha256.Sum256([]byte(st.Arg))
+	return preparedStatement{name: mode + hex.EncodeToString(h[:preparedHashBytes]), text: st.Arg, writes: st.Writes}
 }
 
 // bind replaces the statement name of an Execute by the name used at databases,
