Drop a connection whose session state is in doubt

FAILED and TIMEOUT as the answer to a SET mean that it was run. The pool recorded nothing for it and kept the connection, so the next caller's statement ran with a session value of another one (rule PINNED).

Change: a connection is dropped when a SET, PREPARE or RESET is answered with a code that does not say that it was not run.

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -196,6 +196,9 @@
 		if a.Code == dbop.NoStatement && st.Kind == dbop.Execute {
 			delete(c.Prepared, st.Name)
 		}
+		if st.Kind.ChangesSession() && !a.Code.NotRun() && !a.Code.Rejected() {
+			c.broken = true // it may have run, so the session state is unknown
+		}
 		return
 	}
 	switch st.Kind {
--- a/internal/linktest/link.go
+++ b/internal/linktest/link.go
@@ -80,6 +80,9 @@
 		if a.Code == dbop.Failed {
 			l.recordExecution(st)
 		}
+		if st.Kind == dbop.Set && (a.Code == dbop.Failed || a.Code == dbop.Timeout) {
+			l.vars[st.Name] = st.Arg // these codes mean that there was a run
+		}
 	} else {
 		a = l.run(st)
 	}
--- a/pkg/dbop/dbop.go
+++ b/pkg/dbop/dbop.go
@@ -47,6 +47,10 @@
 	return false
 }
 
+// ChangesSession reports whether a statement of the kind changes the variables or prepared
+// statements of its connection.
+func (k Kind) ChangesSession() bool { return k == Set || k == Prepare || k == Reset }
+
 // Statement is one statement of a caller or of the proxy itself.
 type Statement struct {
 	// ID is the caller's identifier; empty for the proxy's own statements.
