Drop a connection whose database has ended an open transaction

The state in a database's answer was recorded and not compared with what was asked.

Change: a success inside a transaction that leaves no transaction open, other than of its end, counts as a lost connection: the transaction fails.

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -51,6 +51,9 @@
 // the session in time.
 var ErrStartTimeout = errors.New("dbpool: the database did not start the session in time")
 
+// errLostTxn means that a database has ended a transaction that was not to end.
+var errLostTxn = errors.New("dbpool: the database has ended an open transaction")
+
 // Dialer opens connections.
 type Dialer interface {
 	// Dial connects to a database for a workspace; ws "" stands for the proxy
@@ -108,6 +111,9 @@
 	openedAt time.Time
 	heardAt  time.Time
 	broken   bool
+	// lostTxn is set when the database reported a success inside a transaction and no open
+	// transaction after it: it would commit the next write at once.
+	lostTxn bool
 	// owner is the last user of the connection.
 	owner Owner
 	// class is the class of the last statement that had one.
@@ -168,6 +174,10 @@
 		}
 		return answers, &Error{Op: "run", Kind: KindBroken, Target: c.Target, Err: err}
 	}
+	if c.lostTxn {
+		c.broken = true
+		return answers, &Error{Op: "run", Kind: KindBroken, Target: c.Target, Err: errLostTxn}
+	}
 	c.answeredAt = time.Now()
 	if err := c.confirmCommit(deadline, commit, answers); err != nil {
 		c.broken = true
@@ -190,6 +200,7 @@
 
 // recordAnswer updates the session state after a statement and its answer.
 func (c *Conn) recordAnswer(st *dbop.Statement, a *dbop.Answer) {
+	c.lostTxn = c.lostTxn || a.Code == dbop.OK && !st.Kind.EndsTxn() && a.State != dbop.Open && (c.state == dbop.Open || st.Kind.BeginsTxn())
 	c.recordWrite(st, a)
 	c.state = a.State
 	if a.Code != dbop.OK {
--- a/internal/linktest/link.go
+++ b/internal/linktest/link.go
@@ -92,6 +92,9 @@
 	if a.Code != dbop.OK && l.state == dbop.Open {
 		l.state = dbop.InError
 	}
+	if d.EndsTxns {
+		l.state = dbop.Idle
+	}
 	a.State, a.Position = l.state, d.appliedPosition()
 	if d.DroppedAnswers[st.Kind] > 0 {
 		d.DroppedAnswers[st.Kind]--
--- a/internal/linktest/linktest.go
+++ b/internal/linktest/linktest.go
@@ -67,6 +67,8 @@
 	// DroppedAnswers is the number of next statements of a kind that are run but
 	// not answered.
 	DroppedAnswers map[dbop.Kind]int
+	// EndsTxns makes the database roll back an open transaction with each answer.
+	EndsTxns bool
 	// MaxConns is the limit of open connections; 0 means unlimited.
 	MaxConns int
 	// Latency is how long a read or write takes.
--- a/pkg/dbop/dbop.go
+++ b/pkg/dbop/dbop.go
@@ -47,6 +47,12 @@
 	return false
 }
 
+// BeginsTxn and EndsTxn report whether a statement of the kind begins or ends a transaction.
+func (k Kind) BeginsTxn() bool { return k == Begin || k == BeginRead }
+
+// EndsTxn is described at BeginsTxn.
+func (k Kind) EndsTxn() bool { return k == Commit || k == Rollback }
+
 // ChangesSession reports whether a statement of the kind changes the variables or prepared
 // statements of its connection.
 func (k Kind) ChangesSession() bool { return k == Set || k == Prepare || k == Reset }
