Discard queries behind an error up to Sync

After an error of an extended message the protocol discards all messages up to the next Sync.

Change: only Sync and Terminate are served while messages are discarded.

--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -177,24 +177,24 @@
 
 // handle serves one message. A returned error ends the session.
 func (s *session) handle(m pgproto3.FrontendMessage) error {
-	switch m := m.(type) {
-	case *pgproto3.Query:
-		return s.handleQuery(m)
+	switch m.(type) {
 	case *pgproto3.Sync:
 		return s.handleSync()
 	case *pgproto3.Terminate:
 		return io.EOF
 	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
 		return nil // left over from a COPY that was refused
-	case *pgproto3.FunctionCall:
-		s.answerError(refusedError("function call", codeUnsupported, "the function call protocol is not supported", nil))
-		s.skipping = false
-		return s.answerReady()
 	}
 	if s.skipping {
 		return nil
 	}
 	switch m := m.(type) {
+	case *pgproto3.Query:
+		return s.handleQuery(m)
+	case *pgproto3.FunctionCall:
+		s.answerError(refusedError("function call", codeUnsupported, "the function call protocol is not supported", nil))
+		s.skipping = false
+		return s.answerReady()
 	case *pgproto3.Flush:
 		return s.runPending(endFlush)
 	case *pgproto3.Parse, *pgproto3.Bind, *pgproto3.Describe, *pgproto3.Execute, *pgproto3.Close:
@@ -206,12 +206,7 @@
 func (s *session) handleQuery(m *pgproto3.Query) error {
 	if !s.pending.isEmpty() {
 		// Extended messages without Sync run before the query.
-		if err := s.runPending(endFlush); err != nil {
-			return err
-		}
-	}
-	if s.skipping {
-		if err := s.resync(); err != nil {
+		if err := s.runPending(endFlush); err != nil || s.skipping {
 			return err
 		}
 	}
