Never take the callers of a nameless workspace for anonymous ones

Cause: workspace "" stands for callers without a workspace. Its class was that of all anonymous callers.

Change: KeyIndex leaves out the keys of a workspace without a name, and anonymous callers have no workspace settings.

--- a/pkg/access/index.go
+++ b/pkg/access/index.go
@@ -29,10 +29,14 @@
 }
 
 // NewKeyIndex returns the index of the keys in c that are usable now. It does not
-// follow the time: a key that becomes valid or expires later needs a new index.
+// follow the time: a key that becomes valid or expires later needs a new index. The keys of a
+// workspace without a name authenticate nobody.
 func NewKeyIndex(c *catal.Catalogue) *KeyIndex {
 	x := &KeyIndex{Catalogue: c, keys: map[string]keyOwner{}, Ranked: c.RanksRoutes(), ShortestObjective: c.ShortestObjective()}
 	for ws, w := range c.Workspaces {
+		if ws == "" {
+			continue // it stands for callers without a workspace
+		}
 		for id, k := range w.Keys {
 			if k.Usable(time.Now()) {
 				x.keys[k.SHA256] = keyOwner{ws, id}
@@ -63,5 +67,13 @@
 	if !known {
 		hash = ""
 	}
-	return authorize(x.Catalogue, owner.workspace, x.Catalogue.Workspaces[owner.workspace], route, r, owner.id, hash)
+	return authorize(x.Catalogue, owner.workspace, x.workspace(owner.workspace), route, r, owner.id, hash)
+}
+
+// workspace returns the settings of a workspace, none for callers without one.
+func (x *KeyIndex) workspace(ws ident.Workspace) catal.Workspace {
+	if ws == "" {
+		return catal.Workspace{}
+	}
+	return x.Catalogue.Workspaces[ws]
 }
