Reject control characters in the names of a VM's settings

Cause: the name of the VM is a header of each promotion call. net/http sends no call with a line end in a header, so nothing could be injected, but such a VM could lead a group and never replace its primary.

Change: Parse rejects control characters in vm, zone and region. The rest of what is put into headers, URLs and bodies was checked too: keys in query strings are escaped, bodies and log lines are JSON, labels of metrics are escaped by the library. TestHolderWithLineEnd and TestKeyInQuery keep it that way; they passed before.

Measured: the new case of the settings test fails without the check; the tests of platform/duty and platform/kv pass.

--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -4,7 +4,9 @@
 	"encoding/json"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
+	"unicode"
 
 	"chervilspan.example/internal/usage"
 	"chervilspan.example/pkg/ident"
@@ -129,8 +131,13 @@
 		out = append(out, strict.Problem{Path: path, Text: text, Allowed: allowed})
 	}
 	for path, v := range map[string]string{"/vm": string(s.VM), "/zone": string(s.Zone), "/region": string(s.Region)} {
-		if v == "" {
+		switch {
+		case v == "":
 			add(path, "is missing", "a name")
+		case strings.ContainsFunc(v, unicode.IsControl):
+			// The name of the VM is sent in a header, which can't have one: the VM could
+			// lead a group and replace no primary.
+			add(path, "has a control character", "a name without them")
 		}
 	}
 	if len(s.Zones) > 0 && s.Zones[s.Zone] != s.Region {
