Close the oldest silent connection when strangers hold too many

Cause: a connection has 10 s to send its first message, and nothing limited how many do so at once. 4,300 silent connections every 10 s use up the descriptors of a VM, and no caller gets in.

Change: above 1,000 connections before their login, the oldest that has sent nothing is answered BUSY and closed; the same when a connection can't be accepted for lack of descriptors. Well-behaved callers send their START at once, so a flood evicts only its own; refusing the newest would refuse them for as long as the silent ones last. A connection is not closed in its first second, nor while its input is unread: a VM that did not run for a moment accepts thousands whose START had no time to be read. Those evicted are counted and logged as messages rejected for the reason evicted.

--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -22,10 +22,14 @@
 	KindTooLarge
 	// KindSyntax means that the first message does not open a session.
 	KindSyntax
+	// KindEvicted means that too many connections wait for their first message, and this
+	// one has waited longest.
+	KindEvicted
 )
 
 var kindNames = [...]string{
 	KindFraming: "framing", KindCharacter: "character", KindTooLarge: "too_large", KindSyntax: "syntax",
+	KindEvicted: "evicted",
 }
 
 // String returns the kind's name in logs and metrics.
@@ -90,6 +94,8 @@
 		return dbop.Answer{Code: dbop.TooLarge, Text: "the message is too long; the session ends"}
 	case KindCharacter:
 		return dbop.Answer{Code: dbop.Malformed, Text: "the message has a control character"}
+	case KindEvicted:
+		return dbop.Answer{Code: dbop.Busy, Text: "too many connections wait for their first message"}
 	}
 	return dbop.Answer{Code: dbop.Malformed, Text: "the first message does not open a session"}
 }
