Limit the memory of long messages over all callers

Cause: each session may hold a message of up to 1 MiB that has not ended, in a buffer of up to 2 MiB, for as long as it likes. 500 sessions that send 1 MiB less a byte hold 498 MiB on a VM of 184 MB.

A message that waits for 2 s, stops arriving for 2 s or takes 10 s is refused with BUSY (it did not run), and the session ends.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -98,6 +98,10 @@
 	return s, nil
 }
 
+// Workspace returns the workspace of the caller's key, empty if it has none. Serve must
+// not have been called.
+func (s *Session) Workspace() ident.Workspace { return s.auth.Workspace }
+
 func (e *Engine) remove(s *Session) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -25,11 +25,16 @@
 	// KindEvicted means that too many connections wait for their first message, and this
 	// one has waited longest.
 	KindEvicted
+	// KindCrowded means that the long messages of other callers leave no memory for this
+	// one.
+	KindCrowded
+	// KindUnfinished means that a long message has stopped arriving, or takes too long.
+	KindUnfinished
 )
 
 var kindNames = [...]string{
 	KindFraming: "framing", KindCharacter: "character", KindTooLarge: "too_large", KindSyntax: "syntax",
-	KindEvicted: "evicted",
+	KindEvicted: "evicted", KindCrowded: "crowded", KindUnfinished: "unfinished",
 }
 
 // String returns the kind's name in logs and metrics.
@@ -96,6 +101,10 @@
 		return dbop.Answer{Code: dbop.Malformed, Text: "the message has a control character"}
 	case KindEvicted:
 		return dbop.Answer{Code: dbop.Busy, Text: "too many connections wait for their first message"}
+	case KindCrowded:
+		return dbop.Answer{Code: dbop.Busy, Text: "not run: too many long messages arrive at a time; the session ends"}
+	case KindUnfinished:
+		return dbop.Answer{Code: dbop.Busy, Text: "not run: the rest of the message did not arrive in time; the session ends"}
 	}
 	return dbop.Answer{Code: dbop.Malformed, Text: "the first message does not open a session"}
 }
