End a planned stop in time beside half a message

Cause: a session with part of a message in its buffer was not ended by a planned stop. A caller that had sent half a message, or sent a byte a second, held up the stop for its whole grace period. Beside that, the idle timeout of a transaction began anew whenever a stop interrupted the wait for its next statement.

Change: once a planned stop would end the session, the rest of a message has 1 s to arrive; one that arrives in that time is answered. Otherwise the answer is BUSY (nothing was run), and the session ends. Input that follows is dropped for up to 1 s first, so that the answer is not lost by a reset. The idle timeout counts from the last statement.

TestIdleBesideHalfMessage fails before (a COMMIT 1.2 s after BEGIN is sent on, with an idle timeout of 1 s and a stop at 0.9 s) and passes after. platform/e2e passes.

--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -70,6 +70,9 @@
 	lastCommit   ident.Position
 	lastCommitAt time.Time
 	tx           *txn
+	// unfinishedSince is since when a planned stop waits for the rest of a message; zero
+	// if it does not.
+	unfinishedSince time.Time
 	// ending is set when the session must end after the current answer.
 	ending bool
 }
@@ -122,16 +125,20 @@
 		if s.shouldStop() {
 			return
 		}
-		st, err := s.caller.Receive(s.idleDeadline())
+		st, err := s.caller.Receive(s.receiveDeadline())
 		var a dbop.Answer
 		var rejected *Error
 		switch {
 		case err == nil:
+			s.unfinishedSince = time.Time{}
 			a = s.handle(st)
 		case errors.Is(err, ErrNoMessage):
 			s.caller.ClearInterrupt()
 			s.failIdleTxn()
-			continue
+			if !s.unfinishedTooLong() {
+				continue
+			}
+			a = s.reject(&Error{Op: "receive", Kind: KindUnfinished})
 		case errors.As(err, &rejected):
 			a = s.reject(rejected)
 		default:
@@ -170,35 +177,6 @@
 	s.e.remove(s)
 }
 
-// shouldStop reports whether a planned stop ends the session now.
-func (s *Session) shouldStop() bool {
-	switch stopPhase(s.e.phase.Load()) {
-	case closingIdle:
-		return s.tx == nil && !s.caller.Pending()
-	case closingAll:
-		return !s.caller.Pending()
-	}
-	return false
-}
-
-// idleDeadline returns when the idle timeout of the open transaction expires, or
-// zero if there is none.
-func (s *Session) idleDeadline() time.Time {
-	if s.tx == nil || s.tx.failed {
-		return time.Time{}
-	}
-	return time.Now().Add(s.index.Catalogue.Sessions.IdleTransactionTimeout())
-}
-
-// failIdleTxn fails a transaction whose idle timeout has expired.
-func (s *Session) failIdleTxn() {
-	if s.tx == nil || s.tx.failed || time.Since(s.tx.lastUsed) < s.index.Catalogue.Sessions.IdleTransactionTimeout() {
-		return
-	}
-	s.e.logIdleRollback(s)
-	s.tx.fail()
-}
-
 // authorize checks the key and the route against the catalogue in force and
 // returns the refusal if one of them is no longer valid. An open transaction
 // keeps its authorization.
