Keep the connections of callers without a workspace apart from a workspace of their name

Connections of callers without a workspace were pooled under the name that databases see, "chervilspan". A tenant of that name shared them.

--- a/internal/dbpool/pools.go
+++ b/internal/dbpool/pools.go
@@ -75,8 +75,8 @@
 
 // Anonymous stands for the workspace of callers without one. Their statements need
 // connections of their own: on one of a workspace, a database would take them for
-// statements of that workspace.
-const Anonymous ident.Workspace = "chervilspan"
+// statements of that workspace. The blank keeps it apart from the names of workspaces.
+const Anonymous ident.Workspace = "no workspace"
 
 // Request says for whom a connection is requested.
 type Request struct {
--- a/internal/linktest/linktest.go
+++ b/internal/linktest/linktest.go
@@ -227,7 +227,7 @@
 
 // Dial implements dbpool.Dialer.
 func (c *Cluster) Dial(deadline time.Time, m *roster.Member, ws ident.Workspace) (dbpool.Link, dbop.Answer, error) {
-	if strings.ContainsAny(string(ws), " \n") {
+	if ws != dbpool.Anonymous && strings.ContainsAny(string(ws), " \n") {
 		return nil, dbop.Answer{}, dbpool.ErrNotEncodable
 	}
 	c.mu.Lock()
