Limit the length of a session's variables and prepared statements

A session may have 256 variables of up to 1 MiB each, and as many prepared statements. That is 512 MiB on a VM of 184 MB. Above the limit on messages between VMs, the state does not reach a lender, which is then avoided by all callers of the VM as if it had failed.

Change: all names and values of a session have 1 MiB at most; beyond that SET and PREPARE are answered TOOBIG.

Measured: TestSessionState fails without the limit; the review's TestLargeSession shows the avoided lender at the level of the pool.

--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"sync/atomic"
@@ -30,23 +28,8 @@
 	// from may still be claiming their slices.
 	warmupAdmitTimeout = 500 * time.Millisecond
 	warmupPeriod       = 3 * time.Second
-	// maxNames limits the number of variables of a session, and that of its
-	// prepared statements.
-	maxNames = 256
-	// preparedHashBytes is the length of the hash in the name of a prepared statement.
-	// Callers share these names, so no caller may be able to choose two texts of one hash.
-	preparedHashBytes = 16
 )
 
-// preparedStatement is a statement prepared by the caller.
-type preparedStatement struct {
-	// name is the name of the statement at databases. It is derived from the
-	// statement alone, so that sessions can share a prepared statement.
-	name   string
-	text   string
-	writes bool
-}
-
 // Session serves one caller. Its fields are used only by the goroutine of Serve.
 type Session struct {
 	e      *Engine
@@ -65,6 +48,8 @@
 
 	vars     map[string]string
 	prepared map[string]preparedStatement
+	// stateBytes is the length of the names and values in vars and prepared.
+	stateBytes int
 	// lastCommit is the position of the session's last commit, and lastCommitAt when
 	// that was acknowledged, by Config.Clock.
 	lastCommit   ident.Position
@@ -310,40 +295,6 @@
 	return s.auth.ReadConsistency == catal.ConsistencyPrimary || s.auth.MaxAge <= 0
 }
 
-// serveLocally serves statements that need no database.
-func (s *Session) serveLocally(st *dbop.Statement) dbop.Answer {
-	switch st.Kind {
-	case dbop.Set:
-		if s.vars == nil {
-			s.vars = map[string]string{}
-		}
-		if _, known := s.vars[st.Name]; !known && len(s.vars) >= maxNames {
-			return dbop.Answer{Code: dbop.TooLarge, Text: "too many session variables"}
-		}
-		s.vars[st.Name] = st.Arg
-	case dbop.Prepare:
-		if s.prepared == nil {
-			s.prepared = map[string]preparedStatement{}
-		}
-		if _, known := s.prepared[st.Name]; !known && len(s.prepared) >= maxNames {
-			return dbop.Answer{Code: dbop.TooLarge, Text: "too many prepared statements"}
-		}
-		s.prepared[st.Name] = newPreparedStatement(st)
-	case dbop.Deallocate:
-		delete(s.prepared, st.Name)
-	}
-	return dbop.Answer{}
-}
-
-func newPreparedStatement(st *dbop.Statement) preparedStatement {
-	mode := "r"
-	if st.Writes {
-		mode = "w"
-	}
-	h := sha256.Sum256([]byte(st.Arg))
-	return preparedStatement{name: mode + hex.EncodeToString(h[:preparedHashBytes]), text: st.Arg, writes: st.Writes}
-}
-
 // bind replaces the statement name of an Execute by the name used at databases,
 // and reports whether the statement writes. ok is false if no statement of this
 // name was prepared.
