Close a connection on which too much was set and prepared

What callers set and prepare stays on a connection to a database until a reset, and prepared statements for as long as it is open. Nothing bounded it: a tenant that prepares ever new statements fills the databases' memory, and the state of a connection that is lent outgrows the limit on messages between VMs, so that the lender is avoided as if it had failed.

Change: a connection on which more than 2 MiB were set and prepared is not kept.

--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -98,6 +98,8 @@
 	// statements on the connection.
 	Vars     map[string]string
 	Prepared map[string]bool
+	// stateBytes is the length of what was set and prepared since the last reset.
+	stateBytes int
 	// state is the transaction state after the last answer; wrote is set when a write was
 	// sent in the open transaction.
 	state dbop.State
@@ -218,22 +220,30 @@
 			c.Vars = map[string]string{}
 		}
 		c.Vars[st.Name] = st.Arg
+		c.stateBytes += len(st.Name) + len(st.Arg)
 	case dbop.Prepare:
 		if c.Prepared == nil {
 			c.Prepared = map[string]bool{}
 		}
 		c.Prepared[st.Name] = true
+		c.stateBytes += len(st.Name) + len(st.Arg)
 	case dbop.Reset:
 		clear(c.Vars)
 		clear(c.Prepared)
+		c.stateBytes = 0
 	}
 }
 
+// maxStateBytes is the length of what may be set and prepared on a connection that is kept.
+// Databases hold it for as long as the connection is open, and it travels with a connection
+// that is lent to another VM.
+const maxStateBytes = 2 << 20
+
 // Release gives the connection back. It is closed unless healthy is set, no
 // answer is outstanding and no transaction is open.
 func (c *Conn) Release(healthy bool) {
 	c.endTurn()
-	keep := healthy && !c.broken && c.state == dbop.Idle
+	keep := healthy && !c.broken && c.state == dbop.Idle && c.stateBytes <= maxStateBytes
 	if c.pool == nil {
 		c.giveBack(keep)
 		return
