Limit the lines of rejected messages with evlog.Limiter

Cause: the limit of one line in a second stood twice, in package engine for rejected messages and in package evlog for messages that are not sent.

Change: the engine uses evlog.Limiter.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chervilspan.example/internal/dbpool"
+	"chervilspan.example/internal/evlog"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 )
@@ -29,9 +30,10 @@
 	// answersBy is when the last statements have to be answered; nil unless the VM stops.
 	answersBy atomic.Pointer[time.Time]
 	// started is when New was called.
-	started    time.Time
-	absences   absences
-	rejections rejections
+	started  time.Time
+	absences absences
+	// rejections limits the lines about rejected messages.
+	rejections evlog.Limiter
 
 	// evacuationRefusals counts the statements refused because of an evacuation.
 	evacuationRefusals atomic.Uint64
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"sync"
 	"time"
 
 	"chervilspan.example/internal/evlog"
@@ -66,30 +65,6 @@
 // Unwrap returns the cause.
 func (e *Error) Unwrap() error { return e.Err }
 
-// rejectionLogInterval is the shortest time between two log lines about rejected
-// messages, which one caller can send by the thousand.
-const rejectionLogInterval = time.Second
-
-// rejections counts rejected messages between two log lines.
-type rejections struct {
-	mu       sync.Mutex
-	unlogged int
-	loggedAt time.Time
-}
-
-// add counts a rejection. It returns the number to log, 0 for no line.
-func (r *rejections) add(now time.Time) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.unlogged++
-	if now.Sub(r.loggedAt) < rejectionLogInterval {
-		return 0
-	}
-	n := r.unlogged
-	r.unlogged, r.loggedAt = 0, now
-	return n
-}
-
 // answer returns the answer to a rejected message.
 func (e *Error) answer() dbop.Answer {
 	switch e.Kind {
@@ -122,7 +97,7 @@
 
 func (e *Engine) recordRejection(err *Error, r ident.Route, ws ident.Workspace, inTxn bool) {
 	e.cfg.Meter.CountRejection(err.Kind)
-	n := e.rejections.add(time.Now())
+	n := e.rejections.Add(time.Now())
 	if n == 0 {
 		return
 	}
