Answer a rejected start of a connection with BUSY

Cause: since a statement whose code is MALFORMED or TOOBIG is not tried again. A connection whose START can't be sent, or which one database rejects with MALFORMED, gave the statement that code, although nothing is wrong with it and another database may run it.

Change: such a connection counts as one that is not available now, as before: the statement is tried elsewhere until its deadline and then answered with BUSY, not run.

Measured: TestUnsendableStart fails without the change (malformed, not busy).

--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -161,6 +161,9 @@
 	}
 	switch e.Kind {
 	case dbpool.KindRefused:
+		if e.Code.Rejected() {
+			return dbop.Busy // the start of the connection was rejected, not the statement
+		}
 		return e.Code
 	case dbpool.KindUnreachable:
 		s.e.cfg.Primaries.ReportUnanswered(m.Group, m.ID)
--- a/internal/engine/unsent_test.go
+++ b/internal/engine/unsent_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"chervilspan.example/internal/linktest"
+	"chervilspan.example/pkg/access"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 )
@@ -62,6 +63,31 @@
 	})
 }
 
+// TestUnsendableStart guards against a statement that counts as rejected, or whose outcome
+// counts as unknown, because the name of its workspace can't be sent to a database.
+func TestUnsendableStart(t *testing.T) {
+	run(t, func(t *testing.T, f *fixture) {
+		is := is.New(t)
+		c := catalogue(2, "key")
+		c.Workspaces["w x"] = c.Workspaces["w"]
+		delete(c.Workspaces, "w")
+		f.set(func(f *fixture) { f.index = access.NewKeyIndex(c) })
+		for _, route := range []ident.Route{"primary", "bounded"} {
+			s := f.open(t, route)
+			is.Equal(s.run(dbop.Read).Code, dbop.Busy)
+			is.Equal(s.run(dbop.Write).Code, dbop.Busy)
+			s.run(dbop.Begin)
+			a := s.run(dbop.Write)
+			is.Equal(a.Code, dbop.Busy)
+			is.Equal(a.State, dbop.InError)
+			s.end()
+		}
+		is.Equal(totalRuns(f, dbop.Read)+totalRuns(f, dbop.Write), 0)
+		m, _ := f.c.Roster().Member("g", "a")
+		is.True(m.FailedAt.IsZero())
+	})
+}
+
 // opened returns the number of connections that were ever opened.
 func opened(f *fixture) (n int) {
 	for _, id := range []ident.Target{"a", "b", "c"} {
