Keep flooding sessions from the processor and the log of others

Cause: a session that always has input does not wait, so the scheduler lets it run for 10 ms at a time; with one processor, N such sessions make every other caller wait N times 10 ms for each statement. Each unknown statement also left a line request_refused, and with 40 lines of information a second one caller displaced the lines of all others.

Change: a session yields the processor after each statement if more input is there. After 32 wrong statements in a row (unknown, malformed, without a prepared statement), each further one is followed by 100 ms: a transaction has up to 12 statements, which may have been sent ahead when one failed. Slowing was preferred to closing, as a caller that connects again costs more than one that waits. Wrong statements have one line a second for each session and ten for all, with their number in count; metrics count all.

TestWrongStatements does not end without the delay and fails without the limit on lines.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -32,8 +32,9 @@
 	// started is when New was called.
 	started  time.Time
 	absences absences
-	// rejections limits the lines about rejected messages.
-	rejections evlog.Limiter
+	// rejections limits the lines about rejected messages, wrongLines those about wrong
+	// statements of all sessions.
+	rejections, wrongLines evlog.Limiter
 
 	// evacuationRefusals counts the statements refused because of an evacuation.
 	evacuationRefusals atomic.Uint64
@@ -54,7 +55,10 @@
 	if cfg.Meter == nil {
 		cfg.Meter = noMeter{}
 	}
-	return &Engine{cfg: cfg, started: time.Now(), sessions: map[*Session]bool{}, recheckedAt: map[ident.Group]time.Time{}}
+	return &Engine{
+		cfg: cfg, started: time.Now(), sessions: map[*Session]bool{}, recheckedAt: map[ident.Group]time.Time{},
+		wrongLines: evlog.Limiter{Interval: wrongLogInterval},
+	}
 }
 
 // readyTimeout bounds how long a login waits for the VM to become ready. It is
--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -104,3 +104,21 @@
 	evlog.At(e.cfg.Log, evlog.MessageRejected).Str("reason", err.Kind.String()).Str("route", string(r)).
 		Str("workspace", string(ws)).Bool("in_transaction", inTxn).Int("count", n).Err(err).Send()
 }
+
+// reject returns the answer to a message that violates the protocol. An open transaction
+// fails. If it is in doubt where the message ends, the session ends.
+func (s *Session) reject(err *Error) dbop.Answer {
+	s.e.recordRejection(err, s.login.Route, s.auth.Workspace, s.tx != nil)
+	a := err.answer()
+	s.slowdown = s.wrong.answered(true)
+	s.e.cfg.Meter.CountAnswer(&s.auth, 0, a.Code, 0)
+	if err.endsSession() {
+		s.abandon()
+		s.ending = true
+	}
+	if s.tx != nil {
+		s.tx.fail()
+		a.State = s.tx.state()
+	}
+	return a
+}
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -31,6 +31,12 @@
 	if cause := c.shedCause(); cause != "" && a.Code == dbop.Busy {
 		e.cfg.Meter.CountShed(&s.auth, cause)
 	}
+	count := 1
+	if isWrong(a, c.offered) {
+		if count = s.wrong.toLog(&e.wrongLines, time.Now()); count == 0 {
+			return
+		}
+	}
 	ev := evlog.RequestRefused
 	if a.Code == dbop.Unknown || a.Code == dbop.Timeout {
 		ev = evlog.RequestUnanswered
@@ -41,6 +47,9 @@
 	} else {
 		line.Uint64("version", uint64(s.catalogueVersion()))
 	}
+	if count > 1 {
+		line.Int("count", count)
+	}
 	line.Str("request", c.st.ID).Str("route", string(s.login.Route)).
 		Str("workspace", string(s.auth.Workspace)).Str("code", a.Code.String()).Str("why", a.Text).
 		Str("last", c.lastCode.String()).Bool("offered", c.offered).Dur("took", took).Send()
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -58,6 +58,9 @@
 	// unfinishedSince is since when a planned stop waits for the rest of a message; zero
 	// if it does not.
 	unfinishedSince time.Time
+	wrong           wrongStatements
+	// slowdown is the delay before the next message is received.
+	slowdown time.Duration
 	// ending is set when the session must end after the current answer.
 	ending bool
 }
@@ -132,26 +135,10 @@
 		if s.caller.Send(&a) != nil || s.ending {
 			return
 		}
+		s.yield()
 	}
 }
 
-// reject returns the answer to a message that violates the protocol. An open transaction
-// fails. If it is in doubt where the message ends, the session ends.
-func (s *Session) reject(err *Error) dbop.Answer {
-	s.e.recordRejection(err, s.login.Route, s.auth.Workspace, s.tx != nil)
-	a := err.answer()
-	s.e.cfg.Meter.CountAnswer(&s.auth, 0, a.Code, 0)
-	if err.endsSession() {
-		s.abandon()
-		s.ending = true
-	}
-	if s.tx != nil {
-		s.tx.fail()
-		a.State = s.tx.state()
-	}
-	return a
-}
-
 // Abort ends a session on which Serve is not called.
 func (s *Session) Abort() { s.close() }
 
@@ -212,6 +199,7 @@
 	} else {
 		a.State = s.tx.state()
 	}
+	s.slowdown = s.wrong.answered(isWrong(&a, c.offered))
 	s.e.recordAnswer(s, c, &a)
 	return a
 }
--- /dev/null
+++ b/internal/engine/wrong_test.go
@@ -0,0 +1,66 @@
+package engine_test
+
+import (
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"chervilspan.example/internal/engine"
+	"chervilspan.example/internal/linktest"
+	"chervilspan.example/pkg/access"
+	"chervilspan.example/pkg/dbop"
+)
+
+// TestWrongStatements guards against sessions that take the processor and the log lines of
+// others by unknown statements without a pause, and against a caller that is slowed for
+// the statements that it had sent ahead when one failed.
+func TestWrongStatements(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &linktest.LogBuffer{}
+		f := &fixture{index: access.NewKeyIndex(catalogue(1, "key"))}
+		f.e = engine.New(engine.Config{Access: f, Limiter: f, Log: zerolog.New(log)})
+		time.Sleep(time.Minute) // waits for the rate of a workspace are over
+
+		s := f.open(t, "primary")
+		start := time.Now()
+		for range 2 {
+			is.Equal(s.run(dbop.Begin).State, dbop.Open)
+			for range 12 {
+				is.Equal(s.run(0).Code, dbop.Malformed)
+			}
+			is.Equal(s.run(dbop.Rollback).Code, dbop.OK)
+		}
+		is.Equal(time.Since(start), time.Duration(0))
+
+		const seconds, sessions = 5, 30
+		end, before := time.Now().Add(seconds*time.Second), log.Count("request_refused")
+		var answered atomic.Int64
+		flooding := make([]*session, sessions)
+		for i := range flooding {
+			flooding[i] = f.open(t, "primary")
+			go func() {
+				for time.Now().Before(end) {
+					flooding[i].run(0)
+					answered.Add(1)
+				}
+				flooding[i].end()
+			}()
+		}
+		for time.Now().Before(end) {
+			is.Equal(s.run(dbop.Set).Code, dbop.OK)
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(time.Second)
+		s.end()
+		is.True(answered.Load() <= sessions*(33+10*seconds))
+		lines := log.Count("request_refused") - before
+		is.True(lines > 0 && lines <= 10*seconds+1)
+		is.True(strings.Contains(log.String(), `"count":`))
+	})
+}
