Limit the length of log lines

Cause: log lines have the id of a request, and a caller may send an id of nearly 1 MiB. The queue of log lines holds 512 lines of any length: with a reader that is slow or stops, callers fill it with half a gigabyte.

Change: the engine logs the first 100 bytes of an id; the queue drops and counts a line of more than 64 KiB, whatever its source.

--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -11,6 +11,13 @@
 	"chervilspan.example/pkg/ident"
 )
 
+// maxLoggedID is the number of bytes of a request's id that are logged. Callers choose the
+// length.
+const maxLoggedID = 100
+
+// loggedID returns the part of a request's id that is logged.
+func loggedID(id string) string { return id[:min(len(id), maxLoggedID)] }
+
 type noMeter struct{}
 
 func (noMeter) CountAnswer(*access.Authorization, dbop.Kind, dbop.Code, time.Duration) {}
@@ -50,7 +57,7 @@
 	if count > 1 {
 		line.Int("count", count)
 	}
-	line.Str("request", c.st.ID).Str("route", string(s.login.Route)).
+	line.Str("request", loggedID(c.st.ID)).Str("route", string(s.login.Route)).
 		Str("workspace", string(s.auth.Workspace)).Str("code", a.Code.String()).Str("why", a.Text).
 		Str("last", c.lastCode.String()).Bool("offered", c.offered).Dur("took", took).Send()
 }
@@ -76,7 +83,7 @@
 // recordRetry counts and logs a failed attempt that may be followed by another.
 func (e *Engine) recordRetry(s *Session, c *call, target ident.Target, why dbop.Code) {
 	e.cfg.Meter.CountRetry(why)
-	evlog.At(e.cfg.Log, evlog.RequestRetried).Str("request", c.st.ID).Str("group", string(s.auth.Group)).
+	evlog.At(e.cfg.Log, evlog.RequestRetried).Str("request", loggedID(c.st.ID)).Str("group", string(s.auth.Group)).
 		Str("target", string(target)).Str("why", why.String()).Dur("left", c.remaining()).Send()
 }
 
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -207,7 +207,7 @@
 // dispatchGuarded contains a panic: the caller is told that the outcome is unknown, the
 // connection of an open transaction is closed, and the session ends.
 func (s *Session) dispatchGuarded(c *call) (a dbop.Answer) {
-	defer guard.Recover(s.e.cfg.Log, "session", c.st.ID, func() {
+	defer guard.Recover(s.e.cfg.Log, "session", loggedID(c.st.ID), func() {
 		a = dbop.Answer{Code: dbop.Unknown, Text: "internal error; the statement may have taken effect"}
 		s.ending = true
 		if s.tx != nil {
--- a/internal/engine/wrong_test.go
+++ b/internal/engine/wrong_test.go
@@ -64,3 +64,20 @@
 		is.True(strings.Contains(log.String(), `"count":`))
 	})
 }
+
+// TestLongID guards against log lines as long as the longest message, by whose id a caller
+// would fill the memory of the log's queue.
+func TestLongID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &linktest.LogBuffer{}
+		f := &fixture{index: access.NewKeyIndex(catalogue(1, "key"))}
+		f.e = engine.New(engine.Config{Access: f, Limiter: f, Log: zerolog.New(log)})
+		s := f.open(t, "primary")
+		id := strings.Repeat("i", 1<<20)
+		is.Equal(s.run(0, func(st *dbop.Statement) { st.ID = id }).Code, dbop.Malformed)
+		s.end()
+		is.Equal(log.Count("request_refused"), 1)
+		is.True(len(log.String()) < 1<<10)
+	})
+}
--- a/internal/logq/logq.go
+++ b/internal/logq/logq.go
@@ -1,8 +1,8 @@
 // Package logq writes log lines without ever blocking the goroutine that logs.
 //
 // Lines wait in a bounded queue for one goroutine that writes them. Lines for which
-// the queue has no room, or which exceed the rate of their level, are dropped and
-// counted. Warnings and errors have a separate rate, so that a flood of lines of
+// the queue has no room, which are too long, or which exceed the rate of their level, are
+// dropped and counted. Warnings and errors have a separate rate, so that a flood of lines of
 // lower levels can't displace them.
 //
 // # Usage
@@ -26,6 +26,9 @@
 const (
 	// queueLength is the greatest number of lines that wait to be written.
 	queueLength = 512
+	// maxLineBytes is the length of the longest line that is written; the queue holds
+	// 32 MB at most.
+	maxLineBytes = 64 << 10
 	// infoRate and warnRate are the greatest numbers of lines in a second, and also
 	// in a burst. warnRate applies to warnings and errors, infoRate to
 	// all other lines.
@@ -57,7 +60,7 @@
 
 // WriteLevel implements zerolog.LevelWriter. It never fails and never waits.
 func (w *Writer) WriteLevel(l zerolog.Level, p []byte) (int, error) {
-	if !w.allow(l, time.Now()) {
+	if len(p) > maxLineBytes || !w.allow(l, time.Now()) {
 		w.dropped.Add(1)
 		return len(p), nil
 	}
--- a/internal/logq/logq_test.go
+++ b/internal/logq/logq_test.go
@@ -56,3 +56,22 @@
 		is.True(strings.Contains(out.String(), "kept"))
 	})
 }
+
+// TestLongLine guards against lines whose length a caller chooses and that fill the memory
+// while they wait.
+func TestLongLine(t *testing.T) {
+	is := is.New(t)
+	var out strings.Builder
+	q := New(&out)
+	log := zerolog.New(q)
+	for range 10 {
+		log.Info().Str("id", strings.Repeat("x", maxLineBytes)).Msg("long")
+	}
+	log.Info().Msg("kept")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	q.Run(ctx)
+	is.Equal(q.Dropped(), uint64(10))
+	is.True(strings.Contains(out.String(), "kept"))
+	is.True(len(out.String()) < maxLineBytes)
+}
