Read the wire in the review's stand-in to the letter of the protocol

Change: an own copy of the strict reader; texts and values byte for byte; the databases record UNASKED, and the case exits with 1, when they are asked to run what no caller has sent, with another text, or get a message that is none.

--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -35,6 +36,7 @@
 type group struct {
 	name    string
 	rec     *recorder
+	asked   *asked
 	mu      sync.Mutex
 	dbs     []*database
 	term    int64
@@ -133,11 +135,15 @@
 		d.g.mu.Unlock()
 		_ = c.Close()
 	}()
-	r := bufio.NewReaderSize(c, 4096)
+	in := &lineReader{r: c}
 	s := &session{d: d, conn: c, w: bufio.NewWriter(c), writes: map[string]string{}, prepared: map[string]string{}}
-	l, err := r.ReadString('\n')
-	f := strings.Fields(l)
-	if err != nil || len(f) < 3 || f[0] != "START" {
+	l, err := d.receive(in)
+	if err != nil {
+		return
+	}
+	f := strings.Split(l, " ")
+	if f[0] != "START" || len(f) < 3 || len(f) > 4 {
+		d.g.asked.fault("%s receives %q", d.id, l)
 		return
 	}
 	switch {
@@ -150,19 +156,30 @@
 	}
 	s.ready()
 	for s.w.Flush() == nil {
-		l, err := r.ReadString('\n')
-		if err != nil || d.isDown() {
+		l, err := d.receive(in)
+		if err != nil || d.isDown() || l == "BYE" {
 			return
 		}
-		f := strings.SplitN(strings.TrimRight(l, "\r\n"), " ", 3)
-		if f[0] != "QUERY" || len(f) < 3 {
+		id, text, ok := parseQuery(l)
+		if !ok {
+			d.g.asked.fault("%s receives %q", d.id, l)
 			return
 		}
-		s.run(f[1], f[2])
+		d.g.asked.check(d.id, id, text)
+		s.run(id, text)
 		s.ready()
 	}
 }
 
+// receive returns the next message.
+func (d *database) receive(in *lineReader) (string, error) {
+	l, err := in.next()
+	if errors.Is(err, errTooLong) {
+		d.g.asked.fault("%s receives %v", d.id, err)
+	}
+	return l, err
+}
+
 func (d *database) isDown() bool {
 	d.g.mu.Lock()
 	defer d.g.mu.Unlock()
@@ -235,26 +252,25 @@
 
 // run runs one statement.
 func (s *session) run(id, text string) {
-	f := strings.Fields(text)
-	floor := ""
-	if f[0] == "AFTER" {
-		floor, f = f[1], f[2:]
-	}
-	if f[0] == "EXEC" {
-		mode, ok := s.prepared[f[1]]
+	floor, text := cutFloor(text)
+	verb, args := cut(text)
+	if verb == "EXEC" {
+		var name string
+		name, args = cut(args)
+		mode, ok := s.prepared[name]
 		if !ok {
 			s.fail("NOSTMT")
 			return
 		}
-		f = append([]string{mode}, f[2:]...)
+		verb = mode
 	}
-	if s.failed && f[0] != "ROLLBACK" && f[0] != "COMMIT" {
+	if s.failed && verb != "ROLLBACK" && verb != "COMMIT" {
 		s.fail("MALFORMED")
 		return
 	}
-	switch f[0] {
+	switch verb {
 	case "BEGIN":
-		plain := len(f) == 1
+		plain := args == ""
 		switch {
 		case plain && !s.leads():
 			s.fail("READONLY")
@@ -276,25 +292,26 @@
 		case floor != "" && !s.has(floor):
 			s.fail("LAGGING")
 		default:
-			s.work(f[1])
-			_, _ = fmt.Fprintf(s.w, "ROW %s\r\n", s.value(f[1]))
+			s.work(args)
+			_, _ = fmt.Fprintf(s.w, "ROW %s\r\n", s.value(args))
 			s.done("sig." + s.d.id + "." + id)
-			if strings.HasPrefix(f[1], longPrefix) {
+			if strings.HasPrefix(args, longPrefix) {
 				s.d.g.rec.add("%s has run %s and answers", s.d.id, id)
 				s.d.g.answered(id)
 			}
 		}
 	case "WRITE":
+		item, data := cut(args)
 		switch {
 		case !s.leads():
 			s.fail("READONLY")
 		case s.open:
-			s.work(f[1])
-			s.writes[f[1]] = f[2]
+			s.work(item)
+			s.writes[item] = data
 			s.done("sig." + s.d.id + "." + id)
 		default:
-			s.work(f[1])
-			s.finish(id, map[string]string{f[1]: f[2]})
+			s.work(item)
+			s.finish(id, map[string]string{item: data})
 		}
 	case "SET", "CLOSE":
 		s.done("-")
@@ -302,10 +319,11 @@
 		clear(s.prepared)
 		s.done("-")
 	case "PREPARE":
-		s.prepared[f[1]] = f[2]
+		name, query := cut(args)
+		s.prepared[name], _ = cut(query)
 		s.done("-")
 	default:
-		s.control(f)
+		s.control(verb, args)
 	}
 }
 
@@ -482,15 +500,12 @@
 }
 
 // control runs PAUSE, RESUME, STEPDOWN or STATUS.
-func (s *session) control(f []string) {
+func (s *session) control(verb, args string) {
 	g, d := s.d.g, s.d
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var term int64
-	if len(f) > 1 {
-		term, _ = strconv.ParseInt(f[1], 10, 64)
-	}
-	switch f[0] {
+	term, _ := strconv.ParseInt(args, 10, 64)
+	switch verb {
 	case "PAUSE":
 		if term > g.term && g.primary != d {
 			d.paused, d.pauseTerm = true, term
@@ -506,8 +521,8 @@
 		_, _ = fmt.Fprintf(s.w, "ERR MALFORMED unknown\r\n")
 		return
 	}
-	if f[0] != "STATUS" {
-		g.rec.add("%s at %s", strings.Join(f, " "), d.id)
+	if verb != "STATUS" {
+		g.rec.add("%s at %s", strings.TrimRight(verb+" "+args, " "), d.id)
 	}
 	role, pos := "replica", "0.0"
 	if g.primary == d {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -246,7 +246,7 @@
 // deploy starts everything and waits until the VMs are ready.
 func deploy(rec *recorder, bin, dir string) (*deployment, error) {
 	x := &deployment{rec: rec, store: newStore()}
-	x.g = &group{name: "svc", rec: rec, term: 1}
+	x.g = &group{name: "svc", rec: rec, asked: &asked{rec: rec}, term: 1}
 	for i := range 3 {
 		d := &database{g: x.g, id: fmt.Sprintf("i-%c", 'a'+i), zone: fmt.Sprintf("z%d", i+1), address: fmt.Sprintf("127.2.%d.2:0", i+1), slots: make(chan struct{}, slotCount)}
 		d.log, d.receivedAt = []entry{{term: 1, number: 1, writes: map[string]string{"item0": "v0"}}}, []time.Time{time.Now()}
@@ -321,10 +321,10 @@
 }
 
 func (x *deployment) session(c net.Conn, n, seq int, stop <-chan struct{}) int {
-	r := bufio.NewReader(c)
+	in := &lineReader{r: c}
 	_, _ = fmt.Fprintf(c, "START primary0 k1\r\n")
 	_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
-	if l, err := r.ReadString('\n'); err != nil || !strings.HasPrefix(l, "READY") {
+	if l, err := in.next(); err != nil || !strings.HasPrefix(l, "READY") {
 		return seq
 	}
 	for {
@@ -335,16 +335,17 @@
 		}
 		seq++
 		id := fmt.Sprintf("c%02d%06d", n, seq)
-		_, _ = fmt.Fprintf(c, "QUERY %s WRITE item%d v%d\r\n", id, n, seq)
+		m := fmt.Sprintf("QUERY %s WRITE item%d v%d", id, n, seq)
+		x.g.asked.send(m)
+		_, _ = fmt.Fprint(c, m+lineEnd)
 		_ = c.SetReadDeadline(time.Now().Add(8 * time.Second))
 		answer := ""
 		for {
-			l, err := r.ReadString('\n')
+			l, err := in.next()
 			if err != nil {
 				x.rec.add("caller %d: %s: connection ended", n, id)
 				return seq
 			}
-			l = strings.TrimRight(l, "\r\n")
 			if strings.HasPrefix(l, "READY") {
 				break
 			}
@@ -376,6 +377,9 @@
 	status := exitNotRun
 	if err == nil {
 		status = run(x, os.Getenv("TROUBLE") != "0")
+		if x.g.asked.any() {
+			status = exitBroken
+		}
 	} else {
 		rec.add("not run: %v", err)
 	}
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"net"
 	"strings"
@@ -33,14 +32,14 @@
 func earlyExit(x *deployment, trouble bool) int {
 	time.Sleep(2 * time.Second)
 	v := x.vms[0]
-	sessions := make([]*bufio.ReadWriter, readers)
+	sessions := make([]*client, readers)
 	for i := range sessions {
-		rw, err := open(v, i)
+		c, err := x.open(v, i)
 		if err != nil {
 			x.rec.add("not run: %v", err)
 			return exitNotRun
 		}
-		sessions[i] = rw
+		sessions[i] = c
 	}
 	x.rec.add("%d sessions are open at %s", readers, v.name)
 	stopped := time.Now()
@@ -49,8 +48,8 @@
 		_ = v.cmd.Process.Signal(syscall.SIGTERM)
 	}
 	time.Sleep(beginAfter)
-	for i, rw := range sessions {
-		if err := begin(rw, i); err != nil {
+	for i, c := range sessions {
+		if err := c.begin(i); err != nil {
 			x.rec.add("not run: %v", err)
 			return exitNotRun
 		}
@@ -66,26 +65,33 @@
 	return x.judge(reads, stopped)
 }
 
+// client is a caller's connection to a VM.
+type client struct {
+	conn  net.Conn
+	in    *lineReader
+	asked *asked
+}
+
 // open opens a session that has run a read.
-func open(v *vm, i int) (*bufio.ReadWriter, error) {
-	c, err := net.DialTimeout("tcp", v.callers, time.Second)
+func (x *deployment) open(v *vm, i int) (*client, error) {
+	conn, err := net.DialTimeout("tcp", v.callers, time.Second)
 	if err != nil {
 		return nil, err
 	}
-	rw := bufio.NewReadWriter(bufio.NewReader(c), bufio.NewWriter(c))
-	_ = c.SetDeadline(time.Now().Add(20 * time.Second))
-	return rw, send(rw, "START bounded0 k1", fmt.Sprintf("QUERY o%d READ item%d", i, i))
+	_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+	c := &client{conn: conn, in: &lineReader{r: conn}, asked: x.g.asked}
+	return c, c.send("START bounded0 k1", fmt.Sprintf("QUERY o%d READ item%d", i, i))
 }
 
 // begin begins a transaction and runs its first read.
-func begin(rw *bufio.ReadWriter, i int) error {
-	return send(rw, fmt.Sprintf("QUERY b%d BEGIN READ", i), fmt.Sprintf("QUERY f%d READ item%d", i, i))
+func (c *client) begin(i int) error {
+	return c.send(fmt.Sprintf("QUERY b%d BEGIN READ", i), fmt.Sprintf("QUERY f%d READ item%d", i, i))
 }
 
 // send sends messages, each of which has to succeed.
-func send(rw *bufio.ReadWriter, messages ...string) error {
+func (c *client) send(messages ...string) error {
 	for _, m := range messages {
-		if a, err := exchange(rw, m); err != nil || strings.HasPrefix(a, "ERR") {
+		if a, err := c.exchange(m); err != nil || strings.HasPrefix(a, "ERR") {
 			return fmt.Errorf("%s: %q %w", m, a, err)
 		}
 	}
@@ -93,28 +99,28 @@
 }
 
 // exchange sends a message and returns the answer's last line before READY.
-func exchange(rw *bufio.ReadWriter, m string) (string, error) {
-	_, _ = rw.WriteString(m + "\r\n")
-	if err := rw.Flush(); err != nil {
+func (c *client) exchange(m string) (string, error) {
+	c.asked.send(m)
+	if _, err := fmt.Fprint(c.conn, m+lineEnd); err != nil {
 		return "", err
 	}
 	last := ""
 	for {
-		l, err := rw.ReadString('\n')
+		l, err := c.in.next()
 		if err != nil {
 			return last, err
 		}
 		if strings.HasPrefix(l, "READY") {
 			return last, nil
 		}
-		last = strings.TrimRight(l, "\r\n")
+		last = l
 	}
 }
 
-func (x *deployment) read(rw *bufio.ReadWriter, i int, stopped time.Time) longRead {
+func (x *deployment) read(c *client, i int, stopped time.Time) longRead {
 	r := longRead{id: fmt.Sprintf("r%d", i)}
 	x.rec.add("caller %d sends %s READ, %.3f s after the stop began", i, r.id, time.Since(stopped).Seconds())
-	a, err := exchange(rw, fmt.Sprintf("QUERY %s READ %s%d", r.id, longPrefix, i))
+	a, err := c.exchange(fmt.Sprintf("QUERY %s READ %s%d", r.id, longPrefix, i))
 	r.answer = a
 	if err != nil {
 		r.answer, r.closedAt = "", time.Now()
