Refuse statements that are too deep for the parser

Cause: the parser library writes the syntax tree by recursion in C, without a check of the stack. A caller with a key that sent SELECT 1+1+1 of 80 KB ended the process of all callers with SIGSEGV. Chains of casts, joins and unions did the same. Where the tree was only too deep for protobuf (10,000 messages), the text passed as one plain write, so a LISTEN or SET ROLE behind it was not refused.

Change: texts above 8 KiB are measured in linear time before they are parsed, by an upper bound of the depth of their tree, and refused with 0A000 above 8,192. A text on which the parser gives up because of its depth is refused too. The library's own scanner isn't used: it takes quadratic time for a run of signs.

--- a/pkg/stmt/class.go
+++ b/pkg/stmt/class.go
@@ -8,9 +8,16 @@
 )
 
 // Classify returns the classification of a query text without a cache. A text
-// that the parser rejects is classified as a single write.
+// that the parser rejects is classified as a single write, and one that is too deep for
+// it as unsupported.
 func Classify(sql string) *Query {
+	if isTooDeep(sql) {
+		return &Query{Statements: []Info{unsupported(reasonDepth)}}
+	}
 	tree, err := pg.Parse(sql)
+	if err != nil && isDepthError(err) {
+		return &Query{Statements: []Info{unsupported(reasonDepth)}}
+	}
 	if err != nil {
 		return &Query{Statements: []Info{{}}}
 	}
