--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -182,15 +182,17 @@
 		return s.handleSync()
 	case *pgproto3.Terminate:
 		return io.EOF
-	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
-		return nil // left over from a COPY that was refused
+	case *pgproto3.PasswordMessage:
+		return fatalError("receive", codeProtocol, "unexpected message", nil)
 	}
 	if s.skipping {
-		return nil
+		return nil // also queries, which a caller sends for the case that there is no error
 	}
 	switch m := m.(type) {
 	case *pgproto3.Query:
 		return s.handleQuery(m)
+	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+		return nil // left over from a COPY that was refused
 	case *pgproto3.FunctionCall:
 		s.answerError(refusedError("function call", codeUnsupported, "the function call protocol is not supported", nil))
 		s.skipping = false
