Answer and log a message without its last zero byte

Cause: the decoders of Parse, Execute and the password message return io.EOF when a string lacks its zero byte. The codec took that for the end of the connection, so the session or the login ended without an answer and without an event.

Change: io.EOF from Backend.Receive counts as a malformed message; the end of the connection is io.ErrUnexpectedEOF there.

Result: TestTruncatedMessage failed before (no answer) and passes now: one FATAL error 08P01 before the login and after it, then the end of the connection.

--- a/internal/wire/login.go
+++ b/internal/wire/login.go
@@ -196,7 +196,7 @@
 	_ = h.backend.SetAuthType(pgproto3.AuthTypeCleartextPassword)
 	m, err := h.backend.Receive()
 	if err != nil {
-		if isConnectionEnd(err) {
+		if isConnectionEnd(err) && !isTruncated(err) {
 			return "", err
 		}
 		return "", fatalError("login", codeProtocol, "malformed password message", nil)
@@ -253,6 +253,11 @@
 		errors.Is(err, io.ErrClosedPipe) || errors.As(err, &e)
 }
 
+// isTruncated reports whether err, of Backend.Receive, means that a message lacks the zero
+// byte at the end of a string: its decoder returns io.EOF then. At the end of the
+// connection the error is io.ErrUnexpectedEOF.
+func isTruncated(err error) bool { return errors.Is(err, io.EOF) }
+
 const (
 	// lingerTimeout and lingerBytes bound what is read from a caller after the
 	// error that ends its connection. Closing at once could reset the connection
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -130,7 +130,7 @@
 		return nil, ending
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return nil, fatalError("receive", codeIdleTxTimeout, "the transaction was idle too long and is rolled back", nil)
-	case isConnectionEnd(err):
+	case isConnectionEnd(err) && !isTruncated(err):
 		return nil, err
 	}
 	return nil, fatalError("receive", codeProtocol, "malformed message", err)
--- a/internal/wire/stream_test.go
+++ b/internal/wire/stream_test.go
@@ -59,6 +59,22 @@
 	}
 }
 
+// TestTruncatedMessage guards against a message without its last zero byte that ends the
+// session without an answer and without a line in the log, before and after the login.
+func TestTruncatedMessage(t *testing.T) {
+	withFixture(t, func(_ *testing.T, is *is.I, fx *fixture) {
+		for _, b := range [][]byte{{'P', 0, 0, 0, 5, 'x'}, {'E', 0, 0, 0, 5, 'x'}, {'P', 0, 0, 0, 4}} {
+			kinds, code := fx.loginRaw().answerTo(b)
+			is.Equal(kinds, "E.")
+			is.Equal(code, codeProtocol)
+		}
+		start := &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "taller"}}
+		kinds, code := fx.dialRaw().answerTo(append(encodeAll(start), 'p', 0, 0, 0, 5, 'x'))
+		is.Equal(kinds, "RE.")
+		is.Equal(code, codeProtocol)
+	})
+}
+
 // TestCommitBehindError guards against a COMMIT that takes effect although it stands
 // behind a message with a wrong length or type, where the rest can't be trusted.
 func TestCommitBehindError(t *testing.T) {
