Keep zero bytes out of the texts of errors

Cause: the fields of an ErrorResponse end with a zero byte, and the codec put any text into them. A message of type 0 gave the detail "unknown message type: " and a zero byte, which ended the field and the list of fields early.

Change: the texts of errors lose their zero bytes where the response is made.

Result: TestErrorText failed before (8 zero bytes in the response instead of 6) and passes now.

--- a/internal/wire/errors.go
+++ b/internal/wire/errors.go
@@ -98,13 +98,16 @@
 	if e.Fatal {
 		severity = "FATAL"
 	}
-	r := &pgproto3.ErrorResponse{Severity: severity, SeverityUnlocalized: severity, Code: e.Code, Message: e.Error()}
+	r := &pgproto3.ErrorResponse{Severity: severity, SeverityUnlocalized: severity, Code: e.Code, Message: fieldText(e.Error())}
 	if e.Err != nil {
-		r.Detail = e.Err.Error()
+		r.Detail = fieldText(e.Err.Error())
 	}
 	return r
 }
 
+// fieldText returns a text without zero bytes, which end a field of an ErrorResponse.
+func fieldText(s string) string { return strings.ReplaceAll(s, "\x00", "") }
+
 // refusedError returns the error of a request that was not run.
 func refusedError(op, code, text string, cause error) *Error {
 	return &Error{Op: op, Kind: KindRefused, Code: code, Text: text, Outcome: retry.NotRun, Err: cause}
--- a/internal/wire/stream_test.go
+++ b/internal/wire/stream_test.go
@@ -75,6 +75,22 @@
 	})
 }
 
+// TestErrorText guards against a zero byte in the text of an error, which ends the field
+// that it stands in, so that the client reads the rest as another field.
+func TestErrorText(t *testing.T) {
+	is := is.New(t)
+	e := fatalError("receive", "08P01", "a\x00Mb", &Error{Text: "c\x00d"})
+	b, err := e.response().Encode(nil)
+	is.NoErr(err)
+	zeros := 0
+	for _, c := range b[5:] {
+		if c == 0 {
+			zeros++
+		}
+	}
+	is.Equal(zeros, 6) // one after each of the five fields, and one at the end
+}
+
 // TestCommitBehindError guards against a COMMIT that takes effect although it stands
 // behind a message with a wrong length or type, where the rest can't be trusted.
 func TestCommitBehindError(t *testing.T) {
