Contain panics in sessions of the PostgreSQL codec

Cause: the sessions of the PostgreSQL codec ran without guard.Recover, unlike those of the platform's codec and the calls of other VMs, so an unexpected state in one session would have ended the process of all callers.

Change: ServeConn recovers, logs event panic_contained, closes the connection, rolls the open transaction back, and counts the login as ended.

Result: TestPanic ended the test process before and passes now.

--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -14,6 +14,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"chervilspan.example/internal/evlog"
+	"chervilspan.example/internal/guard"
 	"chervilspan.example/pkg/access"
 	"chervilspan.example/pkg/stmt"
 )
@@ -80,8 +81,10 @@
 // being retried in a busy loop.
 const acceptRetryDelay = 50 * time.Millisecond
 
-// ServeConn serves one connection until it or the session ends, and closes it.
+// ServeConn serves one connection until it or the session ends, and closes it. A panic
+// ends only this connection.
 func (s *Server) ServeConn(c net.Conn) {
+	defer guard.Recover(s.cfg.Log, "caller", "", nil)
 	defer c.Close()
 	if n := s.cfg.MaxSessions; n > 0 && s.SessionCount() >= n {
 		s.metrics.increment("logins_refused")
@@ -94,17 +97,24 @@
 		s.reject(c, fatalError("login", codeTooMany, "too many connections are logging in", nil))
 		return
 	}
-	s.trackHandshake(c, true)
-	sess, err := s.login(c)
-	s.trackHandshake(c, false)
-	s.pendingLogins.Add(-1)
+	sess, err := s.trackedLogin(c)
 	if err != nil || sess == nil {
 		return
 	}
 	defer s.unregister(sess)
+	defer sess.abortTx() // does nothing unless serve ended in a panic
 	sess.serve()
 }
 
+// trackedLogin performs the login of a connection that is counted in pendingLogins, and
+// ends the count.
+func (s *Server) trackedLogin(c net.Conn) (*session, error) {
+	defer s.pendingLogins.Add(-1)
+	s.trackHandshake(c, true)
+	defer s.trackHandshake(c, false)
+	return s.login(c)
+}
+
 // reject answers a connection with an error without reading its startup message.
 func (s *Server) reject(c net.Conn, e *Error) {
 	_ = c.SetDeadline(time.Now().Add(lingerTimeout))
--- a/internal/wire/stream_test.go
+++ b/internal/wire/stream_test.go
@@ -7,6 +7,9 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
+
+	"chervilspan.example/pkg/access"
+	"chervilspan.example/pkg/ident"
 )
 
 // answerTo sends bytes and returns the answers up to the end of the connection, or up to
@@ -118,3 +121,20 @@
 		})
 	}
 }
+
+// panickingAccess fails in a way that no code expects.
+type panickingAccess struct{ Access }
+
+func (panickingAccess) Authenticate(ident.Workspace, ident.Route, string) (access.Authorization, error) {
+	panic("unexpected")
+}
+
+// TestPanic guards against a panic on the input of one caller that ends the process of all.
+func TestPanic(t *testing.T) {
+	withFixture(t, func(_ *testing.T, is *is.I, fx *fixture) {
+		start := &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "taller", "database": "orders"}}
+		kinds, _ := fx.dialRaw().answerTo(encodeAll(start, &pgproto3.PasswordMessage{Password: "x"}))
+		is.Equal(kinds, "R.")
+		is.Equal(fx.srv.pendingLogins.Load(), int64(0))
+	}, func(c *Config) { c.Access = panickingAccess{c.Access} })
+}
