Close a connection after a text that the parser rejects

Cause: a text that the parser rejects passes as a plain write, for the target to reject. A target may accept it: PostgreSQL continues a string with escapes behind a comment, which the parser library doesn't, and a later version has other syntax. SET ROLE in such a text stayed in force on the pooled connection for the next caller.

Change: such a text counts as one that may leave session state, so the connection is closed after the transaction. The cost is a new connection after each syntax error.

The row "not sql at all" of TestClassify expected the former result, a write without that mark; it now expects the mark, which is the stricter of the two. No run against a PostgreSQL server was made.

--- a/pkg/stmt/class.go
+++ b/pkg/stmt/class.go
@@ -19,7 +19,8 @@
 		return &Query{Statements: []Info{unsupported(reasonDepth)}}
 	}
 	if err != nil {
-		return &Query{Statements: []Info{{}}}
+		// A target of another version may accept the text.
+		return &Query{Statements: []Info{{Taints: true}}}
 	}
 	q := &Query{Statements: make([]Info, 0, len(tree.Stmts))}
 	for _, s := range tree.Stmts {
--- a/pkg/stmt/depth_test.go
+++ b/pkg/stmt/depth_test.go
@@ -52,6 +52,17 @@
 	}
 }
 
+// TestRejectedText guards against session state that a text leaves on a connection for
+// other callers, when a target runs a text that this parser rejects: PostgreSQL continues
+// a string behind a comment and sees SET ROLE outside of the string here.
+func TestRejectedText(t *testing.T) {
+	is := is.New(t)
+	q := Classify("SELECT E'a'\n--\n'\\'' ; SET ROLE admin --'")
+	is.Equal(q.RefusalReason(), "")
+	is.True(q.Taints())
+	is.True(!q.ReadOnly())
+}
+
 // FuzzDepth guards against texts that the meter and PostgreSQL's scanner split at other
 // places, such as a string that one of them ends earlier: the rest is then not counted.
 func FuzzDepth(f *testing.F) {
--- a/pkg/stmt/doc.go
+++ b/pkg/stmt/doc.go
@@ -5,7 +5,8 @@
 // Statements are parsed by pg_query_go, which contains PostgreSQL's own parser.
 // A statement counts as a read only if its syntax tree contains nothing but
 // queries and calls of listed built-in functions without side effects.
-// Everything else counts as a write, including texts that the parser rejects. A
+// Everything else counts as a write, including texts that the parser rejects; a
+// connection that ran such a text is not used again. A
 // read that is mistaken for a write costs a request to the primary; the opposite
 // mistake would send a write to a replica.
 //
--- a/pkg/stmt/stmt_test.go
+++ b/pkg/stmt/stmt_test.go
@@ -33,7 +33,7 @@
 		{"EXPLAIN ANALYZE INSERT INTO t VALUES (1)", write},
 		{"INSERT INTO t VALUES (1)", write},
 		{"CREATE TABLE t (id int)", write},
-		{"not sql at all", write},
+		{"not sql at all", Info{Taints: true}},
 		{"DO $$ BEGIN PERFORM 1; END $$", Info{Taints: true}},
 		{"CALL p()", Info{Taints: true}},
 		{"DECLARE c CURSOR FOR SELECT 1", read},
