Bound what strangers can hold at the readiness and metrics pages

Cause: the pages had a time limit for the headers of a request only. Anyone who reached the port could keep a connection for ever, by sending nothing more, by sending a body byte by byte or by not reading the answer, could open any number of them, and could send headers of 1 MiB on each.

Result: TestSlowPageClients (an idle connection and one with a slow body were open after an hour, the slow reader hung the test) and TestPageConnLimit failed before and pass now.

--- a/internal/node/ready.go
+++ b/internal/node/ready.go
@@ -11,9 +11,6 @@
 )
 
 const (
-	// headerTimeout bounds the wait for the headers of a request for the readiness check
-	// or the metrics.
-	headerTimeout = 2 * time.Second
 	// readyPollInterval is how often a starting VM checks whether it is ready.
 	readyPollInterval = 15 * time.Millisecond
 	// versionCheckTimeout is how long a starting VM waits for another VM's version of
@@ -47,8 +44,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	s := http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	return s.Serve(l)
+	return newPageServer(mux).Serve(l)
 }
 
 // isReady reports whether the VM can serve callers.
