Close a connection to a target that has sent more than an answer

Cause: whether a connection may be used again was judged by the number of answers to come and by what the socket holds, not by what was already read. Messages that came in one segment behind the last ReadyForQuery were the answer to the next statement, perhaps of another caller.

Change: a connection with bytes in its read buffer is closed instead of kept.

Result: TestInputBehindAnswer failed before (the connection was kept) and passes now.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -264,12 +264,14 @@
 	c.pool.recordPosition(c, p)
 }
 
-// reusable reports whether another transaction may use the connection.
+// reusable reports whether another transaction may use the connection. What was read
+// behind the last answer would be taken for the answer to the next statement.
 func (c *Conn) reusable() bool {
 	c.cancel.Lock()
 	cancelled := c.cancel.requested
 	c.cancel.Unlock()
-	return c.failure == nil && !c.closeOnPut && !cancelled && !c.unsynced && c.outstanding == 0 && c.ownAnswers == 0 && c.status == StatusIdle
+	return c.failure == nil && !c.closeOnPut && !cancelled && !c.unsynced && c.outstanding == 0 && c.ownAnswers == 0 && c.status == StatusIdle &&
+		c.frontend.ReadBufferLen() == 0
 }
 
 func (c *Conn) close() { _ = c.netConn.Close() }
