Close a connection on which a target breaks the protocol

Cause: any decodable message of a target was part of an answer. A request for a password, a cancel key, copied data or the result of a function call went to the caller; an end of an answer that nobody awaited and an unknown transaction status were taken as they came. The length of a message had no bound: a corrupt one of 1 GiB made the connection wait for it, with as much memory set aside.

Change: these messages fail the connection, which is then not used again, and the outcome is unknown as for any lost answer.

--- a/internal/conns/conn.go
+++ b/internal/conns/conn.go
@@ -227,6 +227,9 @@
 		if err != nil {
 			return nil, c.fail("receive", err, retry.Unknown)
 		}
+		if err := c.check(m); err != nil {
+			return nil, c.fail("receive", err, retry.Unknown)
+		}
 		c.received.Store(true)
 		ownAnswer := c.ownAnswers > 0
 		c.recordReceived(ownAnswer || precedesExecution(m))
--- a/internal/conns/connect.go
+++ b/internal/conns/connect.go
@@ -70,6 +70,7 @@
 	cfg.TLSConfig = p.cfg.TLS
 	cfg.Fallbacks = nil
 	cfg.DialFunc = p.cfg.Dial
+	cfg.BuildFrontend = newFrontend
 	cfg.ConnectTimeout = p.cfg.ConnectTimeout
 	cfg.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
 	cfg.RuntimeParams = map[string]string{
--- a/internal/conns/hostile_test.go
+++ b/internal/conns/hostile_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
@@ -72,3 +73,43 @@
 		is.Equal(open, 0)
 	}, append(rowBytes("first"), rowBytes("of nobody")...), rowBytes("second"))
 }
+
+// TestHostileAnswers guards against answers that a target must not give and that reach a
+// caller, leave the connection in use, or take memory or time as they please.
+func TestHostileAnswers(t *testing.T) {
+	for name, b := range map[string][]byte{
+		"request for a password": backendBytes(&pgproto3.AuthenticationCleartextPassword{}),
+		"cancel key":             backendBytes(&pgproto3.BackendKeyData{SecretKey: make([]byte, 4)}),
+		"function result":        backendBytes(&pgproto3.FunctionCallResponse{}),
+		"copied data":            backendBytes(&pgproto3.CopyData{Data: []byte("x")}),
+		"unknown type":           {'?', 0, 0, 0, 4},
+		"short length":           {'D', 0, 0, 0, 3},
+		"1 GiB":                  {'D', 0x40, 0, 0, 0},
+		"broken row":             {'D', 0, 0, 0, 6, 0, 9},
+		"unknown state":          backendBytes(&pgproto3.ReadyForQuery{TxStatus: 'Q'}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			withAnswers(t, func(is *is.I, fx *fixture) {
+				c, err := fx.pools.Get(context.Background(), "g", "a", "db")
+				is.NoErr(err)
+				start := time.Now()
+				c.SetDeadline(start.Add(statementDeadline))
+				_, err = c.Exec("SELECT 1")
+				is.True(Is(err, KindConnFailed))
+				is.Equal(time.Since(start), time.Duration(0)) // without a wait for more
+				fx.pools.Put(c)
+				open, _ := fx.pools.Size("g", "a")
+				is.Equal(open, 0)
+			}, append(b, rowBytes("x")...))
+		})
+	}
+	withAnswers(t, func(is *is.I, fx *fixture) {
+		c, err := fx.pools.Get(context.Background(), "g", "a", "db")
+		is.NoErr(err)
+		_, err = c.Exec("SELECT 1")
+		is.NoErr(err)
+		_, err = c.Receive() // a second end of the same answer
+		is.True(Is(err, KindConnFailed))
+		fx.pools.Put(c)
+	}, append(rowBytes("x"), backendBytes(&pgproto3.ReadyForQuery{TxStatus: 'I'})...))
+}
