Hold control connections to one bounded answer a call

Cause: as on the connections for callers, messages that came behind the answer to a control call were the answer to the next one, for instance a status from before a promotion, and the length of a message had no bound.

Change: a control connection with bytes in its read buffer is closed after the call, and a message above 64 KiB fails the call.

Result: TestInputBehindAnswer (a stale row was taken) and TestHugeAnswer (1 MiB was taken) failed before and pass now.

--- a/internal/dbctl/client.go
+++ b/internal/dbctl/client.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"sync"
@@ -20,6 +21,10 @@
 // DefaultTimeout bounds a call whose context has no deadline.
 const DefaultTimeout = 2 * time.Second
 
+// maxAnswerBytes bounds a message of an answer. The longest is the status, one row of 13
+// names and numbers.
+const maxAnswerBytes = 64 << 10
+
 // Config configures a Client.
 type Config struct {
 	Target ident.Target
@@ -127,6 +132,9 @@
 		c.closeConn()
 		return nil, c.newError(op, KindNoAnswer, err)
 	}
+	if c.conn.Frontend.ReadBufferLen() > 0 {
+		c.closeConn() // the rest would be the answer to the next call
+	}
 	if a.errorResponse != nil {
 		if a.prepared {
 			c.closeConn() // the target may lack the statement, or have it already
@@ -167,6 +175,11 @@
 	cfg.TLSConfig, cfg.Fallbacks = c.cfg.TLS, nil
 	cfg.RuntimeParams = map[string]string{"application_name": "chervild-control"}
 	cfg.LookupFunc = func(_ context.Context, host string) ([]string, error) { return []string{host}, nil }
+	cfg.BuildFrontend = func(r io.Reader, w io.Writer) *pgproto3.Frontend {
+		f := pgproto3.NewFrontend(r, w)
+		f.SetMaxBodyLen(maxAnswerBytes)
+		return f
+	}
 	if c.cfg.Dial != nil {
 		cfg.DialFunc = c.cfg.Dial
 	}
--- a/internal/dbctl/client_test.go
+++ b/internal/dbctl/client_test.go
@@ -240,3 +240,41 @@
 	var e *Error
 	is.True(done && errors.As(err, &e) && e.Kind == KindNoMajority)
 }
+
+// TestInputBehindAnswer guards against messages behind the answer to a call that are taken
+// for the answer to the next one, such as a status from before a promotion.
+func TestInputBehindAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &server{}
+		s.reply = func(string) []pgproto3.BackendMessage {
+			out := append(row([]string{"has"}, []string{"t"}), &pgproto3.ReadyForQuery{TxStatus: 'I'})
+			return append(out, row([]string{"has"}, []string{"f"})...)
+		}
+		c := New(Config{Target: "a", Address: "10.0.0.1:5432", Dial: s.dial})
+		defer c.Close()
+		for range 3 {
+			has, err := c.Has(t.Context(), ident.Position{Term: 1, Index: 1})
+			is.NoErr(err)
+			is.True(has)
+		}
+		is.Equal(s.conns, 3)
+	})
+}
+
+// TestHugeAnswer guards against a length that takes memory as a corrupt target pleases.
+func TestHugeAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &server{}
+		s.reply = func(string) []pgproto3.BackendMessage {
+			return row([]string{"has"}, []string{string(make([]byte, 1<<20))})
+		}
+		c := New(Config{Target: "a", Address: "10.0.0.1:5432", Dial: s.dial})
+		defer c.Close()
+		_, err := c.Has(t.Context(), ident.Position{Term: 1, Index: 1})
+		var e *Error
+		is.True(errors.As(err, &e))
+		is.Equal(e.Kind, KindNoAnswer)
+	})
+}
