Check the codes and states in other VMs' answers

Cause: codes, states and failures of relayed answers are 32 bits on the wire and 8 here, and were cut to 8. Code 256 was OK: a commit that a lender of another version, or a faulty one, refused with such a code counted as acknowledged. State 3 was taken as it came.

Change: an unknown code counts as outcome unknown, an unknown failure as one of the lender, and an answer with an unknown state breaks the stream and the connection behind it.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -191,7 +191,9 @@
 	c.recordPressure(pressureKey{m.ID, address}, o.Delays)
 	if o.Failure != 0 {
 		c.keepStream(l)
-		return dbpool.LentConn{}, &dbpool.Error{Op: "borrow", Kind: dbpool.Kind(o.Failure), Target: m.ID, Code: dbop.Code(o.Code)}
+		e := fromFailure(o)
+		e.Op, e.Target = "borrow", m.ID
+		return dbpool.LentConn{}, e
 	}
 	c.addLoans(m.ID, 1)
 	l.target = m.ID
--- a/internal/relay/codec.go
+++ b/internal/relay/codec.go
@@ -100,21 +100,44 @@
 	return out
 }
 
-func fromAnswers(in []*peerpb.RelayAnswer) []dbop.Answer {
+// fromAnswers returns false when an answer has a state that is not known here.
+func fromAnswers(in []*peerpb.RelayAnswer) ([]dbop.Answer, bool) {
 	out := make([]dbop.Answer, len(in))
 	for i := range in {
-		out[i] = fromAnswer(in[i])
+		var ok bool
+		if out[i], ok = fromAnswer(in[i]); !ok {
+			return nil, false
+		}
 	}
-	return out
+	return out, true
 }
 
-func fromAnswer(in *peerpb.RelayAnswer) dbop.Answer {
+func fromAnswer(in *peerpb.RelayAnswer) (dbop.Answer, bool) {
 	a := dbop.Answer{
-		Signature: string(in.Signature), Code: dbop.Code(in.Code), Text: string(in.Text), State: dbop.State(in.State),
+		Signature: string(in.Signature), Code: fromCode(in.Code), Text: string(in.Text), State: dbop.State(in.State),
 		Position: ident.Position{Term: ident.Term(in.Term), Index: in.Index},
 	}
 	for _, r := range in.Rows {
 		a.Rows = append(a.Rows, string(r))
 	}
-	return a
+	return a, in.State <= uint32(dbop.InError)
+}
+
+// fromCode returns dbop.Unknown for a code that is not known here, which a lender of
+// another version may send. Its low bits alone could be those of dbop.OK.
+func fromCode(code uint32) dbop.Code {
+	if code > uint32(dbop.Malformed) {
+		return dbop.Unknown
+	}
+	return dbop.Code(code)
+}
+
+// fromFailure returns the reason for which a lender has no connection. One that is not
+// known here counts as a failure of the lender.
+func fromFailure(o *peerpb.RelayOpened) *dbpool.Error {
+	e := &dbpool.Error{Kind: dbpool.KindLenderFailed, Code: fromCode(o.Code)}
+	if o.Failure <= uint32(dbpool.KindLenderFailed) {
+		e.Kind = dbpool.Kind(o.Failure)
+	}
+	return e
 }
--- a/internal/relay/loan.go
+++ b/internal/relay/loan.go
@@ -76,7 +76,11 @@
 		l.abort()
 		return nil, errProtocol
 	}
-	answers := fromAnswers(ran.Answers)
+	answers, ok := fromAnswers(ran.Answers)
+	if !ok {
+		l.abort()
+		return nil, errProtocol
+	}
 	if ran.Broken {
 		return answers, &Error{Op: "run", Kind: KindStreamFailed}
 	}
--- a/internal/relay/read_client.go
+++ b/internal/relay/read_client.go
@@ -74,10 +74,15 @@
 	c.recordSpeed(m, done.Opened)
 	c.recordPressure(key, done.Opened.Delays)
 	c.keepStream(l)
-	if kind := done.Opened.Failure; kind != 0 {
-		return res, &dbpool.Error{Op: "read", Kind: dbpool.Kind(kind), Target: m.ID, Code: dbop.Code(done.Opened.Code)}
+	if done.Opened.Failure != 0 {
+		e := fromFailure(done.Opened)
+		e.Op, e.Target = "read", m.ID
+		return res, e
 	}
-	return toReadResult(done), nil
+	if res, err = toReadResult(done); err != nil {
+		return failed(err)
+	}
+	return res, nil
 }
 
 func toRead(m *roster.Member, req *dbpool.Request, r *dbpool.Read) *peerpb.RelayRead {
@@ -93,13 +98,19 @@
 	return out
 }
 
-func toReadResult(done *peerpb.RelayReadDone) dbpool.ReadResult {
-	res := dbpool.ReadResult{Setup: dbop.Code(done.Setup)}
+// toReadResult returns an error, and that the read may have run, for an answer with a
+// state that is not known here.
+func toReadResult(done *peerpb.RelayReadDone) (dbpool.ReadResult, error) {
+	res := dbpool.ReadResult{Setup: fromCode(done.Setup)}
 	switch {
 	case done.Answer != nil:
-		res.Answered, res.Answer = true, fromAnswer(done.Answer)
+		a, ok := fromAnswer(done.Answer)
+		if !ok {
+			return dbpool.ReadResult{MayHaveRun: true}, errProtocol
+		}
+		res.Answered, res.Answer = true, a
 	case res.Setup == dbop.OK:
 		res.MayHaveRun = true
 	}
-	return res
+	return res, nil
 }
