--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -16,6 +16,13 @@
 // for 8 million restorations.
 const counterBits = 40
 
+const (
+	// MaxCounter is the greatest counter of a store that fits a Revision.
+	MaxCounter = 1<<counterBits - 1
+	// MaxEpoch is the last epoch that fits a Revision.
+	MaxEpoch Epoch = 1<<(63-counterBits) - 1
+)
+
 // NewRevision returns the revision at which the store's counter stood in an epoch. In
 // the first epoch, and in stores that don't count epochs, it equals the counter.
 func NewRevision(e Epoch, counter int64) Revision {
