End the session at a control character in a message

Cause: a line with a control character other than TAB was rejected alone, and the session went on. Some readers take VT, FF, NUL or U+001C to U+001E for the end of a line, so it is in doubt as much as with a bare LF where the message ends, and a caller that pipelines had its write behind a rejected BEGIN committed at once.

Change: it is answered once with MALFORMED, the open transaction is rolled back, and the session ends, as for a framing error. The reader has one rule for all violations. TestErrorInTxn loses this case to TestFramingError, which requires more of it.

--- a/internal/engine/errors.go
+++ b/internal/engine/errors.go
@@ -15,7 +15,8 @@
 const (
 	// KindFraming means that it is in doubt where a message ends.
 	KindFraming Kind = iota + 1
-	// KindCharacter means that a message has a character that is not allowed.
+	// KindCharacter means that a message has a control character, which another reader
+	// may take for its end.
 	KindCharacter
 	// KindTooLarge means that a message is longer than the protocol allows.
 	KindTooLarge
@@ -73,7 +74,7 @@
 	case KindTooLarge:
 		return dbop.Answer{Code: dbop.TooLarge, Text: "the message is too long; the session ends"}
 	case KindCharacter:
-		return dbop.Answer{Code: dbop.Malformed, Text: "the message has a control character"}
+		return dbop.Answer{Code: dbop.Malformed, Text: "the message has a control character; the session ends"}
 	case KindEvicted:
 		return dbop.Answer{Code: dbop.Busy, Text: "too many connections wait for their first message"}
 	case KindCrowded:
@@ -84,10 +85,6 @@
 	return dbop.Answer{Code: dbop.Malformed, Text: "the first message does not open a session"}
 }
 
-// endsSession reports whether nothing that follows the rejected message may be read as a
-// message.
-func (e *Error) endsSession() bool { return e.Kind != KindCharacter }
-
 // RecordRejection records a message that a codec has rejected before a session was open,
 // and returns its answer.
 func (e *Engine) RecordRejection(err *Error) dbop.Answer {
@@ -105,20 +102,14 @@
 		Str("workspace", string(ws)).Bool("in_transaction", inTxn).Int("count", n).Err(err).Send()
 }
 
-// reject returns the answer to a message that violates the protocol. An open transaction
-// fails. If it is in doubt where the message ends, the session ends.
+// reject returns the answer to a message that violates the protocol. The open transaction
+// is rolled back and the session ends: what follows may have been meant as part of the
+// message.
 func (s *Session) reject(err *Error) dbop.Answer {
 	s.e.recordRejection(err, s.login.Route, s.auth.Workspace, s.tx != nil)
 	a := err.answer()
-	s.slowdown = s.wrong.answered(true)
 	s.e.cfg.Meter.CountAnswer(&s.auth, 0, a.Code, 0)
-	if err.endsSession() {
-		s.abandon()
-		s.ending = true
-	}
-	if s.tx != nil {
-		s.tx.fail()
-		a.State = s.tx.state()
-	}
+	s.abandon()
+	s.ending = true
 	return a
 }
--- a/internal/engine/rejected_test.go
+++ b/internal/engine/rejected_test.go
@@ -15,7 +15,7 @@
 // be committed, after a message of which it is in doubt where it ends, and against such a
 // message without an answer.
 func TestFramingError(t *testing.T) {
-	for kind, code := range map[engine.Kind]dbop.Code{engine.KindFraming: dbop.Malformed, engine.KindTooLarge: dbop.TooLarge} {
+	for kind, code := range map[engine.Kind]dbop.Code{engine.KindFraming: dbop.Malformed, engine.KindTooLarge: dbop.TooLarge, engine.KindCharacter: dbop.Malformed} {
 		run(t, func(t *testing.T, f *fixture) {
 			is := is.New(t)
 			other := f.open(t, "primary")
@@ -56,7 +56,6 @@
 	}{
 		{dbop.Malformed, func(s *session) dbop.Answer { return s.run(0) }},
 		{dbop.Malformed, func(s *session) dbop.Answer { return s.run(dbop.Begin) }},
-		{dbop.Malformed, func(s *session) dbop.Answer { return s.reject(engine.KindCharacter) }},
 		{dbop.NoStatement, func(s *session) dbop.Answer { return s.run(dbop.Execute) }},
 		{dbop.TooLarge, tooLarge},
 	} {
