--- a/internal/engine/config.go
+++ b/internal/engine/config.go
@@ -38,7 +38,7 @@
 	// deadline means no deadline.
 	Receive(deadline time.Time) (dbop.Statement, error)
 	Send(*dbop.Answer) error
-	// Pending reports whether part of another message has been received.
+	// Pending reports whether part of another message has arrived.
 	Pending() bool
 	// Interrupt makes Receive return ErrNoMessage until ClearInterrupt is called.
 	Interrupt()
