End a session whose rejected BEGIN is followed by input

Cause: a BEGIN that is rejected or refused leaves the session in state I. Statements that the caller has sent behind it, before it could see the answer, ran outside the transaction that they belong to: a WRITE was committed at once, and the ROLLBACK behind it undid nothing.

Change: if more input has arrived when a BEGIN or an unknown message fails outside a transaction, the session ends after the answer. Callers that wait for answers never have such input. Input that arrives after the answer was sent is served as before.

--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -132,6 +132,9 @@
 		default:
 			return
 		}
+		if s.failedToBegin(st.Kind, &a) && s.caller.Pending() {
+			s.ending = true
+		}
 		if s.caller.Send(&a) != nil || s.ending {
 			return
 		}
@@ -139,6 +142,13 @@
 	}
 }
 
+// failedToBegin reports whether an answer is an error after which no transaction is open,
+// to a statement that begins one, or may have been meant to. What the caller has sent before
+// it could see the answer would run outside the transaction that it belongs to.
+func (s *Session) failedToBegin(k dbop.Kind, a *dbop.Answer) bool {
+	return a.Code != dbop.OK && s.tx == nil && (k == 0 || k == dbop.Begin || k == dbop.BeginRead)
+}
+
 // Abort ends a session on which Serve is not called.
 func (s *Session) Abort() { s.close() }
 
