Limit the memory of the state of all sessions

Cause: a session keeps names and values of up to 1 MiB for as long as it lasts, so 200 sessions fill a VM of 184 MB.

Above 4 KiB, a session needs bytes of a budget of the VM for them, a sixth of the Go memory limit or 32 MiB without one, of which one workspace holds at most half. The answer is BUSY otherwise, and the value is not set.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -8,6 +8,7 @@
 
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/internal/evlog"
+	"chervilspan.example/pkg/budget"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 )
@@ -35,6 +36,8 @@
 	// rejections limits the lines about rejected messages, wrongLines those about wrong
 	// statements of all sessions.
 	rejections, wrongLines evlog.Limiter
+	// state limits the memory of the variables and prepared statements of all sessions.
+	state budget.Budget
 
 	// evacuationRefusals counts the statements refused because of an evacuation.
 	evacuationRefusals atomic.Uint64
@@ -57,7 +60,7 @@
 	}
 	return &Engine{
 		cfg: cfg, started: time.Now(), sessions: map[*Session]bool{}, recheckedAt: map[ident.Group]time.Time{},
-		wrongLines: evlog.Limiter{Interval: wrongLogInterval},
+		wrongLines: evlog.Limiter{Interval: wrongLogInterval}, state: budget.Budget{Size: budget.OfMemoryLimit()},
 	}
 }
 
--- a/internal/engine/session.go
+++ b/internal/engine/session.go
@@ -10,6 +10,7 @@
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/internal/guard"
 	"chervilspan.example/pkg/access"
+	"chervilspan.example/pkg/budget"
 	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
@@ -50,6 +51,8 @@
 	prepared map[string]preparedStatement
 	// stateBytes is the length of the names and values in vars and prepared.
 	stateBytes int
+	// stateShare is what is held of Engine.state for them.
+	stateShare budget.Share
 	// lastCommit is the position of the session's last commit, and lastCommitAt when
 	// that was acknowledged, by Config.Clock.
 	lastCommit   ident.Position
@@ -154,6 +157,7 @@
 
 func (s *Session) close() {
 	s.abandon()
+	s.e.state.Release(&s.stateShare)
 	// An error means that the caller has already closed the connection.
 	_ = s.caller.Close()
 	s.e.remove(s)
--- a/pkg/budget/budget.go
+++ b/pkg/budget/budget.go
@@ -82,12 +82,34 @@
 // It never waits.
 func (b *Budget) Complete(s *Share, n int) { b.set(s, n, true) }
 
+// TryHold sets the number of bytes that a share holds until it is released, and reports
+// whether they fit. It never waits.
+func (b *Budget) TryHold(s *Share, n int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if more := n - s.held; more > 0 && b.Size > 0 {
+		held := 0
+		if o := b.owners[s.Owner]; o != nil {
+			held = o.held
+		}
+		if b.all.held+more > b.Size || held+more > b.Size/ownerFraction {
+			return false
+		}
+	}
+	b.setLocked(s, n, true)
+	return true
+}
+
 // Release returns the bytes of a share, and ends its wait.
 func (b *Budget) Release(s *Share) { b.set(s, 0, false) }
 
 func (b *Budget) set(s *Share, n int, complete bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.setLocked(s, n, complete)
+}
+
+func (b *Budget) setLocked(s *Share, n int, complete bool) {
 	if s.wanted > 0 {
 		b.dequeue(s)
 	}
