Limit the log lines about refused logins

Cause: each refused login leaves a line. A stranger with a wrong key takes the 40 lines of information that a VM writes in a second, and displaces those about others.

Change: ten such lines in a second at most, with the number of refused logins since the last one in count.

Result: TestRefusedLogins, 1,000 refused logins a second for 5 s: 5,000 lines before, at most 51 after.

--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -34,8 +34,8 @@
 	started  time.Time
 	absences absences
 	// rejections limits the lines about rejected messages, wrongLines those about wrong
-	// statements of all sessions.
-	rejections, wrongLines evlog.Limiter
+	// statements of all sessions, loginLines those about refused logins.
+	rejections, wrongLines, loginLines evlog.Limiter
 	// state limits the memory of the variables and prepared statements of all sessions.
 	state budget.Budget
 
@@ -60,7 +60,8 @@
 	}
 	return &Engine{
 		cfg: cfg, started: time.Now(), sessions: map[*Session]bool{}, recheckedAt: map[ident.Group]time.Time{},
-		wrongLines: evlog.Limiter{Interval: wrongLogInterval}, state: budget.Budget{Size: budget.OfMemoryLimit()},
+		wrongLines: evlog.Limiter{Interval: wrongLogInterval}, loginLines: evlog.Limiter{Interval: wrongLogInterval},
+		state: budget.Budget{Size: budget.OfMemoryLimit()},
 	}
 }
 
--- a/internal/engine/observe.go
+++ b/internal/engine/observe.go
@@ -88,7 +88,12 @@
 }
 
 func (e *Engine) logLogin(r ident.Route, a *dbop.Answer) {
-	e.logCatalogue(evlog.At(e.cfg.Log, evlog.LoginRefused)).Str("route", string(r)).Str("code", a.Code.String()).Str("reason", a.Text).Send()
+	n := e.loginLines.Add(time.Now())
+	if n == 0 {
+		return
+	}
+	e.logCatalogue(evlog.At(e.cfg.Log, evlog.LoginRefused)).Str("route", string(r)).Str("code", a.Code.String()).
+		Str("reason", a.Text).Int("count", n).Send()
 }
 
 func (e *Engine) logIdleRollback(s *Session) {
--- a/internal/engine/wrong.go
+++ b/internal/engine/wrong.go
@@ -15,7 +15,8 @@
 	// wrongDelay is the delay after each further wrong statement.
 	wrongDelay = 100 * time.Millisecond
 	// wrongLogInterval is the shortest time between two log lines about wrong statements
-	// of all sessions: a quarter of the lines that a VM writes.
+	// of all sessions, and between two about refused logins: a quarter each of the lines
+	// of information that a VM writes.
 	wrongLogInterval = 100 * time.Millisecond
 )
 
--- a/internal/engine/wrong_test.go
+++ b/internal/engine/wrong_test.go
@@ -81,3 +81,22 @@
 		is.True(len(log.String()) < 1<<10)
 	})
 }
+
+// TestRefusedLogins guards against strangers who displace the log lines of others by
+// logins with wrong keys.
+func TestRefusedLogins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		log := &linktest.LogBuffer{}
+		f := &fixture{index: access.NewKeyIndex(catalogue(1, "key"))}
+		f.e = engine.New(engine.Config{Access: f, Limiter: f, Log: zerolog.New(log)})
+		const seconds = 5
+		for range seconds * 1000 {
+			_, refusal := f.e.Open(engine.Login{Route: "primary", Key: "wrong"}, newCaller())
+			is.Equal(refusal.Code, dbop.BadKey)
+			time.Sleep(time.Millisecond)
+		}
+		is.True(log.Count("login_refused") <= 10*seconds+1)
+		is.True(strings.Contains(log.String(), `"count":100`))
+	})
+}
--- a/internal/evlog/session.go
+++ b/internal/evlog/session.go
@@ -4,7 +4,7 @@
 
 // Events of callers and their sessions.
 var (
-	LoginRefused      = register(Event{200, "login_refused", zerolog.InfoLevel, "A caller was refused; the fields `workspace`, `route` and `reason` say why. On the platform, `version` is the version of the catalogue that decided, and `age` how long ago, in ms, that was last known to be the newest. The key is never logged.", "Nothing, unless the caller should have been accepted: then check its key and its route in the catalogue."})
+	LoginRefused      = register(Event{200, "login_refused", zerolog.InfoLevel, "A caller was refused; the fields `workspace`, `route` and `reason` say why. On the platform, `version` is the version of the catalogue that decided, and `age` how long ago, in ms, that was last known to be the newest. On the platform, there are ten lines in a second at most, and `count` is the number of such logins since the last line. The key is never logged.", "Nothing, unless the caller should have been accepted: then check its key and its route in the catalogue."})
 	SessionEnded      = register(Event{201, "session_ended", zerolog.InfoLevel, "The proxy ended a session, because its key was withdrawn, its transaction was idle too long, or it broke the protocol.", "Nothing."})
 	AcceptFailed      = register(Event{202, "accept_failed", zerolog.ErrorLevel, "A connection could not be accepted, or a listener failed or could not be opened.", "Check the limit on open files, and the address of the listener if the field `listener` names one."})
 	OutcomeUnknown    = register(Event{203, "outcome_unknown", zerolog.WarnLevel, "A caller was told that the outcome of its write is unknown.", "Nothing, unless it recurs: then check the group's primary."})
