--- a/pkg/dbop/dbop.go
+++ b/pkg/dbop/dbop.go
@@ -47,10 +47,10 @@
 	return false
 }
 
-// BeginsTxn and EndsTxn report whether a statement of the kind begins or ends a transaction.
+// BeginsTxn reports whether a statement of the kind begins a transaction.
 func (k Kind) BeginsTxn() bool { return k == Begin || k == BeginRead }
 
-// EndsTxn is described at BeginsTxn.
+// EndsTxn reports whether a statement of the kind ends a transaction.
 func (k Kind) EndsTxn() bool { return k == Commit || k == Rollback }
 
 // ChangesSession reports whether a statement of the kind changes the variables or prepared
