Compare sessions of the PostgreSQL codec with a plain reader

FuzzMessages looked for crashes and open transactions, with input that arrives at once. FuzzStream gives the same bytes to a session at once and in pieces of 1 to 16 bytes. Both must give the same answers; each statement that reaches a target must be a whole one of a message that a plain reader of the protocol finds before the first broken message; and no more answers may end than messages ask for it. Its seeds run with each test run.

--- a/internal/wire/stream_test.go
+++ b/internal/wire/stream_test.go
@@ -1,6 +1,9 @@
 package wire
 
 import (
+	"encoding/binary"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,7 +17,10 @@
 
 // answerTo sends bytes and returns the answers up to the end of the connection, or up to
 // the moment when nothing more happens.
-func (r *rawClient) answerTo(b []byte) (kinds, code string) {
+func (r *rawClient) answerTo(b []byte) (kinds, code string) { return r.answerToPieces(b, len(b)) }
+
+// answerToPieces is answerTo for bytes that arrive in pieces of n bytes.
+func (r *rawClient) answerToPieces(b []byte, n int) (kinds, code string) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -33,7 +39,11 @@
 			}
 		}
 	}()
-	go func() { _, _ = r.Write(b) }()
+	go func() {
+		for p := range slices.Chunk(b, max(n, 1)) {
+			_, _ = r.Write(p)
+		}
+	}()
 	synctest.Wait()
 	_ = r.SetReadDeadline(time.Unix(1, 0))
 	<-done
@@ -138,3 +148,74 @@
 		is.Equal(fx.srv.pendingLogins.Load(), int64(0))
 	}, func(c *Config) { c.Access = panickingAccess{c.Access} })
 }
+
+// textsIn is a plain reader of the protocol: it returns the statements in the Query and Parse
+// messages of a stream up to the first message that is broken, and how many messages ask
+// for a ReadyForQuery. The targets of these tests run a Query statement by statement.
+func textsIn(b []byte, limit int) (texts []string, ends int) {
+	for len(b) >= 5 {
+		kind, n := b[0], int64(int32(binary.BigEndian.Uint32(b[1:])))
+		if n < 4 || n-4 > int64(limit) || n+1 > int64(len(b)) {
+			return texts, ends
+		}
+		body := b[5 : n+1]
+		b = b[n+1:]
+		switch kind {
+		case 'Q', 'S', 'F':
+			ends++
+		case 'X':
+			return texts, ends
+		}
+		fields := strings.Split(string(body), "\x00")
+		switch {
+		case kind == 'Q' && len(fields) == 2:
+			for s := range strings.SplitSeq(fields[0], ";") {
+				texts = append(texts, strings.TrimSpace(s))
+			}
+		case kind == 'P' && len(fields) > 2:
+			texts = append(texts, fields[1])
+		}
+	}
+	return texts, ends
+}
+
+// FuzzStream guards against a session that reads another sequence of messages from the
+// same bytes when they arrive in other pieces, runs a text that is not the whole text of a
+// message, gives more than one end of an answer to a message, or goes on after a message
+// that is broken. A plain reader of the protocol says which texts there are.
+func FuzzStream(f *testing.F) {
+	write, commit := &pgproto3.Query{String: insert}, &pgproto3.Query{String: "COMMIT"}
+	extended := []pgproto3.FrontendMessage{&pgproto3.Parse{Query: insert}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{}}
+	hidden := encodeAll(write)
+	f.Add(encodeAll(&pgproto3.Query{String: "BEGIN"}, write, commit), uint8(1))
+	f.Add(encodeAll(&pgproto3.Query{String: "SELECT 1; COMMIT"}, write), uint8(3))
+	f.Add(append([]byte{'Q', 0, 0, 0, byte(4 + len(hidden) + 1)}, append(hidden, 0)...), uint8(2)) // a message inside of a field
+	f.Add(append(append(encodeAll(&pgproto3.Query{String: "BEGIN"}, write), 'Q', 0, 0, 0, 3), encodeAll(commit)...), uint8(4))
+	f.Add(encodeAll(append(extended, commit)...), uint8(5))
+	f.Add(append([]byte{'P', 0, 0, 0, 5, 'x'}, encodeAll(extended...)...), uint8(1))
+	f.Add(encodeAll(&pgproto3.Bind{PreparedStatement: "no"}, write, &pgproto3.FunctionCall{}, &pgproto3.Sync{}, write), uint8(6))
+	f.Add(append([]byte{'d', 0, 0, 0, 4, 'c', 0, 0, 0, 4}, hidden...), uint8(1))
+	f.Fuzz(func(t *testing.T, b []byte, piece uint8) {
+		if len(b) > 2000 {
+			return
+		}
+		var kinds, codes [2]string
+		for i, n := range []int{len(b), int(piece%16) + 1} {
+			withFixture(t, func(t *testing.T, is *is.I, fx *fixture) {
+				r := fx.loginRaw()
+				kinds[i], codes[i] = r.answerToPieces(b, n)
+				texts, ends := textsIn(b, fx.srv.cfg.MaxMessageBytes)
+				is.True(strings.Count(kinds[i], "Z") <= ends)
+				for _, sql := range append(fx.targets["a"].SQL(), fx.targets["b"].SQL()...) {
+					is.True(slices.Contains(texts, sql) || strings.Contains(sql, "chervil"))
+				}
+				_ = r.Close()
+				synctest.Wait()
+				fx.checkServing(t, is)
+			})
+		}
+		is := is.New(t)
+		is.Equal(kinds[0], kinds[1])
+		is.Equal(codes[0], codes[1])
+	})
+}
