Bound the connections that are being refused

Cause: a connection above the limits on logins and sessions was told so and kept until it had read the error, or for up to 2 s. The number of these had no bound, so a flood of connections took file descriptors and memory despite the limits.

Change: at most MaxUnauthenticated connections are being refused at once; further ones are closed without an answer.

Result: TestRejectionLimit failed before (the fifth connection was kept for its error) and passes now. TestPlaintextBeforeTLS, added with it, passed before and after: bytes behind an SSLRequest are dropped.

--- a/internal/wire/login_test.go
+++ b/internal/wire/login_test.go
@@ -231,6 +231,42 @@
 	}, func(c *Config) { c.MaxSessions = 1 })
 }
 
+// TestRejectionLimit guards against a flood of connections of which each is kept until it has
+// been told that there are too many.
+func TestRejectionLimit(t *testing.T) {
+	withFixture(t, func(t *testing.T, is *is.I, fx *fixture) {
+		for range 4 { // two that log in, and two that do not read why they are refused
+			fx.dialRaw()
+			synctest.Wait()
+		}
+		start := time.Now()
+		kinds, _ := fx.dialRaw().readUntilReady(t)
+		is.Equal(kinds, ".")
+		is.Equal(time.Since(start), time.Duration(0))
+		time.Sleep(2 * lingerTimeout)
+		_, code := fx.dialRaw().readUntilReady(t)
+		is.Equal(code, "53300")
+	}, func(c *Config) { c.MaxUnauthenticated = 2 })
+}
+
+// TestPlaintextBeforeTLS guards against bytes that were sent in plain text behind an
+// SSLRequest and are read as if they had come through TLS, where anyone on the path could
+// have put them (CVE-2021-23214 of PostgreSQL).
+func TestPlaintextBeforeTLS(t *testing.T) {
+	cfg := selfSignedTLS(t)
+	withFixture(t, func(_ *testing.T, is *is.I, fx *fixture) {
+		r := fx.dialRaw()
+		start := &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "taller", "database": "orders"}}
+		go func() {
+			_, _ = r.Write(encodeAll(&pgproto3.SSLRequest{}, start, &pgproto3.PasswordMessage{Password: "chv_k1_secret"}))
+		}()
+		b, err := io.ReadAll(r) // up to the handshake timeout
+		is.NoErr(err)
+		is.Equal(string(b), "S")
+		is.Equal(fx.srv.SessionCount(), 0)
+	}, func(c *Config) { c.TLS = cfg })
+}
+
 // TestMessages guards against frontend messages that get no answer or a wrong
 // sequence of messages, and against those that affect other callers.
 func TestMessages(t *testing.T) {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -34,6 +34,8 @@
 
 	// pendingLogins counts the connections that have not logged in.
 	pendingLogins atomic.Int64
+	// rejections counts the connections that are being told that there are too many.
+	rejections atomic.Int64
 
 	mu       sync.Mutex
 	sessions map[uint32]*session
@@ -115,8 +117,13 @@
 	return s.login(c)
 }
 
-// reject answers a connection with an error without reading its startup message.
+// reject answers a connection with an error without reading its startup message. While
+// MaxUnauthenticated others are being answered, it does nothing.
 func (s *Server) reject(c net.Conn, e *Error) {
+	defer s.rejections.Add(-1)
+	if s.rejections.Add(1) > int64(s.cfg.MaxUnauthenticated) {
+		return
+	}
 	_ = c.SetDeadline(time.Now().Add(lingerTimeout))
 	if b, err := e.response().Encode(nil); err == nil {
 		_, _ = c.Write(b)
