Bound the texts of a session's prepared statements

Cause: a session may have 10,000 prepared statements, each as long as a message, 16 MiB. A caller with a key could fill the memory of a VM with one session.

Change: the texts of a session's prepared statements have at most the length of a message together; a Parse beyond that is refused with 53300.

--- a/internal/wire/gather.go
+++ b/internal/wire/gather.go
@@ -68,8 +68,13 @@
 	if len(s.stmts) >= maxPreparedStatements {
 		return item{}, refusedError("parse", codeTooMany, "the session has too many prepared statements", nil)
 	}
+	s.dropStmt(m.Name)
+	if s.stmtBytes+len(m.Query) > s.srv.cfg.MaxMessageBytes {
+		return item{}, refusedError("parse", codeTooMany, "the prepared statements of the session are too long", nil)
+	}
 	p := newPrepared(m, q)
 	s.stmts[m.Name] = p
+	s.stmtBytes += len(p.sql)
 	s.pending.addQuery(q, false)
 	i := item{msg: m, stmt: p, stmtName: m.Name}
 	if p.info().AnsweredByProxy() {
@@ -78,6 +83,20 @@
 	return i, nil
 }
 
+// dropStmt removes a prepared statement if there is one of the name.
+func (s *session) dropStmt(name string) {
+	if p := s.stmts[name]; p != nil {
+		s.stmtBytes -= len(p.sql)
+		delete(s.stmts, name)
+	}
+}
+
+// dropStmts removes all prepared statements.
+func (s *session) dropStmts() {
+	clear(s.stmts)
+	s.stmtBytes = 0
+}
+
 func (s *session) bind(m *pgproto3.Bind) (item, *Error) {
 	p := s.stmts[m.PreparedStatement]
 	if p == nil {
@@ -146,7 +165,7 @@
 	if m.ObjectType == 'S' {
 		// Other sessions may use the statement, so it stays prepared on target
 		// connections.
-		delete(s.stmts, m.Name)
+		s.dropStmt(m.Name)
 		return item{msg: m, localAnswer: fixedAnswer(&pgproto3.CloseComplete{})}
 	}
 	p := s.portals[m.Name]
@@ -168,12 +187,12 @@
 		s.setVariable(i)
 	case stmt.KindDeallocate:
 		if i.Name != "" {
-			delete(s.stmts, i.Name)
+			s.dropStmt(i.Name)
 			return
 		}
-		clear(s.stmts)
+		s.dropStmts()
 	case stmt.KindDiscardAll:
-		clear(s.stmts)
+		s.dropStmts()
 		clear(s.portals)
 		s.setVariable(stmt.Info{})
 	}
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -233,7 +233,7 @@
 		}
 		parsed++
 		if parsed > u.answeredParses && s.stmts[i.stmtName] == i.stmt {
-			delete(s.stmts, i.stmtName)
+			s.dropStmt(i.stmtName)
 		}
 	}
 }
--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -36,6 +36,9 @@
 
 	stmts   map[string]*prepared
 	portals map[string]*prepared
+	// stmtBytes is the length of the texts of stmts. It is at most the length of a
+	// message.
+	stmtBytes int
 	// pending has the extended messages that have not run.
 	pending *unit
 	// skipping is set while extended messages are skipped, from an error until
--- a/internal/wire/stream_test.go
+++ b/internal/wire/stream_test.go
@@ -21,6 +21,7 @@
 
 // answerToPieces is answerTo for bytes that arrive in pieces of n bytes.
 func (r *rawClient) answerToPieces(b []byte, n int) (kinds, code string) {
+	_ = r.SetReadDeadline(time.Time{})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
