Bound the portals of a transaction

Cause: each Bind with a new name added a portal to the session and to the target, without a bound, until the transaction ended.

Change: a transaction has at most 10,000 portals; a Bind beyond that is refused with 53300.

Result: TestPortalLimit failed before (10,001 portals were accepted) and passes now.

--- a/internal/wire/bounds_test.go
+++ b/internal/wire/bounds_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 
@@ -32,3 +33,21 @@
 		}
 	}, func(c *Config) { c.MaxMessageBytes = 900 })
 }
+
+// TestPortalLimit guards against a session that fills the memory of the VM and of a target
+// with portals of ever new names.
+func TestPortalLimit(t *testing.T) {
+	withFixture(t, func(_ *testing.T, is *is.I, fx *fixture) {
+		r := fx.loginRaw()
+		list := []pgproto3.FrontendMessage{&pgproto3.Query{String: "BEGIN"}, &pgproto3.Parse{Query: "SELECT 1"}}
+		for i := range maxPortals + 1 {
+			list = append(list, &pgproto3.Bind{DestinationPortal: strconv.Itoa(i)})
+			if i%100 == 99 { // an error drops the answers to the messages since Sync
+				list = append(list, &pgproto3.Sync{})
+			}
+		}
+		kinds, code := r.answerTo(encodeAll(append(list, &pgproto3.Sync{})...))
+		is.Equal(strings.Count(kinds, "2"), maxPortals)
+		is.Equal(code, codeTooMany)
+	})
+}
--- a/internal/wire/gather.go
+++ b/internal/wire/gather.go
@@ -14,6 +14,9 @@
 // maxPreparedStatements bounds the prepared statements of a session.
 const maxPreparedStatements = 10_000
 
+// maxPortals bounds the portals of a transaction.
+const maxPortals = 10_000
+
 // textOID is the object id of the type text.
 const textOID = 25
 
@@ -102,6 +105,9 @@
 	if p == nil {
 		return item{}, refusedError("bind", codeNoStatement, "the prepared statement "+m.PreparedStatement+" does not exist", nil)
 	}
+	if _, ok := s.portals[m.DestinationPortal]; !ok && len(s.portals) >= maxPortals {
+		return item{}, refusedError("bind", codeTooMany, "the transaction has too many portals", nil)
+	}
 	s.portals[m.DestinationPortal] = p
 	m.PreparedStatement = p.targetName
 	s.pending.addQuery(p.classified, false)
