Fail an answer that a target ends too early

Cause: ReadyForQuery ended the answer of a target whether or not its parts had come. A write whose command tag never came was answered with a bare end, which a client can read as success, and the connection was used again.

Change: without an error, an answer that lacks the end of a statement, or of a message of the extended protocol, counts as a lost connection: a write's outcome is unknown, a read is tried elsewhere, and the connection is closed.

--- a/internal/wire/bounds_test.go
+++ b/internal/wire/bounds_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
+
+	"chervilspan.example/internal/wiretest"
 )
 
 // TestPreparedBytes guards against a session that fills the memory of the VM with the texts
@@ -51,3 +53,23 @@
 		is.Equal(code, codeTooMany)
 	})
 }
+
+// TestIncompleteAnswer guards against an answer that a target ends before all its parts
+// came, and that the caller gets as the complete one, above all of a write.
+func TestIncompleteAnswer(t *testing.T) {
+	for name, list := range map[string][]pgproto3.FrontendMessage{
+		"extended": {&pgproto3.Parse{Query: insert}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{}},
+		"simple":   {&pgproto3.Query{String: insert}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFixture(t, func(_ *testing.T, is *is.I, fx *fixture) {
+				fx.targets["a"].Handle = func(*wiretest.Call) wiretest.Reply { return wiretest.Reply{NoTag: true, Write: true} }
+				kinds, code := fx.loginRaw().answerTo(encodeAll(list...))
+				is.Equal(kinds, "EZ.")
+				is.Equal(code, codeOutcomeUnknown)
+				open, _ := fx.pools.Size("g", "a")
+				is.Equal(open, 0)
+			})
+		})
+	}
+}
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -39,6 +39,8 @@
 	// commits and rollbacks count the transactions that a statement ended.
 	commits   int
 	rollbacks int
+	// ended is set when the answer to a statement was complete.
+	ended bool
 	// lastTag is the last command tag.
 	lastTag string
 }
@@ -115,6 +117,10 @@
 // COPY are refused.
 var errCopy = errors.New("the target started COPY")
 
+// errIncomplete ends a connection on which a target ends an answer before all its parts
+// came.
+var errIncomplete = errors.New("the target ended an answer too early")
+
 // forwardAnswer queues a target's answer to a unit for the caller. An error means
 // that the connection failed before the answer was complete.
 func (s *session) forwardAnswer(c *conns.Conn, u *unit, replies []reply) (answer, error) {
@@ -130,6 +136,10 @@
 		}
 		switch m := m.(type) {
 		case *pgproto3.ReadyForQuery:
+			if a.refused == nil && (len(replies) > 0 || u.simpleQuery != nil && !a.ended) {
+				c.CloseOnPut()
+				return a, errIncomplete
+			}
 			return a, nil
 		case *pgproto3.CopyInResponse, *pgproto3.CopyOutResponse, *pgproto3.CopyBothResponse:
 			c.CloseOnPut()
@@ -146,6 +156,9 @@
 			continue
 		case *pgproto3.CommandComplete:
 			a.recordTag(string(m.CommandTag))
+			a.ended = true
+		case *pgproto3.EmptyQueryResponse:
+			a.ended = true
 		}
 		replies = s.forwardMessage(m, u, replies)
 	}
--- a/internal/wiretest/client.go
+++ b/internal/wiretest/client.go
@@ -204,7 +204,9 @@
 		return false, false
 	}
 	c.wrote = c.wrote || r.Write
-	c.send(&pgproto3.CommandComplete{CommandTag: []byte(r.Tag)})
+	if !r.NoTag {
+		c.send(&pgproto3.CommandComplete{CommandTag: []byte(r.Tag)})
+	}
 	return true, true
 }
 
--- a/internal/wiretest/target.go
+++ b/internal/wiretest/target.go
@@ -36,6 +36,8 @@
 	// CloseConn closes the connection after the rows, before the answer is
 	// complete.
 	CloseConn bool
+	// NoTag leaves out the end of the answer, its command tag.
+	NoTag bool
 	// NoAnswer leaves the statement unanswered.
 	NoAnswer bool
 }
