Bound a stranger's text in the event of a refused login

Cause: the event had the whole names of workspace, route and parameter of a startup packet, up to 10,000 bytes that anyone may choose, some 40 times a second.

Change: at most 200 bytes of each.

Result: TestLongNames failed before (more than 1,000 bytes a line) and passes now.

--- a/internal/wire/bounds_test.go
+++ b/internal/wire/bounds_test.go
@@ -1,12 +1,14 @@
 package wire
 
 import (
+	"bytes"
 	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/matryer/is"
+	"github.com/rs/zerolog"
 
 	"chervilspan.example/internal/wiretest"
 )
@@ -73,3 +75,17 @@
 		})
 	}
 }
+
+// TestLongNames guards against strangers who fill the log with names of their choice.
+func TestLongNames(t *testing.T) {
+	var log bytes.Buffer
+	withFixture(t, func(_ *testing.T, is *is.I, fx *fixture) {
+		for _, name := range []string{"user", "database", strings.Repeat("n", 3000)} {
+			log.Reset()
+			start := &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{name: strings.Repeat("x", 6000)}}
+			kinds, _ := fx.dialRaw().answerTo(encodeAll(start, &pgproto3.PasswordMessage{Password: "wrong"}))
+			is.True(strings.HasSuffix(kinds, "E."))
+			is.True(log.Len() > 0 && log.Len() < 1000)
+		}
+	}, func(c *Config) { c.Log = zerolog.New(&log) })
+}
--- a/internal/wire/login.go
+++ b/internal/wire/login.go
@@ -67,8 +67,8 @@
 	if !errors.As(err, &e) {
 		return err
 	}
-	evlog.At(h.srv.cfg.Log, evlog.LoginRefused).Str("workspace", h.params["user"]).
-		Str("route", h.params["database"]).Str("reason", e.Text).Str("code", e.Code).Send()
+	evlog.At(h.srv.cfg.Log, evlog.LoginRefused).Str("workspace", logText(h.params["user"])).
+		Str("route", logText(h.params["database"])).Str("reason", logText(e.Text)).Str("code", e.Code).Send()
 	h.srv.metrics.increment("logins_refused")
 	h.backend.Send(e.response())
 	_ = h.backend.Flush()
@@ -76,6 +76,12 @@
 	return err
 }
 
+// maxLogText bounds what one field of an event has of a stranger's text, which has up to the
+// length of a startup packet.
+const maxLogText = 200
+
+func logText(s string) string { return s[:min(len(s), maxLogText)] }
+
 // maxStartupPackets bounds the packets read up to the startup message. A caller
 // sends at most one encryption request of each of the two kinds before it.
 const maxStartupPackets = 3
