Make room for callers faster when descriptors are out

Cause: for each connection that could not be accepted for lack of descriptors, one silent connection was closed, followed by a pause of 20 ms: 50 a second. Beside strangers who open more than that, callers wait for their turn to be accepted behind them.

--- a/pkg/unauth/doc.go
+++ b/pkg/unauth/doc.go
@@ -11,7 +11,8 @@
 // for a moment accepts thousands at once, of callers that had no time to send anything.
 // Nor is one evicted whose input the server has still to read: there, the server is slow
 // and not the caller. For both, the table may grow beyond Limit. When the server runs out
-// of descriptors, EvictOldest makes room regardless of age.
+// of descriptors, Relieve makes room regardless of age: for many at a time, since callers wait
+// for their turn to be accepted behind the connections of a flood.
 //
 // Connections whose first message was read do not count, even if the answer takes a while.
 //
--- a/pkg/unauth/unauth.go
+++ b/pkg/unauth/unauth.go
@@ -6,9 +6,13 @@
 	"time"
 )
 
-// maxChecked is the maximum number of connections that are checked for unread input in
-// one call.
-const maxChecked = 8
+const (
+	// maxPassed is the maximum number of connections with unread input that one call
+	// passes over.
+	maxPassed = 8
+	// relievedFraction is the inverse of the part of the connections that Relieve evicts.
+	relievedFraction = 4
+)
 
 // Conn is a connection without a known caller. Its methods must not block and must not
 // call the Table.
@@ -48,7 +52,7 @@
 	e := &Entry{conn: c, arrived: now}
 	e.element = t.order.PushBack(e)
 	if t.Limit > 0 && t.order.Len() > t.Limit {
-		t.evictOldest(now.Add(-t.MinAge))
+		t.evict(1, now.Add(-t.MinAge))
 	}
 	return e
 }
@@ -66,30 +70,36 @@
 	return true
 }
 
-// EvictOldest evicts the oldest connection that has no unread input, if there is one,
-// regardless of its age.
-func (t *Table) EvictOldest(now time.Time) {
+// Relieve evicts the oldest quarter of the connections, at least one, regardless of their
+// age but for those with unread input. It returns their number.
+func (t *Table) Relieve(now time.Time) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.evictOldest(now)
+	return t.evict(1+t.order.Len()/relievedFraction, now)
 }
 
-// evictOldest evicts the oldest connection without unread input, if it arrived at or
-// before a time. It checks a few of them.
-func (t *Table) evictOldest(before time.Time) {
-	for el, n := t.order.Front(), 0; el != nil && n < maxChecked; el, n = el.Next(), n+1 {
+// evict evicts up to n of the oldest connections that arrived at or before a time and have
+// no unread input. It passes over a few with unread input, and returns the number of those
+// evicted.
+func (t *Table) evict(n int, before time.Time) int {
+	evicted, passed := 0, 0
+	for el := t.order.Front(); el != nil && evicted < n && passed < maxPassed; {
 		e := el.Value.(*Entry)
-		if e.arrived.After(before) {
-			return
-		}
-		if e.conn.HasInput() {
-			continue
+		next := el.Next()
+		switch {
+		case e.arrived.After(before):
+			return evicted
+		case e.conn.HasInput():
+			passed++
+		default:
+			t.order.Remove(el)
+			e.element = nil
+			e.conn.Evict()
+			evicted++
 		}
-		t.order.Remove(el)
-		e.element = nil
-		e.conn.Evict()
-		return
+		el = next
 	}
+	return evicted
 }
 
 // Len returns the number of connections.
