Discard queries up to Sync in the target of the codec's tests too

Change: while it skips, the target serves Sync and Terminate only, as the stand-in target of the other module does.

--- a/internal/wiretest/client.go
+++ b/internal/wiretest/client.go
@@ -76,6 +76,17 @@
 
 // handle serves a message; it reports false when the connection ends.
 func (c *client) handle(m pgproto3.FrontendMessage) bool {
+	switch m.(type) {
+	case *pgproto3.Sync:
+		c.skipUntilSync = false
+		c.sendReady()
+		return true
+	case *pgproto3.Terminate:
+		return false
+	}
+	if c.skipUntilSync {
+		return true
+	}
 	switch m := m.(type) {
 	case *pgproto3.Query:
 		for _, sql := range strings.Split(m.String, ";") {
@@ -91,13 +102,8 @@
 			}
 		}
 		c.sendReady()
-	case *pgproto3.Sync:
-		c.skipUntilSync = false
-		c.sendReady()
-	case *pgproto3.Terminate:
-		return false
 	default:
-		return c.skipUntilSync || c.handleExtended(m)
+		return c.handleExtended(m)
 	}
 	return true
 }
