--- a/review/standin-2/case_memory.go
+++ b/review/standin-2/case_memory.go
@@ -5,6 +5,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -14,6 +15,10 @@
 	bigItem = "manifest"
 	// bigRow is the length of a row with its word and its CR LF, in bytes: the longest message.
 	bigRow = 1 << 20
+	// longReaders is the number of consumers that read long answers at the same time, and
+	// longRows the number of rows of each.
+	longReaders = 4
+	longRows    = 30
 	// memoryMB is MemoryMb of the nodes.
 	memoryMB = 284
 	// restartDelay is the time from the end of a process to its restart.
@@ -34,7 +39,8 @@
 	return out
 }
 
-// memoryCase: one consumer reads an item whose answer has many rows.
+// memoryCase: a few consumers read items at the same time whose answers have some rows of the
+// greatest length.
 var memoryCase = testCase{
 	services: []string{"orders"},
 	config:   func(w *world) configuration { return w.longRoute() },
@@ -96,18 +102,10 @@
 	time.Sleep(3 * time.Second)
 	rows := 1
 	if w.trouble {
-		rows = 100
+		rows = longRows
 	}
 	for attempt := range 9 {
-		n := w.nodes[attempt%len(w.nodes)]
-		c, err := dial(fmt.Sprintf("c%d", attempt), w.rec, n, "offcut-log", "key-of-the-workshop")
-		if err != nil {
-			w.rec.linef("judge", "no session at %s: %v", n.name, err)
-			time.Sleep(time.Second)
-			continue
-		}
-		c.query(fmt.Sprintf("READ %s%d", bigItem, rows), 10*time.Second)
-		c.close()
+		w.readLong(w.nodes[attempt%len(w.nodes)], attempt, rows)
 		time.Sleep(2500 * time.Millisecond)
 	}
 	often := 0
@@ -119,3 +117,20 @@
 	}
 	return often >= 2, nil
 }
+
+// readLong has consumers read long answers at a node, all at the same time.
+func (w *world) readLong(n *node, attempt, rows int) {
+	var wg sync.WaitGroup
+	for i := range longReaders {
+		wg.Go(func() {
+			c, err := dial(fmt.Sprintf("c%d.%d", attempt, i), w.rec, n, "offcut-log", "key-of-the-workshop")
+			if err != nil {
+				w.rec.linef("judge", "no session at %s: %v", n.name, err)
+				return
+			}
+			c.query(fmt.Sprintf("READ %s%d", bigItem, rows), 10*time.Second)
+			c.close()
+		})
+	}
+	wg.Wait()
+}
--- a/review/standin-2/database.go
+++ b/review/standin-2/database.go
@@ -6,12 +6,31 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
 // linkRate is the rate of a machine's link in bytes per second: 1,000 Mbit/s.
 const linkRate = 125_000_000
 
+// link is the link of a machine, which all databases share that answer it.
+type link struct {
+	mu   sync.Mutex
+	free time.Time
+}
+
+// send waits until the link has taken a number of bytes.
+func (l *link) send(bytes int) {
+	l.mu.Lock()
+	if now := time.Now(); l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(bytes) * time.Second / linkRate)
+	free := l.free
+	l.mu.Unlock()
+	time.Sleep(time.Until(free))
+}
+
 // database is a database of a group.
 type database struct {
 	group   *group
@@ -263,11 +282,9 @@
 	time.Sleep(statementTime)
 	rows := s.db.rows(item)
 	s.recordRun(id, text)
-	begun, sent := time.Now(), 0
 	for _, r := range rows {
+		s.db.group.link.send(len(r))
 		fmt.Fprintf(s.out, "ROW %s\r\n", r)
-		sent += len(r)
-		time.Sleep(time.Duration(sent)*time.Second/linkRate - time.Since(begun))
 	}
 	s.done(s.signature(id))
 }
--- a/review/standin-2/group.go
+++ b/review/standin-2/group.go
@@ -52,6 +52,8 @@
 	name  string
 	rec   *recorder
 	store *store
+	// link is that of the machine which reads long answers.
+	link link
 
 	mu        sync.Mutex
 	databases []*database
