--- a/review/standin-2/case_lost.go
+++ b/review/standin-2/case_lost.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -9,6 +10,8 @@
 const (
 	// lostWriters is the number of consumers that write.
 	lostWriters = 8
+	// meanPause is the mean time between an answer and the next write.
+	meanPause = 20 * time.Millisecond
 	// primaryDownTime is how long the primary is down after its crash.
 	primaryDownTime = 7 * time.Second
 	// replicaDownTime is how long the other replica is down.
@@ -115,7 +118,7 @@
 				time.Sleep(100 * time.Millisecond)
 			}
 			err = a.err
-			time.Sleep(20 * time.Millisecond)
+			time.Sleep(rand.N(2 * meanPause))
 		}
 		select {
 		case <-stop:
