--- a/review/standin-2/database.go
+++ b/review/standin-2/database.go
@@ -6,31 +6,9 @@
 	"net"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 )
 
-// linkRate is the rate of a machine's link in bytes per second: 1,000 Mbit/s.
-const linkRate = 125_000_000
-
-// link is the link of a machine, which all databases share that answer it.
-type link struct {
-	mu   sync.Mutex
-	free time.Time
-}
-
-// send waits until the link has taken a number of bytes.
-func (l *link) send(bytes int) {
-	l.mu.Lock()
-	if now := time.Now(); l.free.Before(now) {
-		l.free = now
-	}
-	l.free = l.free.Add(time.Duration(bytes) * time.Second / linkRate)
-	free := l.free
-	l.mu.Unlock()
-	time.Sleep(time.Until(free))
-}
-
 // database is a database of a group.
 type database struct {
 	group   *group
@@ -39,6 +17,8 @@
 	address string
 	// delay is the time that an entry takes to reach this database.
 	delay time.Duration
+	// link is the delay of the link from the nodes.
+	link time.Duration
 
 	listener   net.Listener
 	conns      map[net.Conn]bool
@@ -47,6 +27,7 @@
 	primary    bool
 	down       bool
 	deaf       bool
+	draining   bool
 	pausedTerm uint64
 	born       int64
 	sequence   int
@@ -69,6 +50,9 @@
 		d.group.mu.Lock()
 		d.conns[conn] = true
 		d.group.mu.Unlock()
+		if d.link > 0 {
+			conn = newDelayedConn(conn, d.link)
+		}
 		go (&session{db: d, conn: conn, out: bufio.NewWriterSize(conn, 64<<10)}).serve()
 	}
 }
@@ -283,7 +267,6 @@
 	rows := s.db.rows(item)
 	s.recordRun(id, text)
 	for _, r := range rows {
-		s.db.group.link.send(len(r))
 		fmt.Fprintf(s.out, "ROW %s\r\n", r)
 	}
 	s.done(s.signature(id))
@@ -291,9 +274,6 @@
 
 // rows returns the rows of an item.
 func (d *database) rows(item string) []string {
-	if n, ok := strings.CutPrefix(item, bigItem); ok {
-		return bigRows(n)
-	}
 	d.group.mu.Lock()
 	defer d.group.mu.Unlock()
 	for i := len(d.log) - 1; i >= 0; i-- {
--- a/review/standin-2/group.go
+++ b/review/standin-2/group.go
@@ -52,8 +52,8 @@
 	name  string
 	rec   *recorder
 	store *store
-	// link is that of the machine which reads long answers.
-	link link
+	// nodesFar is set when all nodes are in the other region than the zone coast.
+	nodesFar bool
 
 	mu        sync.Mutex
 	databases []*database
@@ -78,13 +78,12 @@
 }
 
 // newGroup returns a group with a database for each zone, the first of which is the primary.
-func newGroup(name string, zones []string, s *store, rec *recorder) (*group, error) {
-	g := &group{name: name, rec: rec, store: s, term: 1, acknowledged: map[string]position{}}
+func newGroup(name string, c testCase, s *store, rec *recorder) (*group, error) {
+	g := &group{name: name, rec: rec, store: s, term: 1, acknowledged: map[string]position{}, nodesFar: c.nodeZones != nil}
+	zones := orDefault(c.zones)
 	for i, zone := range zones {
-		d := &database{group: g, id: fmt.Sprintf("i-%s-%d", name, i+1), zone: zone, primary: i == 0, born: time.Now().UnixMilli(), delay: zoneDelay}
-		if zoneRegions[zone] != zoneRegions[zones[0]] {
-			d.delay = regionDelay
-		}
+		d := g.newDatabase(zone, zones[0])
+		d.primary = i == 0
 		for n := range uint64(10) {
 			d.log = append(d.log, logEntry{at: position{1, n + 1}})
 		}
@@ -98,6 +97,45 @@
 	return g, nil
 }
 
+// newDatabase returns a database in a zone, for a log that comes from another one.
+func (g *group) newDatabase(zone, source string) *database {
+	d := &database{group: g, id: fmt.Sprintf("i-%s-%d", g.name, len(g.databases)+1), zone: zone, born: time.Now().UnixMilli(), delay: zoneDelay}
+	if zoneRegions[zone] != zoneRegions[source] {
+		d.delay = regionDelay
+	}
+	if g.nodesFar && zone == "coast" {
+		d.link = regionDelay
+	}
+	return d
+}
+
+// join starts another database, which receives the primary's log from now on. It writes its
+// first report after a time.
+func (g *group) join(zone string, unlisted time.Duration) error {
+	g.mu.Lock()
+	p := g.leader()
+	d := g.newDatabase(zone, p.zone)
+	d.log = append(d.log, p.log...)
+	g.mu.Unlock()
+	if err := d.listen("127.0.0.1:0"); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	g.databases = append(g.databases, d)
+	g.rec.linef(d.id, "starts with the log up to %s", d.received())
+	g.mu.Unlock()
+	time.AfterFunc(unlisted, func() { d.report() })
+	return nil
+}
+
+// drain has a database report that it leaves.
+func (g *group) drain(d *database) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	d.draining = true
+	g.rec.linef(d.id, "is leaving at position %s", d.received())
+}
+
 // leader returns the primary, nil if it is down. The caller holds g.mu.
 func (g *group) leader() *database {
 	for _, d := range g.databases {
@@ -232,23 +270,28 @@
 func (d *database) report() {
 	for {
 		d.group.mu.Lock()
-		down, primary := d.down, d.primary
+		down, primary, draining := d.down, d.primary, d.draining
 		d.sequence++
 		role := "replica"
 		if primary {
 			role = "primary"
 		}
+		state := "ready"
+		if draining {
+			state = "draining"
+		}
 		entry := map[string]any{
-			"Service": d.group.name, "Address": d.address, "Zone": d.zone, "Version": "v1", "Capacity": 5, "State": "ready",
+			"Service": d.group.name, "Address": d.address, "Zone": d.zone, "Version": "v1", "Capacity": 5, "State": state,
 			"ColdLeftMs": 0, "Sequence": d.sequence, "DbRole": role, "born": d.born,
 		}
 		d.group.mu.Unlock()
 		if !down {
 			d.group.store.put("servers/"+d.id, entry)
+			d.group.rec.linef(d.id, "reports %s, %s", role, state)
 		}
 		for end := time.Now().Add(heartbeat); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 			d.group.mu.Lock()
-			changed := d.primary != primary || d.down != down
+			changed := d.primary != primary || d.down != down || d.draining != draining
 			d.group.mu.Unlock()
 			if changed {
 				break
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"sync/atomic"
 	"time"
 )
 
@@ -35,14 +34,15 @@
 	trouble bool
 	// dir has the settings and logs of the nodes.
 	dir string
-	// stopping is set when no process may be started any more.
-	stopping atomic.Bool
 }
 
 // testCase is a case of the review.
 type testCase struct {
 	services []string
-	config   func(*world) configuration
+	// zones are those of the databases, the first of the primary, and nodeZones those of the
+	// nodes; nil means all.
+	zones, nodeZones []string
+	config           func(*world) configuration
 	// play returns whether the rule was broken; an error means that the case could not run.
 	play func(*world) (broken bool, err error)
 }
@@ -51,7 +51,15 @@
 	"lost":   lostCase,
 	"stale":  staleCase,
 	"tenant": tenantCase,
-	"memory": memoryCase,
+	"join":   joinCase,
+}
+
+// orDefault returns zones, or all zones for nil.
+func orDefault(zones []string) []string {
+	if zones == nil {
+		return zoneOrder
+	}
+	return zones
 }
 
 func main() {
@@ -105,7 +113,7 @@
 	}
 	w.store.serve(storeListener)
 	for _, name := range c.services {
-		g, err := newGroup(name, zoneOrder, w.store, rec)
+		g, err := newGroup(name, c, w.store, rec)
 		if err != nil {
 			return w, err
 		}
@@ -122,13 +130,12 @@
 	if w.dir, err = os.MkdirTemp("", "review-"); err != nil {
 		return w, err
 	}
-	w.nodes, err = newNodes(w.dir, zoneRegions, zoneOrder, storeListener.Addr().String(), cloud.Addr().String())
+	w.nodes, err = newNodes(w.dir, zoneRegions, orDefault(c.nodeZones), storeListener.Addr().String(), cloud.Addr().String())
 	return w, err
 }
 
 // stop ends all processes, and removes their settings and logs unless KEEP is set.
 func (w *world) stop() {
-	w.stopping.Store(true)
 	for _, n := range w.nodes {
 		n.kill()
 		_ = n.logs.Close()
