--- a/review/standin-2/case_lost.go
+++ b/review/standin-2/case_lost.go
@@ -34,7 +34,7 @@
 		Version:  3,
 		Routes:   []route{{Name: "r-1", Host: "cut-orders", Type: "primary", TimeoutMs: 1000, TargetLatencyMs: 1000, Priority: 1, Service: w.groups[0].name}},
 		Services: w.services(), Limits: limits{TxIdleMs: 3000},
-		Tenants: []tenant{{Name: "workshop", ApiKeys: []string{"key-of-the-workshop"}, RatePerS: 400, Burst: 400}},
+		Tenants: []tenant{{Name: "workshop", APIKeys: []string{"key-of-the-workshop"}, RatePerS: 400, Burst: 400}},
 	}
 }
 
--- a/review/standin-2/case_stale.go
+++ b/review/standin-2/case_stale.go
@@ -31,7 +31,7 @@
 			Service: w.groups[group].name, MaxStalenessMs: 2500,
 		}},
 		Services: w.services(), Limits: limits{TxIdleMs: 3000},
-		Tenants: []tenant{{Name: "workshop", ApiKeys: []string{"key-of-the-workshop"}, RatePerS: 400, Burst: 400}},
+		Tenants: []tenant{{Name: "workshop", APIKeys: []string{"key-of-the-workshop"}, RatePerS: 400, Burst: 400}},
 	}
 }
 
--- a/review/standin-2/case_tenant.go
+++ b/review/standin-2/case_tenant.go
@@ -22,14 +22,14 @@
 	c := w.primaryRoute()
 	c.Version = version
 	c.Tenants = []tenant{
-		{Name: "first", ApiKeys: []string{"other-key-1"}, RatePerS: 100, Burst: 100},
-		{Name: "second", ApiKeys: []string{"other-key-2"}, RatePerS: 100, Burst: 100},
+		{Name: "first", APIKeys: []string{"other-key-1"}, RatePerS: 100, Burst: 100},
+		{Name: "second", APIKeys: []string{"other-key-2"}, RatePerS: 100, Burst: 100},
 	}
 	i := 0
 	if moved {
 		i = 1
 	}
-	c.Tenants[i].ApiKeys = append(c.Tenants[i].ApiKeys, "moved-key")
+	c.Tenants[i].APIKeys = append(c.Tenants[i].APIKeys, "moved-key")
 	return c
 }
 
--- a/review/standin-2/group.go
+++ b/review/standin-2/group.go
@@ -188,12 +188,15 @@
 // promote serves POST /promotion for the groups.
 func promote(groups []*group) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		var in struct{ Service, Id string }
+		var in struct {
+			Service string
+			ID      string `json:"Id"`
+		}
 		err := json.NewDecoder(r.Body).Decode(&in)
 		token, tokenErr := strconv.ParseInt(r.Header.Get("Chervilspan-Fence-Token"), 10, 64)
 		for _, g := range groups {
 			if err == nil && tokenErr == nil && g.name == in.Service {
-				w.WriteHeader(g.acceptPromotion(in.Id, token, r.Header.Get("Chervilspan-Duty-Holder")))
+				w.WriteHeader(g.acceptPromotion(in.ID, token, r.Header.Get("Chervilspan-Duty-Holder")))
 				return
 			}
 		}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -172,7 +172,7 @@
 
 type tenant struct {
 	Name            string
-	ApiKeys         []string
+	APIKeys         []string `json:"ApiKeys"`
 	RatePerS, Burst int
 }
 
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -237,17 +237,19 @@
 }
 
 func (s *store) grant(w http.ResponseWriter, r *http.Request) {
-	var in struct{ TtlMs int64 }
-	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || in.TtlMs <= 0 {
+	var in struct {
+		TTL int64 `json:"TtlMs"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&in); err != nil || in.TTL <= 0 {
 		reply(w, http.StatusBadRequest, map[string]string{"error": "no TtlMs"})
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastLease++
-	ttl := time.Duration(in.TtlMs) * time.Millisecond
+	ttl := time.Duration(in.TTL) * time.Millisecond
 	s.leases[s.lastLease] = &storeLease{ttl, time.Now().Add(ttl)}
-	reply(w, http.StatusOK, map[string]any{"Lease": s.lastLease, "TtlMs": in.TtlMs})
+	reply(w, http.StatusOK, map[string]any{"Lease": s.lastLease, "TtlMs": in.TTL})
 }
 
 func (s *store) keep(w http.ResponseWriter, r *http.Request) {
