--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -33,14 +35,23 @@
 	exited  chan struct{}
 }
 
+// Ports of nodes are taken from firstPort on, below those of outgoing connections, which could
+// take a port before its node listens there.
+const (
+	firstPort = 15_000
+	portCount = 15_000
+	portTries = 100
+)
+
 // freeAddress returns a loopback address with a free port.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(portCount))
+		if l, err := net.Listen("tcp", address); err == nil {
+			return address, l.Close()
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // newNodes writes the settings of one node for each zone, with the values of a small
