Demote a primary before its replicas are fenced in a planned replacement

Cause: the replicas in the list were fenced, then the primary was demoted. A database that had joined, and was not listed yet, received the log all the while, and was the only one that acknowledged commits between the fences and the demotion. One of the fenced replicas led next.

Change: the primary is demoted first. It acknowledges nothing after that, so the end of its log, in the answer to the demotion, covers every acknowledged commit, and no list is needed to know that. Only a database that has reached it is promoted; the replicas go on receiving until then. If none does, the primary leads again, and the hand-over is tried once more under the same claim, while the other VMs hold commits back. The record of such a call, and the end of any call, no longer fail because another database was added to the in-sync set. The same path serves primaries that leave, are missing from the list, or are evacuated.

Ruled out: comparing the positions alone. Commits that hang since the fences are in the primary's log too, so it would be ahead of every fenced replica under load.

--- a/internal/lead/claim.go
+++ b/internal/lead/claim.go
@@ -135,6 +135,21 @@
 	return nil
 }
 
+// extendClaim renews the lease of a held claim, and gives the claim a higher token.
+func (mon *Monitor) extendClaim(ctx context.Context, g ident.Group, c *heldClaim) error {
+	renew, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	sent := mon.cfg.Clock()
+	switch ok, err := mon.cfg.Store.RenewLease(renew, c.lease); {
+	case err != nil:
+		return &Error{Op: "renew claim", Kind: KindStore, Group: g, Err: err}
+	case !ok:
+		return &Error{Op: "renew claim", Kind: KindClaimExpired, Group: g}
+	}
+	c.expiresAt = sent.Add(ClaimTTL)
+	return mon.raiseToken(ctx, g, c)
+}
+
 // releaseClaim ends a claim. If the call fails, the claim ends with its lease.
 func (mon *Monitor) releaseClaim(c *heldClaim) {
 	mon.running.Add(1)
--- a/internal/lead/doc.go
+++ b/internal/lead/doc.go
@@ -40,7 +40,10 @@
 // A primary that answers is demoted before another database is promoted, since one that
 // joins the group after the fences is not fenced. One that is leaving, missing from the
 // list or in an evacuated zone is replaced only by a replica in service that has its log,
-// and in the last case only by one outside the evacuated zones.
+// and in the last case only by one outside the evacuated zones. Its replicas are not fenced
+// before: a demoted primary acknowledges nothing, so that the end of its log covers the
+// commits that any database had received, whether a VM knows of it or not. Without a
+// replica that has all of this log, the primary leads again.
 //
 // # Commits
 //
--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -31,8 +31,13 @@
 	answers []reply
 	// statuses are the last answers of all databases that were asked.
 	statuses []reply
-	// demoted is set once the primary has confirmed its demotion.
-	demoted bool
+	// demoted is set once the primary has confirmed its demotion, and final is the end of
+	// its log since then. hasFinalLog is set when the database chosen has all of that log.
+	demoted     bool
+	final       ident.Position
+	hasFinalLog bool
+	// handOvers counts how often the primary was demoted and led again.
+	handOvers int
 }
 
 // failOver replaces the primary. If it returns nil, the promoted database has
@@ -50,25 +55,44 @@
 	if err := f.readSet(ctx); err != nil {
 		return err
 	}
-	best, err := f.chooseSuccessor(ctx)
-	if err != nil {
-		return err
+	for {
+		best, err := f.chooseSuccessor(ctx)
+		if err != nil {
+			return err
+		}
+		if err := f.promote(ctx, best); err != nil {
+			return err
+		}
+		if best.ID != old || !f.demoted {
+			return nil
+		}
+		if err := f.retryHandOver(ctx); err != nil {
+			return err
+		}
 	}
-	if err := f.recordCall(ctx, best.ID); err != nil {
+}
+
+// promote makes a database the primary and waits until it leads.
+func (f *failover) promote(ctx context.Context, m roster.Member) error {
+	if err := f.recordCall(ctx, m.ID); err != nil {
 		return err
 	}
-	if err := f.requestPromotion(ctx, best, func() error { return f.fenceRestarted(best.ID) }); err != nil {
+	if err := f.requestPromotion(ctx, m, func() error { return f.fenceRestarted(m.ID) }); err != nil {
 		return err
 	}
-	mon.cfg.Roster.DeposePrimary(st.id, old, time.Now())
-	if !mon.awaitPromoted(ctx, st, best) {
-		return &Error{Op: "await", Kind: KindNotPromoted, Group: st.id, Target: best.ID}
+	f.mon.cfg.Roster.DeposePrimary(f.st.id, f.old, time.Now())
+	if !f.mon.awaitPromoted(ctx, f.st, m) {
+		return f.error("await", KindNotPromoted, m.ID)
+	}
+	if m.ID == f.old && f.demoted {
+		f.logReinstated()
+	} else {
+		f.mon.logElected(f.st.id, m.ID, f.old, f.claim.token)
 	}
-	mon.logElected(st.id, best.ID, old, c.token)
 	if !f.demoted {
-		mon.demoteFormer(st, old, best)
+		f.mon.demoteFormer(f.st, f.old, m)
 	}
-	f.liftStale(best)
+	f.liftStale(m)
 	f.recordSettled(ctx)
 	return nil
 }
--- a/internal/lead/fixture_test.go
+++ b/internal/lead/fixture_test.go
@@ -38,6 +38,8 @@
 	// that starts reaches them.
 	dialer  dbpool.Dialer
 	vmStore store.Store
+	// wrapDialer, unless nil, returns the databases as all VMs reach them.
+	wrapDialer func(*linktest.Cluster) dbpool.Dialer
 	// ctx ends the VMs, running waits for them.
 	ctx     context.Context
 	running sync.WaitGroup
@@ -145,6 +147,9 @@
 	if dialer == nil {
 		dialer, vmStore = f.cluster, f.store
 	}
+	if f.wrapDialer != nil {
+		dialer = f.wrapDialer(f.cluster)
+	}
 	pools := &dbpool.Pools{Dialer: dialer, Roster: table, ConnLimit: func(*roster.Member) int { return 4 }}
 	mon := lead.New(lead.Config{
 		VM: ident.VM(rune('x' + i)), Roster: table, Pools: pools, Store: vmStore, Promoter: f.promoter,
--- a/internal/lead/insync.go
+++ b/internal/lead/insync.go
@@ -302,7 +302,7 @@
 		return nil
 	}
 	staying := answeredReplicas(replies)
-	if _, ok := mon.awaitPosition(ctx, st.id, staying, primary.status.Received); !ok {
+	if _, ok := mon.awaitPosition(ctx, st.id, staying, primary.status.Received, catchUpTimeout); !ok {
 		return nil
 	}
 	return gone
--- a/internal/lead/log.go
+++ b/internal/lead/log.go
@@ -40,19 +40,35 @@
 }
 
 // logPromotionCalled logs a promotion call with what the databases answered to their
-// fences.
+// fences, and with the end of the log of a primary that was demoted.
 func (f *failover) logPromotionCalled(id ident.Target) {
-	received, silent := map[string]string{}, []string{}
-	for _, r := range f.answers {
-		received[string(r.member.ID)] = r.status.Received.String()
-	}
+	silent := []string{}
 	for _, r := range f.statuses {
 		if !r.answered {
 			silent = append(silent, string(r.member.ID))
 		}
 	}
-	evlog.At(f.mon.cfg.Log, evlog.PromotionCalled).Str("group", string(f.st.id)).Str("target", string(id)).Str("former", string(f.old)).
-		Int64("token", int64(f.claim.token)).Str("reason", string(f.why)).Any("received", received).Strs("silent", silent).Send()
+	e := evlog.At(f.mon.cfg.Log, evlog.PromotionCalled).Str("group", string(f.st.id)).Str("target", string(id)).Str("former", string(f.old)).
+		Int64("token", int64(f.claim.token)).Str("reason", string(f.why)).Any("received", f.received()).Strs("silent", silent)
+	if f.demoted {
+		e = e.Str("final", f.final.String())
+	}
+	e.Send()
+}
+
+// logReinstated logs that a demoted primary leads again.
+func (f *failover) logReinstated() {
+	evlog.At(f.mon.cfg.Log, evlog.PrimaryReinstated).Str("group", string(f.st.id)).Str("primary", string(f.old)).
+		Str("reason", string(f.why)).Str("final", f.final.String()).Any("received", f.received()).Send()
+}
+
+// received returns the positions that the databases last answered.
+func (f *failover) received() map[string]string {
+	out := map[string]string{}
+	for _, r := range f.answers {
+		out[string(r.member.ID)] = r.status.Received.String()
+	}
+	return out
 }
 
 func (mon *Monitor) logPromotionUnanswered(g ident.Group, id ident.Target, token store.Revision, err error) {
--- a/internal/lead/settle.go
+++ b/internal/lead/settle.go
@@ -124,7 +124,7 @@
 	if !f.mon.keepsSet(f.st.id) {
 		return nil
 	}
-	if err := f.changeSet(ctx, func(s inSyncSet) inSyncSet {
+	if err := f.changeSet(ctx, f.hasFinalLog, func(s inSyncSet) inSyncSet {
 		s.Call = &sentCall{Token: f.claim.token, Target: id, From: f.old}
 		return s
 	}); err != nil {
@@ -138,8 +138,9 @@
 }
 
 // changeSet changes the in-sync set. If another VM has changed it meanwhile, the change is
-// made again, unless there are databases in it that this attempt has not asked.
-func (f *failover) changeSet(ctx context.Context, change func(inSyncSet) inSyncSet) error {
+// made again. If there are databases in it that this attempt has not asked, that is so only
+// with anyMembers.
+func (f *failover) changeSet(ctx context.Context, anyMembers bool, change func(inSyncSet) inSyncSet) error {
 	s, err := f.mon.writeSet(ctx, f.st.id, f.set, change(f.set.inSyncSet))
 	var e *Error
 	if errors.As(err, &e) && e.Kind == KindConflict {
@@ -147,7 +148,7 @@
 		if current, err = f.mon.readSet(ctx, f.st.id); err != nil {
 			return err
 		}
-		if !f.set.covers(listed{targets: current.Targets}) {
+		if !anyMembers && !f.set.covers(listed{targets: current.Targets}) {
 			return e
 		}
 		s, err = f.mon.writeSet(ctx, f.st.id, current, change(current.inSyncSet))
@@ -165,8 +166,10 @@
 		return
 	}
 	if f.set.Call != nil {
-		if err := f.changeSet(ctx, func(s inSyncSet) inSyncSet {
-			s.Call = nil
+		if err := f.changeSet(ctx, true, func(s inSyncSet) inSyncSet {
+			if s.Call != nil && s.Call.Token <= f.claim.token {
+				s.Call = nil
+			}
 			s.Accepted = max(s.Accepted, f.claim.accepted)
 			return s
 		}); err != nil {
--- a/internal/lead/transfer.go
+++ b/internal/lead/transfer.go
@@ -12,13 +12,18 @@
 	"chervilspan.example/pkg/wait"
 )
 
-// catchUpTimeout bounds the wait until a successor has received the entries that
-// another database already has. It covers a few round trips between regions.
-const catchUpTimeout = 500 * time.Millisecond
+const (
+	// catchUpTimeout bounds the wait until a successor has received the entries that the
+	// primary already has. It covers a few round trips between regions.
+	catchUpTimeout = 500 * time.Millisecond
+	// maxHandOvers is the number of times that one attempt demotes a primary. Before the
+	// second one the replicas have the whole log, as no VM sends commits in between.
+	maxHandOvers = 2
+)
 
-// replaceWorking returns the successor of a primary that answers, and demotes the
-// primary before the promotion: a database that joins the group after the fences could
-// acknowledge its commits until the promotion takes effect.
+// replaceWorking returns the successor of a primary that answers. The primary is demoted
+// before the promotion: a database that joins the group after the fences could acknowledge
+// its commits until the promotion takes effect.
 func (f *failover) replaceWorking(ctx context.Context, primary *reply, replies []reply) (best roster.Member, err error) {
 	switch settled, err := f.settle(ctx, primary, replies); {
 	case err != nil:
@@ -30,42 +35,101 @@
 		return best, f.error("status", KindSettled, primary.member.ID)
 	}
 	id, all := enoughAnswered(replies)
-	planned := f.why == reasonLeaving || f.why == reasonMissing || f.why == reasonEvacuated
-	if planned {
-		if best, err = f.awaitSuccessor(ctx, primary, replies); err != nil {
-			return best, err
-		}
-	}
 	switch {
-	case planned && all:
-		err = f.fenceForTransfer(ctx, best, replies)
-	case planned && f.mon.cfg.Unfenced && missingCount(replies) > 1:
-		// After the demotion, the primary's answer would not be enough for a promotion.
+	case f.isPlanned() && f.mon.cfg.Unfenced && missingCount(replies) > 1:
+		// A database that does not answer may lead a later term.
+		return best, f.error("status", KindNoAnswer, id)
+	case f.isPlanned():
+		return f.handOver(ctx, primary, replies)
+	case !all:
 		return best, f.error("status", KindNoAnswer, id)
-	case planned:
-		return f.prepareDemoted(ctx, primary, replies)
-	case all:
-		best, err = f.fenceAll(answeredReplicas(replies), nextTerm(replies))
-	default:
-		err = f.error("status", KindNoAnswer, id)
 	}
-	if err != nil {
+	if best, err = f.fenceAll(answeredReplicas(replies), nextTerm(replies)); err != nil {
 		return best, err
 	}
-	if err := f.demote(primary, nextTerm(replies)); err != nil {
+	if _, err := f.demote(primary, nextTerm(replies)); err != nil {
 		return best, err
 	}
 	return f.includeUnfenced(ctx, replies, best)
 }
 
-// demote demotes the primary, which must confirm it.
-func (f *failover) demote(primary *reply, term ident.Term) error {
+// isPlanned reports whether the primary is replaced although it gets commits acknowledged.
+// It is replaced only by a database that has its whole log, and goes on otherwise.
+func (f *failover) isPlanned() bool {
+	return f.why == reasonLeaving || f.why == reasonMissing || f.why == reasonEvacuated
+}
+
+// handOver demotes a primary that works and returns a database that has its whole log. The
+// position at which the primary was demoted is final: whichever databases had received its
+// commits, listed or not, none above that position was acknowledged. The replicas go on
+// receiving the log until then. If none has all of it, the primary itself is returned, which
+// then leads the next term.
+func (f *failover) handOver(ctx context.Context, primary *reply, replies []reply) (best roster.Member, err error) {
+	successors := f.successors(replies)
+	if _, ok := f.mon.awaitPosition(ctx, f.st.id, successors, primary.status.Received, catchUpTimeout); !ok {
+		return best, f.error("catch up", KindNoSuccessor, f.old)
+	}
+	if !f.mon.allowsCall(f.claim) {
+		return best, f.error("demote", KindClaimExpired, f.old)
+	}
+	term := nextTerm(replies)
+	final, err := f.demote(primary, term)
+	if err != nil {
+		return best, err
+	}
+	f.hasFinalLog = true // whoever is returned
+	best, ok := f.mon.awaitPosition(ctx, f.st.id, successors, final, replicationTimeout)
+	if !ok {
+		if best, ok = f.joinedSuccessor(ctx, successors, replies); !ok {
+			return primary.member, nil
+		}
+	}
+	// The primary may crash and be back as the primary before the promotion takes effect.
+	replicas := answeredReplicas(replies)
+	if !slices.ContainsFunc(replicas, func(m roster.Member) bool { return m.ID == best.ID }) {
+		replicas = append(replicas, best)
+	}
+	fenced, err := f.fence(replicas, term)
+	if err != nil {
+		return best, err
+	}
+	if i := slices.IndexFunc(fenced, func(r reply) bool { return r.member.ID == best.ID }); fenced[i].status.Received.Less(final) {
+		return primary.member, nil // it has restarted without its log
+	}
+	return best, nil
+}
+
+// joinedSuccessor reads the list and returns a successor, or a database that has joined the
+// group since the others were asked, which has the final log.
+func (f *failover) joinedSuccessor(ctx context.Context, successors []roster.Member, replies []reply) (roster.Member, bool) {
+	if f.mon.refreshList(ctx, f.st.id) == nil {
+		successors = append(slices.Clone(successors), f.joinedSince(replies)...)
+	}
+	f.answers = f.mon.controlAll(dbop.Statement{Kind: dbop.Status}, successors)
+	current := slices.DeleteFunc(slices.Clone(f.answers), func(r reply) bool { return !r.answered || r.status.Received.Less(f.final) })
+	return bestPlaced(current, f.mon.placement(f.st.id))
+}
+
+// demote demotes the primary, which must confirm it, and returns the end of its log.
+func (f *failover) demote(primary *reply, term ident.Term) (ident.Position, error) {
 	r := f.mon.control(dbop.Statement{Kind: dbop.Demote, Term: term}, &primary.member)
 	if !r.answered || r.status.Primary {
-		return f.error("demote", KindNoAnswer, f.old)
+		return ident.Position{}, f.error("demote", KindNoAnswer, f.old)
 	}
-	f.demoted = true
-	return nil
+	f.demoted, f.final = true, r.status.Received
+	return f.final, nil
+}
+
+// retryHandOver prepares another hand-over after the demoted primary has been made the
+// primary again, since no other database had its whole log. The other VMs go on holding
+// commits back while this one has the claim, so that the replicas receive all of the log.
+func (f *failover) retryHandOver(ctx context.Context) error {
+	f.claim.promotionSent = false // it has taken effect, which ended the fences
+	f.fenced, f.answers, f.demoted, f.final = nil, nil, false, ident.Position{}
+	if f.handOvers++; f.handOvers >= maxHandOvers {
+		return f.error("catch up", KindNoSuccessor, f.old)
+	}
+	return f.mon.extendClaim(ctx, f.st.id, f.claim)
 }
 
 // includeUnfenced reads the list and asks the replicas again after the primary was demoted.
@@ -110,60 +174,10 @@
 	})
 }
 
-// awaitSuccessor returns the successor of a primary that still works, but is leaving or
-// missing from the list. It stays in service and has the log that the primary had when
-// it was asked; without such a replica nothing changes.
-func (f *failover) awaitSuccessor(ctx context.Context, primary *reply, replies []reply) (roster.Member, error) {
-	best, ok := f.mon.awaitPosition(ctx, f.st.id, f.successors(replies), primary.status.Received)
-	if !ok {
-		return best, f.error("catch up", KindNoSuccessor, best.ID)
-	}
-	return best, nil
-}
-
-// fenceForTransfer fences all replicas, the successor last, so that it goes on receiving
-// what the others acknowledged before their fence.
-func (f *failover) fenceForTransfer(ctx context.Context, best roster.Member, replies []reply) error {
-	others := slices.DeleteFunc(answeredReplicas(replies), func(m roster.Member) bool { return m.ID == best.ID })
-	term := nextTerm(replies)
-	fenced, err := f.fence(others, term)
-	if err != nil {
-		return err
-	}
-	if _, ok := f.mon.awaitPosition(ctx, f.st.id, []roster.Member{best}, highestReceived(fenced)); !ok {
-		return f.error("catch up", KindNoSuccessor, best.ID)
-	}
-	_, err = f.fence([]roster.Member{best}, term)
-	return err
-}
-
-// prepareDemoted chooses the successor of a working primary while a replica does not
-// answer. The primary is demoted first: from then on it acknowledges no commit, and
-// its log has every acknowledged commit. It may itself be the successor.
-func (f *failover) prepareDemoted(ctx context.Context, primary *reply, replies []reply) (best roster.Member, err error) {
-	if err := f.demote(primary, nextTerm(replies)); err != nil {
-		return best, err
-	}
-	if err := f.mon.refreshList(ctx, f.st.id); err != nil {
-		return best, err
-	}
-	if replies, err = f.collectStatuses(); err != nil {
-		return best, err
-	}
-	if id, ok := enoughAnswered(replies); !ok && f.mon.cfg.Unfenced {
-		return best, f.error("status", KindNoAnswer, id)
-	}
-	if !hasAnswered(replies, f.old) {
-		return best, f.error("status", KindNoAnswer, f.old)
-	}
-	return f.fenceAll(answeredReplicas(replies), nextTerm(replies))
-}
-
-// awaitPosition waits until a database has received the log up to a position, and
-// returns the preferred one of those that have. ok is false if there is none within
-// catchUpTimeout.
-func (mon *Monitor) awaitPosition(ctx context.Context, g ident.Group, ms []roster.Member, pos ident.Position) (best roster.Member, ok bool) {
-	end := time.Now().Add(catchUpTimeout)
+// awaitPosition waits until a database has received the log up to a position, and returns
+// the preferred one of those that have. ok is false if there is none within the timeout.
+func (mon *Monitor) awaitPosition(ctx context.Context, g ident.Group, ms []roster.Member, pos ident.Position, timeout time.Duration) (best roster.Member, ok bool) {
+	end := time.Now().Add(timeout)
 	for {
 		var current []reply
 		for _, r := range mon.controlAll(dbop.Statement{Kind: dbop.Status}, ms) {
--- a/internal/lead/writers_test.go
+++ b/internal/lead/writers_test.go
@@ -133,3 +133,10 @@
 // their own, so that a commit is acknowledged where a VM takes a database for the primary, and
 // with databases that are cut off from VMs or from the store, join and leave.
 func TestNoCommitLostWriters(t *testing.T) { playAll(t, soakKind{lateCalls: true, writers: true}) }
+
+// TestNoCommitLostJoins is TestNoCommitLostWriters with databases that acknowledge commits
+// before they are listed, and with VMs in another region than the databases, so that time
+// passes between the fences and a demotion.
+func TestNoCommitLostJoins(t *testing.T) {
+	playAll(t, soakKind{lateCalls: true, writers: true, far: true})
+}
--- a/internal/linktest/link.go
+++ b/internal/linktest/link.go
@@ -198,6 +198,9 @@
 	l.c.mu.Lock()
 	defer l.c.mu.Unlock()
 	d := l.d
+	if l.c.onControl != nil {
+		l.c.onControl(st.Kind, d.ID)
+	}
 	switch st.Kind {
 	case dbop.Fence:
 		d.FenceTerm = st.Term
--- a/internal/linktest/linktest.go
+++ b/internal/linktest/linktest.go
@@ -37,6 +37,8 @@
 	// replicate, unless nil, replicates a commit of the primary and reports whether it is
 	// acknowledged.
 	replicate func(primary *DB) bool
+	// onControl, unless nil, is called before a control statement is carried out.
+	onControl func(k dbop.Kind, id ident.Target)
 	// controlLog has the control statements and promotions in the order in which
 	// they were carried out, as "kind target".
 	controlLog []string
@@ -99,15 +101,29 @@
 func New(g ident.Group, ids ...ident.Target) *Cluster {
 	c := &Cluster{Group: g, dbs: map[ident.Target]*DB{}, term: 1, table: &roster.Table{}}
 	for i, id := range ids {
-		c.dbs[id] = &DB{
-			ID: id, Primary: i == 0, Index: 1, Term: 1, AnswerCodes: map[dbop.Kind][]dbop.Code{}, DroppedAnswers: map[dbop.Kind]int{},
-			ConnsByWorkspace: map[ident.Workspace]int{},
-		}
+		c.dbs[id] = newDB(id)
+		c.dbs[id].Primary = i == 0
 	}
 	c.UpdateRoster()
 	return c
 }
 
+func newDB(id ident.Target) *DB {
+	return &DB{
+		ID: id, Index: 1, Term: 1, AnswerCodes: map[dbop.Kind][]dbop.Code{}, DroppedAnswers: map[dbop.Kind]int{},
+		ConnsByWorkspace: map[ident.Workspace]int{},
+	}
+}
+
+// Join adds a replica that no VM knows yet, with the log up to an index. It is not listed.
+func (c *Cluster) Join(id ident.Target, index uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	d := newDB(id)
+	d.Index, d.Term, d.Unlisted = index, c.term, true
+	c.dbs[id] = d
+}
+
 // Roster returns the table that UpdateRoster fills.
 func (c *Cluster) Roster() *roster.Table { return c.table }
 
@@ -131,6 +147,10 @@
 	f(c.dbs[id])
 }
 
+// Find returns a database, nil if there is none, for callers that hold the cluster's lock: in
+// Update.
+func (c *Cluster) Find(id ident.Target) *DB { return c.dbs[id] }
+
 // HangConns makes the open connections to a database silent; new ones work.
 func (c *Cluster) HangConns(id ident.Target) {
 	c.mu.Lock()
@@ -182,6 +202,14 @@
 	c.replicate = f
 }
 
+// OnControl makes f be called before each control statement is carried out. The cluster holds
+// its lock meanwhile; f uses Find.
+func (c *Cluster) OnControl(f func(k dbop.Kind, id ident.Target)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onControl = f
+}
+
 // Promote makes a database the primary.
 func (c *Cluster) Promote(id ident.Target) {
 	c.mu.Lock()
