Replace a primary that this VM knows only from another VM once it is gone

Callers saw: a group without a primary for ever, after VMs restarted while a primary left.

Cause: a VM that asks others about a silent database takes their word for the primary, also for one of which it has seen no entry. Such a database is neither missing nor leaving, and the VM can't dial it, so nothing ever said that it is gone.

Change: a primary that is not known counts as missing from the list. It is replaced only as others are: no VM that answers is in contact with it.

TestUnknownPrimaryGone failed before and passes.

--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -238,10 +238,12 @@
 		}
 		return ""
 	}
-	m, _ := mon.cfg.Roster.Member(st.id, id)
+	m, known := mon.cfg.Roster.Member(st.id, id)
 	st.mu.Lock()
 	defer st.mu.Unlock()
 	switch {
+	case !known:
+		return reasonMissing // only another VM has named it
 	case !m.MissingSince.IsZero() && now.Sub(m.MissingSince) > missingTimeout:
 		return reasonMissing
 	case m.Leaving:
--- a/internal/lead/transfer_test.go
+++ b/internal/lead/transfer_test.go
@@ -13,6 +13,7 @@
 	"chervilspan.example/internal/linktest"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
+	"chervilspan.example/pkg/roster"
 )
 
 // TestUnlistedForOneVM guards against the replacement of a primary that is missing
@@ -210,6 +211,31 @@
 	})
 }
 
+// TestUnknownPrimaryGone guards against a group that stays without a primary: a VM that has just
+// started learns from another one that a database leads of which it has seen no entry, and
+// which then ends.
+func TestUnknownPrimaryGone(t *testing.T) {
+	run(t, 1, func(is *is.I, f *fixture) {
+		time.Sleep(time.Second) // the in-sync set is stored
+		f.killFirst()
+		other := f.otherMonitor()
+		table := &roster.Table{}
+		table.Update([]roster.Entry{
+			{ID: "b", Group: "g", Address: "b", Slots: 4, ProcessStart: 1},
+			{ID: "c", Group: "g", Address: "c", Slots: 4, ProcessStart: 1},
+		}, time.Now())
+		f.startVM(table)
+		for range 40 {
+			other.Confirm("g", "a", ident.Position{Term: 1, Index: 1}, time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(len(f.promotions()), 0)
+		f.remove("a")
+		time.Sleep(5 * time.Second)
+		is.Equal(len(f.promotions()), 1)
+	})
+}
+
 // TestRestartedBeforeDemotion guards against a hand-over to a replica that lacks what another
 // one has acknowledged before the primary was demoted: one that does not stay, or that has
 // restarted, so that it is not fenced. The primary goes on until the successor has its log.
