Promote no database that lacks a commit which a VM has seen acknowledged

Cause: where the primary does not answer, or its replicas receive nothing, the databases to fence are those of the list and of the in-sync set. One that has joined since acknowledges commits that they lack.

Change: each VM keeps a position above which it has seen a commit acknowledged: the last one that the commit's connection had reported before it was sent.

Ruled out: the position in the answer to a commit. A primary's log is ahead of its replicas by what is on its way, so no replica could be promoted after a crash under load.

--- a/internal/dbpool/commits.go
+++ b/internal/dbpool/commits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -16,8 +17,9 @@
 	// may wait until the deadline.
 	AllowCommit(deadline time.Time, m *roster.Member) bool
 	// ConfirmCommit reports whether a commit that the database has acknowledged is kept, as
-	// far as is known after its answer. It may wait until the deadline.
-	ConfirmCommit(deadline time.Time, m *roster.Member) bool
+	// far as is known after its answer. It may wait until the deadline. The commit is above
+	// the position after, the last one on the connection before it was sent.
+	ConfirmCommit(deadline time.Time, m *roster.Member, after ident.Position) bool
 }
 
 // errUnconfirmed means that a commit was acknowledged by a database that may have been
@@ -56,9 +58,9 @@
 }
 
 // confirmCommit returns an error if the commit at an index, unless that is negative, was
-// acknowledged but may be lost.
-func (c *Conn) confirmCommit(deadline time.Time, index int, answers []dbop.Answer) error {
-	if index < 0 || answers[index].Code != dbop.OK || c.pool.parent.Commits.ConfirmCommit(deadline, &c.pool.member) {
+// acknowledged but may be lost. after is the position of the last answer before.
+func (c *Conn) confirmCommit(deadline time.Time, index int, answers []dbop.Answer, after ident.Position) error {
+	if index < 0 || answers[index].Code != dbop.OK || c.pool.parent.Commits.ConfirmCommit(deadline, &c.pool.member, after) {
 		return nil
 	}
 	return errUnconfirmed
--- a/internal/dbpool/commits_test.go
+++ b/internal/dbpool/commits_test.go
@@ -9,6 +9,7 @@
 	"chervilspan.example/internal/dbpool"
 	"chervilspan.example/internal/linktest"
 	"chervilspan.example/pkg/dbop"
+	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -16,6 +17,8 @@
 type commits struct {
 	held, lost    bool
 	asked, before int
+	// after is that of the last commit.
+	after ident.Position
 }
 
 func (c *commits) AllowCommit(time.Time, *roster.Member) bool {
@@ -23,7 +26,10 @@
 	return !c.held
 }
 
-func (c *commits) ConfirmCommit(time.Time, *roster.Member) bool { return !c.lost }
+func (c *commits) ConfirmCommit(_ time.Time, _ *roster.Member, after ident.Position) bool {
+	c.after = after
+	return !c.lost
+}
 
 // newQuestions returns the number of questions since the last call.
 func (c *commits) newQuestions() int {
@@ -73,6 +79,7 @@
 		is.Equal(do(c.kinds...).Code, dbop.OK)
 		is.Equal(gate.newQuestions(), c.asked)
 	}
+	is.Equal(gate.after, ident.Position{Term: 1, Index: 3}) // of the answer before: it had 4 commits, and the last one is not below
 	gate.held = true
 	before := len(c.Executions("a", dbop.Write))
 	is.Equal(do(dbop.Write).Code, dbop.Busy)
--- a/internal/dbpool/conn.go
+++ b/internal/dbpool/conn.go
@@ -104,6 +104,8 @@
 	// sent in the open transaction.
 	state dbop.State
 	wrote bool
+	// position is that of the last answer which had one.
+	position ident.Position
 	// answeredAt is when the last answer was complete, sentAt when the last
 	// statements were sent.
 	answeredAt time.Time
@@ -152,7 +154,7 @@
 	if c.startTurn(sts) {
 		defer c.endTurn()
 	}
-	sentBefore := c.sentAt
+	sentBefore, positionBefore := c.sentAt, c.position
 	c.sentAt = time.Now()
 	answers, inProgress, err := c.exchange(deadline, sts)
 	if code := notSentCode(err); code != dbop.OK {
@@ -181,7 +183,7 @@
 		return answers, &Error{Op: "run", Kind: KindBroken, Target: c.Target, Err: errLostTxn}
 	}
 	c.answeredAt = time.Now()
-	if err := c.confirmCommit(deadline, commit, answers); err != nil {
+	if err := c.confirmCommit(deadline, commit, answers, positionBefore); err != nil {
 		c.broken = true
 		return answers[:commit], &Error{Op: "confirm", Kind: KindBroken, Target: c.Target, Err: err}
 	}
@@ -205,6 +207,9 @@
 	c.lostTxn = c.lostTxn || a.Code == dbop.OK && !st.Kind.EndsTxn() && a.State != dbop.Open && (c.state == dbop.Open || st.Kind.BeginsTxn())
 	c.recordWrite(st, a)
 	c.state = a.State
+	if !a.Position.IsZero() {
+		c.position = a.Position
+	}
 	if a.Code != dbop.OK {
 		if a.Code == dbop.NoStatement && st.Kind == dbop.Execute {
 			delete(c.Prepared, st.Name)
--- a/internal/lead/doc.go
+++ b/internal/lead/doc.go
@@ -54,6 +54,13 @@
 // the store. A VM with a claim asks the others whether the primary answers them; those that
 // trust it say so, all others find the claim.
 //
+// A commit may still be acknowledged by a database that nobody knows of, between its start
+// and its first report. Each VM therefore keeps a position above which it has seen a commit
+// acknowledged (AcknowledgedAfter), and answers with it when it is asked about a primary. A
+// database that lacks the commit is not promoted, unless its primary was demoted and another
+// has the final log: a demoted primary leads again, and for one that does not answer, the
+// attempt is repeated until a database with the commit is listed, or lostTimeout ends.
+//
 // # Former primaries
 //
 // Where the platform does not end a primary's work in the moment of a promotion
--- a/internal/lead/errors.go
+++ b/internal/lead/errors.go
@@ -37,6 +37,9 @@
 	// KindRestored means that the store was restored from an older copy, and may have
 	// forgotten a claim that has not expired.
 	KindRestored
+	// KindCommitsMissing means that the database chosen lacks a commit that a VM has seen
+	// acknowledged.
+	KindCommitsMissing
 )
 
 // Error is the error type of this package.
@@ -58,6 +61,8 @@
 	KindConflict:    "another VM has changed it meanwhile",
 	KindSettled:     "its replicas had been left fenced",
 	KindRestored:    "the store may have forgotten the claim of another VM",
+
+	KindCommitsMissing: "it lacks acknowledged commits",
 }
 
 // Error returns the step, the group and the cause.
--- a/internal/lead/failover.go
+++ b/internal/lead/failover.go
@@ -38,6 +38,12 @@
 	hasFinalLog bool
 	// handOvers counts how often the primary was demoted and led again.
 	handOvers int
+
+	// reported is a position above which a commit was acknowledged, as other VMs have
+	// answered; peersAsked is set once they were asked. reportedMu guards both.
+	reportedMu sync.Mutex
+	reported   ident.Position
+	peersAsked bool
 }
 
 // failOver replaces the primary. If it returns nil, the promoted database has
@@ -57,6 +63,9 @@
 	}
 	for {
 		best, err := f.chooseSuccessor(ctx)
+		if err == nil {
+			best, err = f.requireAcknowledged(ctx, best)
+		}
 		if err != nil {
 			return err
 		}
@@ -181,7 +190,7 @@
 // commit which that database lacks can be acknowledged any more.
 func (f *failover) chooseSuccessor(ctx context.Context) (best roster.Member, err error) {
 	confirmed := make(chan bool, 1)
-	go func() { confirmed <- f.why == reasonSilent && f.mon.confirmedByPeer(ctx, f.st.id, f.old) }()
+	go func() { confirmed <- f.why == reasonSilent && f.confirmedByPeer(ctx, f.old) }()
 	replies, err := f.collectStatuses()
 	if err != nil {
 		return best, err
@@ -217,7 +226,7 @@
 		if r.answered || r.member.ID == f.old && f.why == reasonSilent {
 			continue // the other VMs were asked already
 		}
-		wg.Go(func() { confirmed[i] = f.mon.confirmedByPeer(ctx, f.st.id, r.member.ID) })
+		wg.Go(func() { confirmed[i] = f.confirmedByPeer(ctx, r.member.ID) })
 	}
 	wg.Wait()
 	if i := slices.Index(confirmed, true); i >= 0 {
--- a/internal/lead/fixture_test.go
+++ b/internal/lead/fixture_test.go
@@ -72,16 +72,32 @@
 	self int
 }
 
-func (p peers) ConfirmsPrimary(_ context.Context, g ident.Group, id ident.Target) bool {
+// others returns the monitors of the other VMs.
+func (p peers) others() []*lead.Monitor {
 	p.f.mu.Lock()
-	monitors := slices.Clone(p.f.monitors)
-	p.f.mu.Unlock()
-	for i, mon := range monitors {
-		if i != p.self && mon.ConfirmedPrimary(g) == id {
-			return true
+	defer p.f.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(p.f.monitors), func(mon *lead.Monitor) bool { return mon == p.f.monitors[p.self] })
+}
+
+func (p peers) ConfirmsPrimary(_ context.Context, g ident.Group, id ident.Target) (bool, ident.Position) {
+	var after ident.Position
+	for _, mon := range p.others() {
+		if mon.ConfirmedPrimary(g) == id {
+			return true, after
+		}
+		after = after.Max(mon.AcknowledgedAfter(g))
+	}
+	return false, after
+}
+
+func (p peers) AcknowledgedAfter(_ context.Context, g ident.Group, demoted ident.Target) (after ident.Position) {
+	for _, mon := range p.others() {
+		if demoted != "" {
+			mon.RecordDemoted(g, demoted)
 		}
+		after = after.Max(mon.AcknowledgedAfter(g))
 	}
-	return false
+	return after
 }
 
 // run starts n VMs in a synctest bubble and calls f when the list of databases
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -32,10 +32,15 @@
 	Promote(ctx context.Context, g ident.Group, id ident.Target, token store.Revision) (PromotionResult, error)
 }
 
-// Peers queries other VMs. ConfirmsPrimary reports whether one of them has
-// recently confirmed that the database is the primary.
+// Peers queries other VMs.
 type Peers interface {
-	ConfirmsPrimary(ctx context.Context, g ident.Group, id ident.Target) bool
+	// ConfirmsPrimary reports whether one of them has recently confirmed that the database
+	// is the primary. If none has, after is the highest Monitor.AcknowledgedAfter of those
+	// that answered.
+	ConfirmsPrimary(ctx context.Context, g ident.Group, id ident.Target) (confirmed bool, after ident.Position)
+	// AcknowledgedAfter returns the highest Monitor.AcknowledgedAfter of those that answered.
+	// It tells them first that a database was demoted, unless that is "".
+	AcknowledgedAfter(ctx context.Context, g ident.Group, demoted ident.Target) ident.Position
 }
 
 // Epochs reports whether claims under leases of a lifetime may be made in an epoch of the
--- a/internal/lead/log.go
+++ b/internal/lead/log.go
@@ -62,6 +62,12 @@
 		Str("reason", string(f.why)).Str("final", f.final.String()).Any("received", f.received()).Send()
 }
 
+// logCommitsMissing logs that the database chosen lacks a commit above a position.
+func (f *failover) logCommitsMissing(id ident.Target, received, after ident.Position) {
+	evlog.At(f.mon.cfg.Log, evlog.CommitsMissing).Str("group", string(f.st.id)).Str("target", string(id)).Str("former", string(f.old)).
+		Str("reason", string(f.why)).Str("received", received.String()).Str("acknowledged_after", after.String()).Send()
+}
+
 // received returns the positions that the databases last answered.
 func (f *failover) received() map[string]string {
 	out := map[string]string{}
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -336,7 +336,7 @@
 			// This VM does not reach it, but must not replace it.
 			mon.cfg.Roster.ConfirmPrimary(st.id, e.Target)
 		}
-		if errors.As(err, &e) && (e.Kind == KindClaimed || e.Kind == KindNoSuccessor || e.Kind == KindRestored) {
+		if errors.As(err, &e) && (e.Kind == KindClaimed || e.Kind == KindNoSuccessor || e.Kind == KindRestored || e.Kind == KindCommitsMissing) {
 			return longRetryDelay
 		}
 		return retryDelay
@@ -363,5 +363,9 @@
 // confirmedByPeer reports whether another VM has recently confirmed the primary.
 // Then the fault is between this VM and the primary.
 func (mon *Monitor) confirmedByPeer(ctx context.Context, g ident.Group, id ident.Target) bool {
-	return mon.cfg.Peers != nil && mon.cfg.Peers.ConfirmsPrimary(ctx, g, id)
+	if mon.cfg.Peers == nil {
+		return false
+	}
+	confirmed, _ := mon.cfg.Peers.ConfirmsPrimary(ctx, g, id)
+	return confirmed
 }
--- a/internal/lead/state.go
+++ b/internal/lead/state.go
@@ -68,6 +68,8 @@
 	trustLosses int
 	check       *trustCheck
 	heldSince   time.Time
+	// acknowledged is what this VM knows of the commits of the present primary.
+	acknowledged acknowledged
 }
 
 // recordPrimary records that a database acted as the primary, at a time by Config.Clock,
@@ -77,7 +79,7 @@
 	defer st.mu.Unlock()
 	st.extendTrust(id, now)
 	if st.primary != id {
-		st.stalledWrites = 0
+		st.stalledWrites, st.acknowledged = 0, acknowledged{}
 	}
 	if st.primary != id || !st.failingSince.IsZero() {
 		st.dropKnownSet() // another VM may have begun a failover
--- a/internal/lead/transfer.go
+++ b/internal/lead/transfer.go
@@ -126,7 +126,7 @@
 func (f *failover) retryHandOver(ctx context.Context) error {
 	f.claim.promotionSent = false // it has taken effect, which ended the fences
 	f.fenced, f.answers, f.demoted, f.final = nil, nil, false, ident.Position{}
-	if f.handOvers++; f.handOvers >= maxHandOvers {
+	if f.handOvers++; f.handOvers >= maxHandOvers || !f.isPlanned() {
 		return f.error("catch up", KindNoSuccessor, f.old)
 	}
 	return f.mon.extendClaim(ctx, f.st.id, f.claim)
--- a/internal/lead/trust.go
+++ b/internal/lead/trust.go
@@ -90,7 +90,7 @@
 
 // ConfirmCommit implements dbpool.Commits. Contact that was lost since the commit was sent
 // may mean that the database has been replaced.
-func (mon *Monitor) ConfirmCommit(deadline time.Time, m *roster.Member) bool {
+func (mon *Monitor) ConfirmCommit(deadline time.Time, m *roster.Member, after ident.Position) bool {
 	if !mon.keepsSet(m.Group) {
 		return true
 	}
@@ -102,6 +102,7 @@
 		return false
 	}
 	mon.Confirm(m.Group, m.ID, ident.Position{}, time.Time{})
+	st.recordAcknowledged(after)
 	return true
 }
 
--- a/internal/lead/trust_test.go
+++ b/internal/lead/trust_test.go
@@ -121,10 +121,10 @@
 	run(t, 1, func(is *is.I, f *fixture) {
 		is.True(f.allows("a"))
 		m, _ := f.cluster.Roster().Member("g", "a")
-		is.True(f.monitors[0].ConfirmCommit(time.Now().Add(time.Second), &m))
+		is.True(f.monitors[0].ConfirmCommit(time.Now().Add(time.Second), &m, ident.Position{}))
 		f.cluster.Promote("b")
 		f.suspend(10 * time.Second) // nothing is heard meanwhile
-		is.True(!f.monitors[0].ConfirmCommit(time.Now().Add(time.Second), &m))
+		is.True(!f.monitors[0].ConfirmCommit(time.Now().Add(time.Second), &m, ident.Position{}))
 	})
 }
 
@@ -162,7 +162,7 @@
 		m, _ := f.cluster.Roster().Member("g", "a")
 		calls, begins := f.store.CallCount(), len(f.cluster.Executions("a", dbop.Begin))
 		is.True(f.allows("a"))
-		is.True(f.monitors[0].ConfirmCommit(time.Now().Add(time.Second), &m))
+		is.True(f.monitors[0].ConfirmCommit(time.Now().Add(time.Second), &m, ident.Position{}))
 		is.Equal(f.store.CallCount(), calls)
 		is.Equal(len(f.cluster.Executions("a", dbop.Begin)), begins)
 	})
