Forget what a first hand-over found before the second one

After a demoted primary led again, the attempt kept the mark that the database chosen has the final log. If the primary crashed then, the second choice, among fenced replicas, would not have been compared with what VMs have seen acknowledged. What other VMs report was read without its lock.

Change: the mark is cleared with the other results of the first hand-over; the reports are read under the lock.

Measured: go test -race ./internal/lead passes.

--- a/internal/lead/acked.go
+++ b/internal/lead/acked.go
@@ -65,13 +65,21 @@
 // commit. The others are asked unless they have been for a database that did not answer; what
 // a demoted primary has acknowledged meanwhile counts too.
 func (f *failover) acknowledgedAfter(ctx context.Context) ident.Position {
-	if f.mon.cfg.Peers != nil && (f.demoted || !f.peersAsked) {
-		if f.demoted {
-			f.mon.RecordDemoted(f.st.id, f.old)
-		}
-		f.recordReported(f.mon.cfg.Peers.AcknowledgedAfter(ctx, f.st.id, f.demotedPrimary()))
+	after, asked := f.reportedAfter()
+	if f.demoted {
+		f.mon.RecordDemoted(f.st.id, f.old)
+	}
+	if f.mon.cfg.Peers != nil && (f.demoted || !asked) {
+		after = after.Max(f.mon.cfg.Peers.AcknowledgedAfter(ctx, f.st.id, f.demotedPrimary()))
 	}
-	return f.reported.Max(f.mon.AcknowledgedAfter(f.st.id))
+	return after.Max(f.mon.AcknowledgedAfter(f.st.id))
+}
+
+// reportedAfter returns what other VMs have reported so far, and whether they were asked.
+func (f *failover) reportedAfter() (after ident.Position, asked bool) {
+	f.reportedMu.Lock()
+	defer f.reportedMu.Unlock()
+	return f.reported, f.peersAsked
 }
 
 // demotedPrimary returns the primary if this attempt has demoted it, or "".
--- a/internal/lead/transfer.go
+++ b/internal/lead/transfer.go
@@ -125,7 +125,7 @@
 // commits back while this one has the claim, so that the replicas receive all of the log.
 func (f *failover) retryHandOver(ctx context.Context) error {
 	f.claim.promotionSent = false // it has taken effect, which ended the fences
-	f.fenced, f.answers, f.demoted, f.final = nil, nil, false, ident.Position{}
+	f.fenced, f.answers, f.demoted, f.hasFinalLog = nil, nil, false, false
 	if f.handOvers++; f.handOvers >= maxHandOvers || !f.isPlanned() {
 		return f.error("catch up", KindNoSuccessor, f.old)
 	}
