Keep the floors of a PostgreSQL session in the groups that its route has left

Callers saw: none reported it.

Cause: when the route of a session was moved, the session's floor was set to zero. A session whose reads accept stale data does not ask the group for its position, so after the route had come back its reads missed its own writes.

A session whose floor was dropped asks the group, whatever age it accepts.

Evidence: TestOwnWriteMovedRoute fails on ("1 != 0", a read on the replica that lacks the write), and passes. TestFloors compares with a map.

--- a/internal/wire/session.go
+++ b/internal/wire/session.go
@@ -20,12 +20,14 @@
 // session serves one caller. Its goroutine owns all fields except those guarded by
 // mu.
 type session struct {
-	srv             *Server
-	conn            net.Conn
-	backend         *pgproto3.Backend
-	out             outbox
-	auth            access.Authorization
+	srv     *Server
+	conn    net.Conn
+	backend *pgproto3.Backend
+	out     outbox
+	auth    access.Authorization
+	// floor is that in the group of auth, floors has those in groups that the route has left.
 	floor           sessn.Session
+	floors          sessn.Floors
 	processID       uint32
 	cancelSecret    []byte
 	applicationName string
@@ -327,7 +329,7 @@
 		return nil
 	}
 	if auth.Group != s.auth.Group {
-		s.floor = sessn.Session{} // positions of the former group do not apply
+		s.floor = s.floors.Move(s.auth.Group, s.floor, auth.Group)
 	}
 	s.auth = auth
 	s.mu.Lock()
--- a/pkg/sessn/session.go
+++ b/pkg/sessn/session.go
@@ -12,6 +12,8 @@
 type Session struct {
 	floor    ident.Position
 	attached bool
+	// mustAttach is set when the session's own writes may not be known either.
+	mustAttach bool
 }
 
 // Resume attaches the session at the position that the caller passed back.
@@ -26,8 +28,10 @@
 
 // NeedsFloor reports whether the group has to be asked for its position before
 // the session's first statement. A session whose reads accept stale data, up to
-// an age of maxAge, needs none.
-func (s *Session) NeedsFloor(maxAge time.Duration) bool { return !s.attached && maxAge == 0 }
+// an age of maxAge, needs none, unless its own writes may not be known.
+func (s *Session) NeedsFloor(maxAge time.Duration) bool {
+	return !s.attached && (maxAge == 0 || s.mustAttach)
+}
 
 // RecordWrite raises the floor to the position of a commit of this session.
 func (s *Session) RecordWrite(p ident.Position) { s.floor = s.floor.Max(p) }
