--- a/internal/lead/replies.go
+++ b/internal/lead/replies.go
@@ -148,15 +148,6 @@
 	return out
 }
 
-// highestReceived returns the highest position that the databases received.
-func highestReceived(replies []reply) ident.Position {
-	var out ident.Position
-	for _, r := range replies {
-		out = out.Max(r.status.Received)
-	}
-	return out
-}
-
 // nextTerm returns a term above all that the replies contain.
 func nextTerm(replies []reply) ident.Term {
 	t := highestTerm(replies)
