--- a/internal/engine/run.go
+++ b/internal/engine/run.go
@@ -5,11 +5,9 @@
 	"time"
 
 	"chervilspan.example/internal/dbpool"
-	"chervilspan.example/pkg/catal"
 	"chervilspan.example/pkg/dbop"
 	"chervilspan.example/pkg/ident"
 	"chervilspan.example/pkg/place"
-	"chervilspan.example/pkg/posn"
 	"chervilspan.example/pkg/roster"
 )
 
@@ -289,30 +287,6 @@
 	return c.refusal()
 }
 
-// floor returns the least position that a database must have applied for the
-// read. ok is false when no confirmed position is known in time.
-func (s *Session) floor(c *call) (ident.Position, bool) {
-	since := c.receivedAt.Add(-s.auth.MaxAge)
-	own := s.requiredCommit(since)
-	if own.Position.IsZero() && own.At.After(since) {
-		since = own.At
-	}
-	pos, ok := s.e.cfg.Primaries.CoveringPosition(c.deadline, s.auth.Group, since)
-	return pos.Max(own.Position), ok
-}
-
-// requiredCommit returns the session's last commit in the group if reads have to see it and
-// a position that covers the commits acknowledged before since may not cover it. It is zero
-// otherwise: an older commit may have been rolled back, or the group made anew under its
-// name, so that no database would ever reach its position.
-func (s *Session) requiredCommit(since time.Time) posn.Commit {
-	own := s.commits.Last(s.auth.Group)
-	if s.auth.ReadConsistency != catal.ConsistencySession || own.At.Before(since) {
-		return posn.Commit{}
-	}
-	return own
-}
-
 // readAt runs a read at one database. done is false when another one may be
 // tried.
 func (s *Session) readAt(c *call, m *roster.Member, floor ident.Position) (a dbop.Answer, done bool) {
--- a/internal/lead/acked.go
+++ b/internal/lead/acked.go
@@ -47,18 +47,11 @@
 // confirmedByPeer reports whether another VM has recently confirmed the primary, and keeps
 // what the others know of acknowledged commits.
 func (f *failover) confirmedByPeer(ctx context.Context, id ident.Target) bool {
-	if f.mon.cfg.Peers == nil {
-		return false
-	}
-	confirmed, after := f.mon.cfg.Peers.ConfirmsPrimary(ctx, f.st.id, id)
-	f.recordReported(after)
-	return confirmed
-}
-
-func (f *failover) recordReported(after ident.Position) {
+	confirmed, after := f.mon.confirmedByPeer(ctx, f.st.id, id)
 	f.reportedMu.Lock()
 	defer f.reportedMu.Unlock()
 	f.reported, f.peersAsked = f.reported.Max(after), true
+	return confirmed
 }
 
 // acknowledgedAfter returns a position above which a VM that answers knows of an acknowledged
@@ -66,11 +59,13 @@
 // a demoted primary has acknowledged meanwhile counts too.
 func (f *failover) acknowledgedAfter(ctx context.Context) ident.Position {
 	after, asked := f.reportedAfter()
+	var demoted ident.Target
 	if f.demoted {
-		f.mon.RecordDemoted(f.st.id, f.old)
+		demoted = f.old
+		f.mon.RecordDemoted(f.st.id, demoted)
 	}
 	if f.mon.cfg.Peers != nil && (f.demoted || !asked) {
-		after = after.Max(f.mon.cfg.Peers.AcknowledgedAfter(ctx, f.st.id, f.demotedPrimary()))
+		after = after.Max(f.mon.cfg.Peers.AcknowledgedAfter(ctx, f.st.id, demoted))
 	}
 	return after.Max(f.mon.AcknowledgedAfter(f.st.id))
 }
@@ -82,14 +77,6 @@
 	return f.reported, f.peersAsked
 }
 
-// demotedPrimary returns the primary if this attempt has demoted it, or "".
-func (f *failover) demotedPrimary() ident.Target {
-	if !f.demoted {
-		return ""
-	}
-	return f.old
-}
-
 // requireAcknowledged returns the database to promote: the one chosen, unless it lacks a
 // commit that a VM has seen acknowledged by a database which is neither listed nor in the
 // in-sync set. A demoted primary then leads again. If the primary does not answer, nothing is
--- a/internal/lead/monitor.go
+++ b/internal/lead/monitor.go
@@ -312,7 +312,11 @@
 		}
 	}
 	old := mon.cfg.Roster.LastPrimary(st.id)
-	if why == reasonSilent && mon.confirmedByPeer(ctx, st.id, old) || why == reasonStalled && !mon.replicationStalled(ctx, st, old) {
+	confirmed := false
+	if why == reasonSilent {
+		confirmed, _ = mon.confirmedByPeer(ctx, st.id, old)
+	}
+	if confirmed || why == reasonStalled && !mon.replicationStalled(ctx, st, old) {
 		st.resetStalledWrites()
 		mon.logRefuted(st.id, old)
 		return retryDelay
@@ -360,12 +364,11 @@
 	st.stalledWrites = 0
 }
 
-// confirmedByPeer reports whether another VM has recently confirmed the primary.
-// Then the fault is between this VM and the primary.
-func (mon *Monitor) confirmedByPeer(ctx context.Context, g ident.Group, id ident.Target) bool {
+// confirmedByPeer reports whether another VM has recently confirmed the primary. Then the
+// fault is between this VM and the primary. Otherwise after is that of Peers.
+func (mon *Monitor) confirmedByPeer(ctx context.Context, g ident.Group, id ident.Target) (confirmed bool, after ident.Position) {
 	if mon.cfg.Peers == nil {
-		return false
+		return false, after
 	}
-	confirmed, _ := mon.cfg.Peers.ConfirmsPrimary(ctx, g, id)
-	return confirmed
+	return mon.cfg.Peers.ConfirmsPrimary(ctx, g, id)
 }
--- a/internal/lead/transfer.go
+++ b/internal/lead/transfer.go
@@ -47,7 +47,7 @@
 	if best, err = f.fenceAll(answeredReplicas(replies), nextTerm(replies)); err != nil {
 		return best, err
 	}
-	if _, err := f.demote(primary, nextTerm(replies)); err != nil {
+	if err := f.demote(primary, nextTerm(replies)); err != nil {
 		return best, err
 	}
 	return f.includeUnfenced(ctx, replies, best)
@@ -73,12 +73,11 @@
 		return best, f.error("demote", KindClaimExpired, f.old)
 	}
 	term := nextTerm(replies)
-	final, err := f.demote(primary, term)
-	if err != nil {
+	if err := f.demote(primary, term); err != nil {
 		return best, err
 	}
 	f.hasFinalLog = true // whoever is returned
-	best, ok := f.mon.awaitPosition(ctx, f.st.id, successors, final, replicationTimeout)
+	best, ok := f.mon.awaitPosition(ctx, f.st.id, successors, f.final, replicationTimeout)
 	if !ok {
 		if best, ok = f.joinedSuccessor(ctx, successors, replies); !ok {
 			return primary.member, nil
@@ -89,11 +88,10 @@
 	if !slices.ContainsFunc(replicas, func(m roster.Member) bool { return m.ID == best.ID }) {
 		replicas = append(replicas, best)
 	}
-	fenced, err := f.fence(replicas, term)
-	if err != nil {
+	if _, err := f.fence(replicas, term); err != nil {
 		return best, err
 	}
-	if i := slices.IndexFunc(fenced, func(r reply) bool { return r.member.ID == best.ID }); fenced[i].status.Received.Less(final) {
+	if f.receivedBy(best.ID).Less(f.final) {
 		return primary.member, nil // it has restarted without its log
 	}
 	return best, nil
@@ -110,14 +108,14 @@
 	return bestPlaced(current, f.mon.placement(f.st.id))
 }
 
-// demote demotes the primary, which must confirm it, and returns the end of its log.
-func (f *failover) demote(primary *reply, term ident.Term) (ident.Position, error) {
+// demote demotes the primary, which must confirm it, and records the end of its log.
+func (f *failover) demote(primary *reply, term ident.Term) error {
 	r := f.mon.control(dbop.Statement{Kind: dbop.Demote, Term: term}, &primary.member)
 	if !r.answered || r.status.Primary {
-		return ident.Position{}, f.error("demote", KindNoAnswer, f.old)
+		return f.error("demote", KindNoAnswer, f.old)
 	}
 	f.demoted, f.final = true, r.status.Received
-	return f.final, nil
+	return nil
 }
 
 // retryHandOver prepares another hand-over after the demoted primary has been made the
